--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GO ?= go
+PROTOS := $(wildcard internal/protocol/*/*.proto)
+
+.PHONY: all build test race demo lint generate
+
+all: lint test
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	bash scripts/test.sh
+
+demo: build
+	bash scripts/demo.sh
+
+lint:
+	bash scripts/lint.sh
+
+# Needs protoc, protoc-gen-go and protoc-gen-twirp (see CONTRIBUTING.md).
+generate:
+	for f in $(PROTOS); do \
+		protoc --go_out=. --go_opt=paths=source_relative \
+			--twirp_out=. --twirp_opt=paths=source_relative $$f || exit 1; \
+	done
--- /dev/null
+++ b/cmd/wigeonspringd/main.go
@@ -0,0 +1,4 @@
+// Command wigeonspringd is the node daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/protocol/header/header.go
@@ -0,0 +1,47 @@
+// Package header names the HTTP headers between nodes and towards callers, and
+// the outcomes of a request.
+package header
+
+// Headers of requests and responses.
+const (
+	// RequestID identifies a request on every hop. A response carries the same.
+	RequestID = "Wigeonspring-Request-Id"
+	// Outcome tells a caller what happened to its request.
+	Outcome = "Wigeonspring-Outcome"
+	// Reason is a short machine-readable cause for an outcome other than answered.
+	Reason = "Wigeonspring-Reason"
+	// Caller identifies the team that sent the request.
+	Caller = "Wigeonspring-Caller"
+	// DeadlineMillis is the time left for the request in milliseconds.
+	DeadlineMillis = "Wigeonspring-Deadline-Ms"
+	// Attempt is the number of the attempt, starting at 1.
+	Attempt = "Wigeonspring-Attempt"
+	// Backend is the backend server that an ingress node chose.
+	Backend = "Wigeonspring-Backend"
+	// OwnerIncarnation is the incarnation of the owner that the ingress node
+	// addressed; another incarnation refuses the request.
+	OwnerIncarnation = "Wigeonspring-Owner-Incarnation"
+	// Route is the name of the matched route.
+	Route = "Wigeonspring-Route"
+	// Service is the name of the service.
+	Service = "Wigeonspring-Service"
+	// Region is the region of the ingress node.
+	Region = "Wigeonspring-Region"
+	// Baseline is the ingress node's view of the service without the chosen
+	// backend server.
+	Baseline = "Wigeonspring-Baseline"
+	// Load is the load of the backend server as its owner sees it.
+	Load = "Wigeonspring-Load"
+)
+
+// Outcomes of a request.
+const (
+	// Answered: the backend server's whole answer follows.
+	Answered = "answered"
+	// NotRun: no backend server began the request.
+	NotRun = "not-run"
+	// Unknown: the request may have run; it must not be repeated blindly.
+	Unknown = "unknown"
+	// Failed: an idempotent request failed on every attempt.
+	Failed = "failed"
+)
--- /dev/null
+++ b/internal/state/event/event.go
@@ -0,0 +1,59 @@
+// Package event defines the structured record of a decision: what was decided,
+// about what, why and on which evidence.
+package event
+
+import "time"
+
+// Kind names the decision.
+type Kind string
+
+// Kinds of events.
+const (
+	BackendEjected     Kind = "backend_ejected"
+	EjectionRefused    Kind = "ejection_refused"
+	BackendDegraded    Kind = "backend_degraded"
+	BackendProbation   Kind = "backend_probation"
+	BackendRestored    Kind = "backend_restored"
+	BackendAnnounced   Kind = "backend_announced"
+	BackendDraining    Kind = "backend_draining"
+	BackendLost        Kind = "backend_lost"
+	NodeSuspected      Kind = "node_suspected"
+	NodeDead           Kind = "node_dead"
+	NodeJoined         Kind = "node_joined"
+	PolicyInForce      Kind = "policy_in_force"
+	PolicyRefused      Kind = "policy_refused"
+	RequestRefused     Kind = "request_refused"
+	RequestFailed      Kind = "request_failed"
+	RequestSpilled     Kind = "request_spilled"
+	RetryBudgetSpent   Kind = "retry_budget_spent"
+	PlatformDown       Kind = "platform_down"
+	PlatformUp         Kind = "platform_up"
+	InvariantViolation Kind = "invariant_violation"
+)
+
+// Field is one piece of evidence.
+type Field struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Event is one decision.
+type Event struct {
+	Time      time.Time `json:"time"`
+	Kind      Kind      `json:"kind"`
+	Node      string    `json:"node,omitempty"`
+	Service   string    `json:"service,omitempty"`
+	Backend   string    `json:"backend,omitempty"`
+	RequestID string    `json:"request_id,omitempty"`
+	Reason    string    `json:"reason,omitempty"`
+	Evidence  []Field   `json:"evidence,omitempty"`
+}
+
+// Sink accepts events. Publish never blocks.
+type Sink interface{ Publish(Event) }
+
+// Discard is a sink that drops every event.
+type Discard struct{}
+
+// Publish implements Sink.
+func (Discard) Publish(Event) {}
--- /dev/null
+++ b/internal/state/policy/policy.go
@@ -0,0 +1,80 @@
+// Package policy defines the routing policy of a service: one document that is
+// validated as a whole, and the table of the policies in force.
+package policy
+
+import "time"
+
+// MaxDocumentBytes is the largest accepted document.
+const MaxDocumentBytes = 256 << 10
+
+// Duration is a time.Duration written as text, such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalText parses a duration such as "250ms".
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText writes the duration in the form that UnmarshalText reads.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Document is the policy of one service.
+type Document struct {
+	Service Service `toml:"service"`
+}
+
+// Service is the body of a policy document.
+type Service struct {
+	Name string `toml:"name"`
+	// Hosts are the HTTP host names that select this service.
+	Hosts []string `toml:"hosts"`
+	// Floor is the number of healthy backend servers that removing sick ones
+	// must never undercut.
+	Floor int `toml:"floor"`
+	// DetectionWeight balances detection time (1) against false ejections (0).
+	DetectionWeight float64 `toml:"detection_weight"`
+	// Timeout bounds a request that brings no deadline of its own.
+	Timeout Duration `toml:"timeout"`
+	Limits  Limits   `toml:"limits"`
+	Routes  []Route  `toml:"route"`
+}
+
+// Limits bounds the work that reaches the backend servers of a service.
+type Limits struct {
+	// MaxSlots caps the concurrency announced by a backend server; 0 means no cap.
+	MaxSlots int `toml:"max_slots"`
+	// Queue is the number of requests that wait for one backend server.
+	Queue int `toml:"queue"`
+	// MaxAttempts is the number of attempts of an idempotent request.
+	MaxAttempts int `toml:"max_attempts"`
+	// RetryPercent is the share of requests that may be retried.
+	RetryPercent float64 `toml:"retry_percent"`
+	// SpillPercent is the share of requests that may leave the region.
+	SpillPercent float64 `toml:"spill_percent"`
+	// SpillBytesPerSecond bounds the traffic of one node to other regions.
+	SpillBytesPerSecond int64 `toml:"spill_bytes_per_second"`
+	// CallerInFlight bounds the requests of one caller in flight at one backend
+	// server; 0 means no bound.
+	CallerInFlight int `toml:"caller_in_flight"`
+	// MaxBodyBytes bounds the body of a request; 0 means no bound.
+	MaxBodyBytes int64 `toml:"max_body_bytes"`
+}
+
+// Route selects the backend servers that may take a kind of request.
+type Route struct {
+	Name    string   `toml:"name"`
+	Methods []string `toml:"methods"`
+	// Path is matched exactly, or as a prefix if it ends in "/*".
+	Path string `toml:"path"`
+	// Selector lists labels that a backend server must carry.
+	Selector map[string]string `toml:"selector"`
+	// Idempotent allows the request to be repeated. The default is false.
+	Idempotent bool `toml:"idempotent"`
+	// Timeout overrides the timeout of the service; 0 keeps it.
+	Timeout Duration `toml:"timeout"`
+}
--- /dev/null
+++ b/internal/state/registry/registry.go
@@ -0,0 +1,91 @@
+// Package registry holds the records of nodes and backend servers that a node
+// knows, and an index of the backend servers by service.
+package registry
+
+import "time"
+
+// NodeID identifies a node across restarts.
+type NodeID string
+
+// BackendID identifies a backend server.
+type BackendID string
+
+// ServiceID identifies a service.
+type ServiceID string
+
+// MemberStatus is the liveness of a node as seen by the local node.
+type MemberStatus uint8
+
+// Member states in the order of precedence at the same incarnation.
+const (
+	Alive MemberStatus = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+// BackendState says whether a backend server may receive work.
+type BackendState uint8
+
+// States of a backend server, set by its owner.
+const (
+	Active BackendState = iota
+	Probation
+	Draining
+	Ejected
+)
+
+// Backend is the part of a backend server's record that every node knows.
+type Backend struct {
+	ID      BackendID
+	Service ServiceID
+	// Slots is the number of requests that the backend server runs at once.
+	Slots int
+	// Labels are matched by the selectors of routes.
+	Labels map[string]string
+	State  BackendState
+	// Weight scales the share of work, 0 to 1. A degraded backend server has a
+	// weight below 1.
+	Weight float64
+}
+
+// Serving reports whether the backend server counts as healthy capacity.
+func (b *Backend) Serving() bool { return b.State == Active || b.State == Probation }
+
+// Node is the record that a node publishes about itself.
+type Node struct {
+	ID NodeID
+	// Incarnation rises with every restart and every refuted suspicion.
+	Incarnation uint64
+	// Sequence rises with every change of the record within an incarnation.
+	Sequence uint64
+	// PeerAddr is the address (IP:port) for requests and RPCs between nodes over
+	// TCP and for gossip over UDP.
+	PeerAddr      string
+	OperatorAddr  string
+	FailureDomain string
+	Region        string
+	Status        MemberStatus
+	Backends      []Backend
+}
+
+// Newer reports whether the record a supersedes b.
+func (n *Node) Newer(b *Node) bool {
+	if n.Incarnation != b.Incarnation {
+		return n.Incarnation > b.Incarnation
+	}
+	if n.Sequence != b.Sequence {
+		return n.Sequence > b.Sequence
+	}
+	return n.Status > b.Status
+}
+
+// Member is a backend server together with its owner.
+type Member struct {
+	Backend *Backend
+	Owner   *Node
+}
+
+// LeaseDuration is how long an announcement keeps a backend server with its
+// owner, counted from before the announcement was sent.
+const LeaseDuration = 3 * time.Second
--- /dev/null
+++ b/internal/x/tools.go
@@ -0,0 +1,5 @@
+//go:build tools
+
+package x
+
+import _ "github.com/twitchtv/twirp/protoc-gen-twirp"
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+echo "demo: not available yet"
