--- /dev/null
+++ b/internal/transport/health/health_test.go
@@ -0,0 +1,79 @@
+package health
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/ejection"
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type permits struct{}
+
+func (permits) Request(_ registry.ServiceID, b registry.BackendID, done func(Answer)) {
+	go done(Answer{Permit: ejection.Permit(b)})
+}
+func (permits) Release(registry.ServiceID, registry.BackendID) {}
+
+type sink struct {
+	mu     sync.Mutex
+	events []event.Event
+}
+
+func (s *sink) Publish(e event.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, e)
+}
+
+// Guards against decisions of the core that do not reach the record or the
+// event sink.
+func TestFailingServerIsEjected(t *testing.T) {
+	applied := make(chan registry.BackendState, 8)
+	events := &sink{}
+	h := New(Options{
+		Tick:    5 * time.Millisecond,
+		View:    func() ejection.View { return ejection.View{"s": {Floor: 9, Serving: 12, Capacity: 12}} },
+		Permits: permits{}, Sink: events, Node: "n1",
+		Apply: func(_ registry.BackendID, s registry.BackendState, _ float64) { applied <- s },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- h.Run(ctx) }()
+	for range 20 {
+		h.Observe(evidence.Observation{Backend: "b1", Service: "s", Kind: evidence.Timeout, At: time.Now()})
+	}
+	select {
+	case s := <-applied:
+		if s != registry.Ejected {
+			t.Errorf("state %d, want ejected", s)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no decision within 5 s")
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	events.mu.Lock()
+	defer events.mu.Unlock()
+	if len(events.events) != 1 || events.events[0].Kind != event.BackendEjected || len(events.events[0].Evidence) == 0 {
+		t.Fatalf("events %+v", events.events)
+	}
+}
+
+// Guards against an observation that blocks the request path.
+func TestFullRingDrops(t *testing.T) {
+	h := New(Options{Ring: 1})
+	if !h.Observe(evidence.Observation{}) || h.Observe(evidence.Observation{}) || h.Dropped() != 1 {
+		t.Fatalf("dropped %d, want 1", h.Dropped())
+	}
+}
