--- a/internal/coordination/ejection/core.go
+++ b/internal/coordination/ejection/core.go
@@ -36,6 +36,7 @@
 	level    float64
 	returned time.Time
 	until    time.Time
+	revoked  bool
 	score    float64
 }
 
@@ -47,7 +48,8 @@
 	// order keeps the decisions of a tick independent of the map order.
 	order []*server
 	// unused holds the permits to be released at the next tick.
-	unused []Decision
+	unused   []Decision
+	lastTick time.Time
 }
 
 // New returns a core without backend servers.
@@ -123,16 +125,18 @@
 // PermitGranted reports that a requested permit is held for the backend server.
 func (c *Core) PermitGranted(_ time.Time, id registry.BackendID, p Permit) {
 	s := c.servers[id]
-	if s == nil || s.permit != "" || (s.state != Suspected && s.state != Degraded) {
-		// The server recovered, returned or left while the request was under way.
-		d := Decision{Action: ReleasePermit, Backend: id, Permit: p, Weight: 1, Reason: ReasonNotUsed}
-		if s != nil {
-			if s.permit == p {
-				return
-			}
-			d.Service, s.asked = s.service, time.Time{}
+	if s == nil {
+		// Remove has released what was held or asked for.
+		return
+	}
+	if s.permit.ID != "" || (s.state != Suspected && s.state != Degraded) {
+		// The server recovered or returned while the request was under way.
+		s.asked = time.Time{}
+		if s.permit.ID != p.ID {
+			c.unused = append(c.unused, Decision{
+				Action: ReleasePermit, Backend: id, Service: s.service, Permit: p, Weight: 1, Reason: ReasonNotUsed,
+			})
 		}
-		c.unused = append(c.unused, d)
 		return
 	}
 	s.asked = time.Time{}
@@ -151,14 +155,27 @@
 	c.delayRequest(now, s)
 }
 
-// Remove forgets a backend server that left this owner. A permit held for it is
-// released at the next tick.
+// PermitRevoked reports that the permit of a backend server is no longer valid.
+// An ejected server returns at the next tick.
+func (c *Core) PermitRevoked(now time.Time, id registry.BackendID) {
+	s := c.servers[id]
+	if s == nil {
+		return
+	}
+	s.permit = Permit{}
+	if s.state == Ejected {
+		s.until, s.revoked = now, true
+	}
+}
+
+// Remove forgets a backend server that left this owner. A permit held or asked
+// for is released at the next tick.
 func (c *Core) Remove(id registry.BackendID) {
 	s := c.servers[id]
 	if s == nil {
 		return
 	}
-	if s.permit != "" {
+	if s.permit.ID != "" || !s.asked.IsZero() {
 		c.unused = append(c.unused, Decision{
 			Action: ReleasePermit, Backend: id, Service: s.service, Permit: s.permit, Reason: ReasonRemoved,
 		})
--- a/internal/coordination/ejection/core_test.go
+++ b/internal/coordination/ejection/core_test.go
@@ -65,8 +65,8 @@
 		t.Fatal("suspicion without evidence")
 	}
 	b.tick()
-	b.core.PermitGranted(b.now, "b1", "p1")
-	if d := b.tick(Eject); d[0].Permit != "p1" || d[0].Weight != 0 {
+	b.core.PermitGranted(b.now, "b1", Permit{ID: "p1", Position: 1})
+	if d := b.tick(Eject); d[0].Permit.ID != "p1" || d[0].Weight != 0 {
 		t.Fatalf("ejection %+v", d[0])
 	}
 	b.serve(11, 11)
@@ -87,7 +87,7 @@
 	b := newBench(t, 9)
 	b.observe(10, evidence.Timeout)
 	b.tick(Suspect)
-	b.core.PermitGranted(b.now, "b1", "p1")
+	b.core.PermitGranted(b.now, "b1", Permit{ID: "p1", Position: 1})
 	b.tick(Eject)
 	for wait := 5 * time.Second; wait < 5*time.Minute; wait *= 2 {
 		b.serve(11, 11)
@@ -114,10 +114,10 @@
 	b.observe(10, evidence.Timeout)
 	b.tick(Suspect)
 	b.serve(9, 9)
-	b.core.PermitGranted(b.now, "b1", "p1")
+	b.core.PermitGranted(b.now, "b1", Permit{ID: "p1", Position: 1})
 	b.tick(ReleasePermit, Degrade)
 	b.observe(60, evidence.Success)
-	b.tick(Restore)
+	b.tick(ReleasePermit, Restore)
 }
 
 // Guards against a refused or unanswered permit that leaves a failing server
@@ -162,7 +162,7 @@
 		}
 	}
 	for _, d := range c.Tick(start, view) {
-		c.PermitGranted(start, d.Backend, Permit(d.Backend))
+		c.PermitGranted(start, d.Backend, Permit{ID: string(d.Backend)})
 	}
 	c.Tick(start, view)
 	view["s"] = ServiceView{Floor: 9, Serving: 8, Capacity: 8}
@@ -179,9 +179,12 @@
 	b.tick(Suspect)
 	b.observe(100, evidence.Success)
 	b.tick()
-	b.core.PermitGranted(b.now, "b1", "p1")
+	b.core.PermitGranted(b.now, "b1", Permit{ID: "p1", Position: 1})
 	b.tick(ReleasePermit)
-	b.core.PermitGranted(b.now, "gone", "p2")
+	b.observe(10, evidence.Timeout)
+	b.tick(Suspect)
+	b.core.Remove("b1")
+	b.core.PermitGranted(b.now, "b1", Permit{ID: "p2", Position: 1})
 	b.tick(ReleasePermit)
 }
 
--- a/internal/coordination/ejection/decision.go
+++ b/internal/coordination/ejection/decision.go
@@ -30,8 +30,15 @@
 
 func (a Action) String() string { return actionNames[a] }
 
-// Permit identifies an ejection permit of a service.
-type Permit string
+// Permit is an ejection permit of a service.
+type Permit struct {
+	ID string
+	// Position is the position of the permit in the ledger, starting at 1. The
+	// permit may be used only while the allowance is at least that large, so
+	// that a crash after the grant does not let several owners eject at once
+	// what only one of them still may.
+	Position int
+}
 
 // Decision is one step for a backend server.
 type Decision struct {
@@ -56,6 +63,8 @@
 	// Serving is the number of backend servers that are alive and neither
 	// draining nor ejected.
 	Serving int
+	// Ejected is the number of backend servers that are alive and ejected.
+	Ejected int
 	// Capacity is the sum of the weights of the serving backend servers.
 	Capacity float64
 }
@@ -86,4 +95,5 @@
 	ReasonRemoved       = "removed"
 	ReasonNotUsed       = "permit_not_used"
 	ReasonProbationFail = "failed_in_probation"
+	ReasonRevoked       = "permit_revoked"
 )
--- a/internal/coordination/ejection/options.go
+++ b/internal/coordination/ejection/options.go
@@ -39,8 +39,15 @@
 	// PermitTimeout is the time after which an unanswered request for a permit
 	// counts as refused. The default is 10 s.
 	PermitTimeout time.Duration
+	// IgnorePosition switches the check of the permit's position off; for tests
+	// only.
+	IgnorePosition bool
 }
 
+// pauseLimit is the gap between ticks after which the process counts as paused.
+// A permit that was not used before the pause must be confirmed.
+const pauseLimit = 3 * time.Second
+
 func (o Options) withDefaults() Options {
 	if o.NewDetector == nil {
 		o.NewDetector = func() Detector { return NewCUSUM(CUSUMOptions{}) }
--- a/internal/coordination/ejection/tick.go
+++ b/internal/coordination/ejection/tick.go
@@ -15,6 +15,15 @@
 // Tick returns the decisions that are due. The view must already reflect the
 // decisions of earlier ticks.
 func (c *Core) Tick(now time.Time, view View) []Decision {
+	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > pauseLimit {
+		for _, s := range c.order {
+			if s.state != Ejected {
+				// The permit stays with its holder, which confirms it on request.
+				s.permit = Permit{}
+			}
+		}
+	}
+	c.lastTick = now
 	out := c.unused
 	c.unused = nil
 	// left is what remains of the view after the decisions of this tick.
@@ -31,7 +40,11 @@
 		switch s.state {
 		case Ejected:
 			if !now.Before(s.until) {
-				out = append(out, c.probation(now, s, left, ReasonBackoffOver))
+				reason := ReasonBackoffOver
+				if s.revoked {
+					reason = ReasonRevoked
+				}
+				out = append(out, c.probation(now, s, left, reason))
 			}
 			continue
 		case InProbation:
@@ -54,19 +67,19 @@
 	}
 	if !s.detector.Failing(now) {
 		s.refused = ""
-		if s.permit != "" {
+		if s.permit.ID != "" {
 			out = append(out, c.release(s, ReasonNotUsed))
 		}
 		switch {
 		case s.state == Suspected:
 			s.state = Healthy
 		case s.state == Degraded && s.successes >= c.opts.ProbationSuccesses:
-			out = append(out, c.restore(s, left))
+			out = append(out, c.release(s, ReasonRecovered), c.restore(s, left))
 		}
 		return out
 	}
 	switch {
-	case s.permit != "":
+	case s.permit.ID != "":
 		if c.mayRemove(s, left) {
 			return append(out, c.eject(now, s, left, ""))
 		}
@@ -111,7 +124,7 @@
 		if !failing {
 			reason = ReasonProbationFail
 		}
-		if s.permit == "" {
+		if s.permit.ID == "" {
 			// It returned early. A new permit is asked for while it is degraded.
 			return c.degrade(now, s, left, ReasonProbationFail, out)
 		}
@@ -122,10 +135,8 @@
 		c.delayRequest(now, s)
 		return c.degrade(now, s, left, ReasonFloor, out)
 	case s.successes >= c.opts.ProbationSuccesses:
-		if s.permit != "" {
-			out = append(out, c.release(s, ReasonRecovered))
-		}
-		out = append(out, c.restore(s, left))
+		// After a pause the holder may hold a permit that the core does not know.
+		out = append(out, c.release(s, ReasonRecovered), c.restore(s, left))
 	}
 	return out
 }
@@ -155,6 +166,9 @@
 // service without a view has no known floor, so nothing may be removed.
 func (c *Core) mayRemove(s *server, left View) bool {
 	v, ok := left[s.service]
+	if s.permit.ID != "" && s.permit.Position > v.Serving+v.Ejected-v.Floor && !c.opts.IgnorePosition {
+		return false
+	}
 	return ok && v.Serving-1 >= v.Floor && v.Capacity-s.weight() >= float64(v.Floor)-1e-9
 }
 
@@ -172,6 +186,7 @@
 	}
 	v := left[s.service]
 	v.Serving--
+	v.Ejected++
 	v.Capacity -= s.weight()
 	left[s.service] = v
 	invariant.Check(v.Serving >= v.Floor, "floor", "service %s: ejecting %s leaves %d of floor %d",
@@ -200,10 +215,11 @@
 func (c *Core) probation(now time.Time, s *server, left View, reason string) Decision {
 	v := left[s.service]
 	v.Serving++
+	v.Ejected--
 	v.Capacity++
 	left[s.service] = v
 	s.state = InProbation
-	s.returned = now
+	s.returned, s.revoked = now, false
 	s.successes, s.failures = 0, 0
 	s.detector.Reset()
 	return c.decision(BeginProbation, s, left, reason, Verdict{Score: s.score})
@@ -237,7 +253,7 @@
 
 func (c *Core) release(s *server, reason string) Decision {
 	d := Decision{Action: ReleasePermit, Backend: s.id, Service: s.service, Weight: 1, Permit: s.permit, Reason: reason}
-	s.permit = ""
+	s.permit = Permit{}
 	return d
 }
 
--- a/internal/transport/health/health.go
+++ b/internal/transport/health/health.go
@@ -103,6 +103,11 @@
 	h.enqueue(func(c *ejection.Core) { c.Remove(backend) })
 }
 
+// Revoke reports that the permit of a backend server is no longer valid.
+func (h *Health) Revoke(backend registry.BackendID) {
+	h.enqueue(func(c *ejection.Core) { c.PermitRevoked(h.opts.Now(), backend) })
+}
+
 // enqueue defers a change of the core to its goroutine. The queue is bounded by
 // its callers: policy changes, departures and one answer per request for a
 // permit.
@@ -168,7 +173,7 @@
 
 func (h *Health) answer(backend registry.BackendID, a Answer) {
 	h.enqueue(func(c *ejection.Core) {
-		if a.Permit != "" {
+		if a.Permit.ID != "" {
 			c.PermitGranted(h.opts.Now(), backend, a.Permit)
 		} else {
 			c.PermitRefused(h.opts.Now(), backend, a.Reason)
--- a/internal/transport/health/health_test.go
+++ b/internal/transport/health/health_test.go
@@ -19,7 +19,7 @@
 type permits struct{}
 
 func (permits) Request(_ registry.ServiceID, b registry.BackendID, done func(Answer)) {
-	go done(Answer{Permit: ejection.Permit(b)})
+	go done(Answer{Permit: ejection.Permit{ID: string(b), Position: 1}})
 }
 func (permits) Release(registry.ServiceID, registry.BackendID) {}
 
