--- a/internal/coordination/floor/holder.go
+++ b/internal/coordination/floor/holder.go
@@ -33,6 +33,10 @@
 	// freshFor is the age up to which a cached ledger is written to without
 	// reading it again.
 	freshFor = 5 * time.Second
+	// idleFactor lengthens the refresh of a node that holds and should hold no
+	// permit. It still reads now and then: the first reading after a start may
+	// have been stale and have hidden an entry of the previous process.
+	idleFactor = 12
 	// maxCalls bounds the platform calls made for one request.
 	maxCalls = 4
 )
--- a/internal/coordination/floor/step.go
+++ b/internal/coordination/floor/step.go
@@ -53,9 +53,6 @@
 	if len(b.held) == 0 {
 		// Nothing is left to confirm.
 		b.paused = b.paused && len(b.requests) > 0
-		if b.version > 0 && !b.dirty && view.Quota(b.service)[h.self.Node] == 0 {
-			b.postpone(now, h)
-		}
 	}
 	wanted := b.readBack || !now.Before(b.hold) && (b.dirty || !now.Before(b.refresh))
 	for _, r := range b.pending() {
@@ -86,20 +83,21 @@
 		h.emit(Output{Kind: Write, Service: b.service, Value: l.Encode(), Version: b.version})
 		return
 	}
-	b.settled(now, h)
+	h.settled(now, b, view)
 }
 
-// settled notes that the ledger needs no change.
-func (b *book) settled(now time.Time, h *Holder) {
+// settled notes that the ledger needs no change and sets the time of the next
+// reading.
+func (h *Holder) settled(now time.Time, b *book, view View) {
 	b.dirty = false
-	b.postpone(now, h)
-}
-
-// postpone sets the time of the next reading if it is due.
-func (b *book) postpone(now time.Time, h *Holder) {
-	if !now.Before(b.refresh) {
-		b.refresh = now.Add(time.Duration((0.5 + h.opts.Jitter()) * float64(h.opts.Refresh)))
+	if now.Before(b.refresh) {
+		return
+	}
+	mean := h.opts.Refresh
+	if len(b.held) == 0 && view.Quota(b.service)[h.self.Node] == 0 {
+		mean *= idleFactor
 	}
+	b.refresh = now.Add(time.Duration((0.5 + h.opts.Jitter()) * float64(mean)))
 }
 
 func (h *Holder) countCall(b *book) {
@@ -159,7 +157,8 @@
 		h.succeeded()
 		b.paused = b.paused && b.writingAt != b.pauses
 		h.adopt(now, b, *written, version)
-		b.settled(now, h)
+		view, _ := h.opts.View(service)
+		h.settled(now, b, view)
 	case errors.Is(err, platform.ErrConflict):
 		h.succeeded()
 		b.known = false
@@ -167,7 +166,8 @@
 	default:
 		h.failed(now)
 		b.known = false
-		b.readBack = true
+		// The entry may be in the ledger even if the reading fails too.
+		b.readBack, b.dirty = true, true
 		if !h.enabled(CheckReadBack) {
 			b.readBack = false
 			for _, r := range b.requests {
