Confirm the permit of a server that was ejected during a pause

A process that woke after a pause returned an ejected server to probation and ejected it again with the same permit, which another owner had reclaimed meanwhile. The permit now has to be asked for again, as for a permit that was granted and not used.

--- a/internal/coordination/ejection/core.go
+++ b/internal/coordination/ejection/core.go
@@ -37,7 +37,10 @@
 	returned time.Time
 	until    time.Time
 	revoked  bool
-	score    float64
+	// unconfirmed says that the process was paused while the server was ejected,
+	// so its permit must not serve for another ejection.
+	unconfirmed bool
+	score       float64
 }
 
 // Core decides about the backend servers of one owner node.
--- a/internal/coordination/ejection/tick.go
+++ b/internal/coordination/ejection/tick.go
@@ -17,8 +17,10 @@
 func (c *Core) Tick(now time.Time, view View) []Decision {
 	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > pauseLimit {
 		for _, s := range c.order {
-			if s.state != Ejected {
-				// The permit stays with its holder, which confirms it on request.
+			// The permit stays with its holder, which confirms it on request.
+			if s.state == Ejected {
+				s.unconfirmed = true
+			} else {
 				s.permit = Permit{}
 			}
 		}
@@ -220,6 +222,9 @@
 	left[s.service] = v
 	s.state = InProbation
 	s.returned, s.revoked = now, false
+	if s.unconfirmed {
+		s.permit, s.unconfirmed = Permit{}, false
+	}
 	s.successes, s.failures = 0, 0
 	s.detector.Reset()
 	return c.decision(BeginProbation, s, left, reason, Verdict{Score: s.score})
