--- /dev/null
+++ b/cmd/wigeon-backend/main.go
@@ -0,0 +1,67 @@
+// Command wigeon-backend is a stand-in for a backend server, for demos and
+// tests. It prints a JSON line for each phase of each request that it runs.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"wigeonspring.example/wigeonspring/standin/backend"
+	"wigeonspring.example/wigeonspring/standin/record"
+)
+
+type options struct {
+	ID          string            `long:"id" required:"true" description:"identifier"`
+	Service     string            `long:"service" required:"true" description:"service name"`
+	Listen      string            `long:"listen" default:"127.0.0.1:0" description:"address for work and administration"`
+	Nodes       []string          `long:"node" required:"true" description:"peer address of a node; repeat in order of preference"`
+	Slots       int               `long:"slots" default:"5" description:"requests run at once"`
+	Labels      map[string]string `long:"label" description:"label as key:value; repeat"`
+	ServiceTime time.Duration     `long:"service-time" default:"5ms" description:"time a request takes"`
+	ColdStart   time.Duration     `long:"cold-start" default:"2s" description:"time after the start in which requests take three times as long"`
+	AnswerBytes int               `long:"answer-bytes" default:"512" description:"size of an answer's filler"`
+	Seed        uint64            `long:"seed" default:"1" description:"seed of random faults"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(opts); err != nil {
+		fmt.Fprintln(os.Stderr, "wigeon-backend:", err)
+		os.Exit(1)
+	}
+}
+
+func run(opts options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	server, err := backend.New(backend.Options{
+		ID:          opts.ID,
+		Service:     opts.Service,
+		Listen:      opts.Listen,
+		Nodes:       opts.Nodes,
+		Slots:       opts.Slots,
+		Labels:      opts.Labels,
+		ServiceTime: opts.ServiceTime,
+		ColdStart:   opts.ColdStart,
+		AnswerBytes: opts.AnswerBytes,
+		Seed:        opts.Seed,
+		Records:     record.NewWriter(os.Stdout),
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(os.Stderr, "listening", server.Addr())
+	return server.Run(ctx)
+}
--- /dev/null
+++ b/cmd/wigeon-load/main.go
@@ -0,0 +1,67 @@
+// Command wigeon-load is a stand-in for callers, for demos and tests. It
+// prints a JSON line for each operation on standard output and a summary on
+// standard error.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"wigeonspring.example/wigeonspring/standin/caller"
+	"wigeonspring.example/wigeonspring/standin/record"
+)
+
+type options struct {
+	Targets        []string      `long:"target" required:"true" description:"address of a node or backend server; repeat"`
+	Service        string        `long:"service" required:"true" description:"service name for the records"`
+	Host           string        `long:"host" required:"true" description:"HTTP host name"`
+	Rate           float64       `long:"rate" default:"100" description:"operations a second"`
+	Duration       time.Duration `long:"duration" default:"10s" description:"how long to send"`
+	BookingPercent float64       `long:"bookings" default:"20" description:"share of non-idempotent bookings, percent"`
+	UploadPercent  float64       `long:"uploads" default:"0" description:"share of uploads, percent"`
+	UploadBytes    int64         `long:"upload-bytes" default:"8388608" description:"size of an upload"`
+	Timeout        time.Duration `long:"timeout" default:"10s" description:"how long a caller waits"`
+	Teams          int           `long:"teams" default:"20" description:"number of caller identities"`
+	Seed           uint64        `long:"seed" default:"1" description:"seed of the mix"`
+	Prefix         string        `long:"prefix" default:"op" description:"prefix of operation identifiers"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	load := caller.New(caller.Options{
+		Targets:        opts.Targets,
+		Service:        opts.Service,
+		Host:           opts.Host,
+		Rate:           opts.Rate,
+		Duration:       opts.Duration,
+		BookingPercent: opts.BookingPercent,
+		UploadPercent:  opts.UploadPercent,
+		UploadBytes:    opts.UploadBytes,
+		Timeout:        opts.Timeout,
+		Teams:          opts.Teams,
+		Seed:           opts.Seed,
+		Prefix:         opts.Prefix,
+		Records:        record.NewWriter(os.Stdout),
+	})
+	out, err := json.Marshal(load.Run(ctx))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "wigeon-load:", err)
+		os.Exit(1)
+	}
+	fmt.Fprintln(os.Stderr, string(out))
+}
--- /dev/null
+++ b/internal/transport/events/bus_test.go
@@ -0,0 +1,66 @@
+package events
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/event"
+)
+
+// Guards against a consumer that blocks producers or other consumers.
+func TestSlowConsumerDropsAndDoesNotBlock(t *testing.T) {
+	bus, err := New(Options{Node: "n1", Capacity: 8})
+	if err != nil {
+		t.Fatal(err)
+	}
+	release := make(chan struct{})
+	fast := make(chan event.Event, 1000)
+	bus.Handle("slow", func(event.Event) { <-release })
+	bus.Handle("fast", func(e event.Event) { fast <- e })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- bus.Run(ctx) }()
+	<-bus.router.Running()
+
+	const published = 200
+	for i := range published {
+		start := time.Now()
+		bus.Publish(event.Event{Kind: event.BackendEjected, Reason: fmt.Sprint(i)})
+		if d := time.Since(start); d > time.Second {
+			t.Fatalf("Publish blocked for %v", d)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	deadline := time.After(5 * time.Second)
+	select {
+	case e := <-fast:
+		if e.Node != "n1" || e.Kind != event.BackendEjected {
+			t.Fatalf("event changed on the way: %+v", e)
+		}
+	case <-deadline:
+		t.Fatal("fast consumer received nothing beside a blocked one")
+	}
+	if drops.Get("slow") == nil {
+		t.Fatal("drops of the slow consumer were not counted")
+	}
+	close(release)
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against an explanation that misses recent events after wrap-around.
+func TestStoreReturnsNewestFirst(t *testing.T) {
+	s := NewStore(3)
+	for i := range 5 {
+		s.Add(event.Event{Backend: "b", Reason: fmt.Sprint(i)})
+	}
+	s.Add(event.Event{Backend: "other"})
+	got := s.Find(Query{Backend: "b"})
+	if len(got) != 2 || got[0].Reason != "4" || got[1].Reason != "3" {
+		t.Fatalf("got %+v", got)
+	}
+}
--- /dev/null
+++ b/standin/verify/verify.go
@@ -0,0 +1,128 @@
+// Package verify compares what callers saw with what backend servers ran.
+package verify
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/standin/record"
+)
+
+// Report is the comparison of one run.
+type Report struct {
+	Sent     int            `json:"sent"`
+	Outcomes map[string]int `json:"outcomes"`
+	// Wrong counts answers that were not whole or not the caller's own.
+	Wrong int `json:"wrong"`
+	// Lost counts operations that were answered although no backend server
+	// committed them.
+	Lost int `json:"lost"`
+	// RunTwice counts non-idempotent operations that began more than once.
+	RunTwice int `json:"run_twice"`
+	// FalseNotRun counts operations that were said to be not run but began.
+	FalseNotRun int `json:"false_not_run"`
+	// LatencyP50 and LatencyP99 are taken over answered operations.
+	LatencyP50 time.Duration `json:"latency_p50"`
+	LatencyP99 time.Duration `json:"latency_p99"`
+	// LastWork is the time of the last new work of each backend server.
+	LastWork map[string]time.Time `json:"last_work"`
+	// Examples name the first violations.
+	Examples []string `json:"examples,omitempty"`
+}
+
+const maxExamples = 10
+
+// Violated reports whether an invariant was broken.
+func (r *Report) Violated() bool {
+	return r.Wrong+r.Lost+r.RunTwice+r.FalseNotRun > 0
+}
+
+func (r *Report) example(format string, args ...any) {
+	if len(r.Examples) < maxExamples {
+		r.Examples = append(r.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// Compare builds the report. Runs are read from the logs of the backend
+// servers, results from the logs of the callers.
+func Compare(runs []record.Run, results []record.Result) *Report {
+	rep := &Report{Outcomes: map[string]int{}, LastWork: map[string]time.Time{}}
+	started := map[string]int{}
+	committed := map[string]int{}
+	for _, run := range runs {
+		switch run.Phase {
+		case record.Started:
+			started[run.Operation]++
+			if run.Time.After(rep.LastWork[run.Backend]) {
+				rep.LastWork[run.Backend] = run.Time
+			}
+		case record.Committed:
+			committed[run.Operation]++
+		}
+	}
+	var latencies []time.Duration
+	for _, res := range results {
+		rep.Sent++
+		rep.Outcomes[res.Outcome]++
+		if res.Wrong {
+			rep.Wrong++
+			rep.example("wrong answer: %s: %s", res.Operation, res.Error)
+		}
+		rep.check(res, started[res.Operation], committed[res.Operation])
+		if res.Outcome == header.Answered && res.Status == 200 {
+			latencies = append(latencies, res.Latency)
+		}
+	}
+	rep.LatencyP50 = quantile(latencies, 0.50)
+	rep.LatencyP99 = quantile(latencies, 0.99)
+	return rep
+}
+
+func (r *Report) check(res record.Result, started, committed int) {
+	if !res.Idempotent && started > 1 {
+		r.RunTwice++
+		r.example("run twice: %s began %d times, outcome %s", res.Operation, started, res.Outcome)
+	}
+	if res.Outcome == header.NotRun && started > 0 {
+		r.FalseNotRun++
+		r.example("said to be not run: %s began %d times", res.Operation, started)
+	}
+	if res.Outcome == header.Answered && res.Status == 200 && committed == 0 {
+		r.Lost++
+		r.example("answered without a commit: %s", res.Operation)
+	}
+}
+
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Slice(values, func(i, j int) bool { return values[i] < values[j] })
+	return values[min(int(q*float64(len(values))), len(values)-1)]
+}
+
+// ReadLines decodes one value of type T from each JSON line of r. A last line
+// that was cut by a killed process is ignored.
+func ReadLines[T any](r io.Reader) ([]T, error) {
+	var values []T
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, 1<<20)
+	var pending error
+	for line := 1; scanner.Scan(); line++ {
+		if pending != nil {
+			return nil, pending
+		}
+		var v T
+		if err := json.Unmarshal(scanner.Bytes(), &v); err != nil {
+			pending = fmt.Errorf("line %d: %w", line, err)
+			continue
+		}
+		values = append(values, v)
+	}
+	return values, scanner.Err()
+}
