Add the decision cores with their full API

Separate unsynchronized cores were ruled out: each core is small and guards itself with one mutex, so that callers need no lock order.

--- /dev/null
+++ b/internal/coordination/ownership/ownership.go
@@ -0,0 +1,283 @@
+package ownership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Reason says why an announcement was refused or a lease ended.
+type Reason string
+
+// Reasons of results and of lost leases.
+const (
+	// None: the announcement was accepted.
+	None Reason = ""
+	// Stopping: the node is shutting down and takes no backend servers.
+	Stopping Reason = "node_stopping"
+	// StaleIncarnation: a later start of the backend server holds the lease.
+	StaleIncarnation Reason = "stale_incarnation"
+	// Stale: the announcement may have been sent longer ago than a lease lasts.
+	Stale Reason = "stale_announcement"
+	// Invalid: the announcement names no backend server or no service.
+	Invalid Reason = "invalid_announcement"
+	// Released: the backend server released its lease.
+	Released Reason = "released"
+	// Lapsed: the lease was not renewed in time.
+	Lapsed Reason = "lease_lapsed"
+)
+
+// Options configures a Table. Zero values select the defaults.
+type Options struct {
+	// Lease is the duration of a lease; the default is registry.LeaseDuration.
+	Lease time.Duration
+	// MaxGap is the longest time between two calls of a running process. Tick is
+	// called several times within it. The default is 1 s.
+	MaxGap time.Duration
+	// Settle is the time after a gap in which announcements may have waited in a
+	// receive buffer since before the gap. The default is 1 s.
+	Settle time.Duration
+}
+
+// Announcement is a backend server's statement that this node owns it.
+type Announcement struct {
+	Backend registry.BackendID
+	Service registry.ServiceID
+	// Address is the HTTP address (IP:port) of the backend server.
+	Address string
+	Slots   int
+	Labels  map[string]string
+	// Draining asks for no new work.
+	Draining bool
+	// Released ends the lease at once.
+	Released bool
+	// Incarnation is the start time of the backend server in unix milliseconds.
+	Incarnation uint64
+	// ReportedInUse is the backend server's own count; it may lag or mislead.
+	ReportedInUse int
+	// LeaseFrom is the instant of this node's clock from which the lease counts.
+	// Zero means the time of the call. A transport that can bound when the
+	// announcement was sent passes that bound.
+	LeaseFrom time.Time
+}
+
+// Result is the answer to an announcement.
+type Result struct {
+	// Accepted is set when the lease was granted, renewed or released.
+	Accepted bool
+	// Reason is set when the announcement was refused.
+	Reason Reason
+	// New is set when the node did not hold a lease for this start of the backend
+	// server before; the backend server starts cold.
+	New bool
+	// Changed is set when the published record differs from the previous one.
+	Changed bool
+	// Expires is the end of the lease.
+	Expires time.Time
+}
+
+// Lost is a lease that ended.
+type Lost struct {
+	Backend registry.BackendID
+	Service registry.ServiceID
+	Reason  Reason
+}
+
+// Owned is a backend server whose lease this node holds.
+type Owned struct {
+	Announcement
+	// Since is when the current lease began without interruption.
+	Since time.Time
+	// Expires is the end of the lease unless it is renewed.
+	Expires time.Time
+}
+
+// Table holds the leases of one node. It is safe for concurrent use.
+type Table struct {
+	opt Options
+
+	mu       sync.Mutex
+	leases   map[registry.BackendID]*lease
+	stopping bool
+	// last is the latest time of any call; beforeGap and resumed are the ends of
+	// the last gap.
+	last, beforeGap, resumed time.Time
+
+	off mechanismsOff
+}
+
+// mechanismsOff disables mechanisms in tests, to show that the invariants
+// detect their absence.
+type mechanismsOff struct{ expiry, gap bool }
+
+type lease struct {
+	Owned
+	// from is the instant from which the lease counts.
+	from time.Time
+}
+
+// New returns an empty table.
+func New(opt Options) *Table {
+	opt.Lease = cmp.Or(opt.Lease, registry.LeaseDuration)
+	opt.MaxGap = cmp.Or(opt.MaxGap, time.Second)
+	opt.Settle = cmp.Or(opt.Settle, time.Second)
+	return &Table{opt: opt, leases: make(map[registry.BackendID]*lease)}
+}
+
+// Announce grants, renews or releases the lease of a backend server.
+func (t *Table) Announce(now time.Time, a Announcement) Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(now)
+	if a.Backend == "" || a.Service == "" {
+		return Result{Reason: Invalid}
+	}
+	old := t.leases[a.Backend]
+	if old != nil && t.lapsed(now, old) {
+		old = nil // Tick still reports the lapsed lease unless it is renewed here.
+	}
+	if old != nil && a.Incarnation < old.Incarnation {
+		return Result{Reason: StaleIncarnation}
+	}
+	if a.Released {
+		delete(t.leases, a.Backend)
+		return Result{Accepted: true, Changed: old != nil, Expires: now}
+	}
+	if t.stopping {
+		return Result{Reason: Stopping}
+	}
+	from := t.leaseFrom(now, a)
+	l := &lease{Owned: Owned{Announcement: a, Since: now, Expires: from.Add(t.opt.Lease)}, from: from}
+	if t.lapsed(now, l) {
+		return Result{Reason: Stale}
+	}
+	res := Result{Accepted: true, New: true, Changed: true}
+	if old != nil {
+		if old.Expires.After(l.Expires) {
+			l.from, l.Expires = old.from, old.Expires
+		}
+		if a.Incarnation == old.Incarnation {
+			l.Since = old.Since
+			res.New = false
+			res.Changed = !sameRecord(old.Announcement, a)
+		}
+	}
+	t.leases[a.Backend] = l
+	res.Expires = l.Expires
+	return res
+}
+
+// leaseFrom returns the earliest instant at which the announcement may have been
+// sent. An announcement that is read soon after a pause of the process may have
+// been sent at any time since the pause began, and its sender may have moved to
+// another node since, so its lease counts from the beginning of the pause.
+func (t *Table) leaseFrom(now time.Time, a Announcement) time.Time {
+	from := now
+	if !a.LeaseFrom.IsZero() && a.LeaseFrom.Before(now) {
+		from = a.LeaseFrom
+	}
+	if !t.off.gap && !t.resumed.IsZero() && now.Sub(t.resumed) < t.opt.Settle && t.beforeGap.Before(from) {
+		from = t.beforeGap
+	}
+	return from
+}
+
+// observe notes the time of a call and detects a gap since the previous one.
+func (t *Table) observe(now time.Time) {
+	if t.last.IsZero() {
+		t.last = now
+		return
+	}
+	if elapsed(now, t.last) > t.opt.MaxGap {
+		t.beforeGap, t.resumed = t.last, now
+	}
+	if now.After(t.last) {
+		t.last = now
+	}
+}
+
+// elapsed returns the larger of the monotonic and the wall-clock difference. The
+// monotonic clock stands still while a VM is suspended; the wall clock does not.
+func elapsed(now, since time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
+
+func (t *Table) lapsed(now time.Time, l *lease) bool {
+	return !t.off.expiry && elapsed(now, l.from) >= t.opt.Lease
+}
+
+// Holds reports whether this node holds the lease of the backend server. The
+// caller checks it directly before each dispatch.
+func (t *Table) Holds(now time.Time, id registry.BackendID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(now)
+	l := t.leases[id]
+	if l == nil || t.lapsed(now, l) {
+		return false
+	}
+	invariant.Check(elapsed(now, l.from) < t.opt.Lease, "ownership_lease_current",
+		"backend server %s held %s after the lease began", id, elapsed(now, l.from))
+	return true
+}
+
+// Tick removes lapsed leases and returns them, sorted by backend id.
+func (t *Table) Tick(now time.Time) []Lost {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(now)
+	var lost []Lost
+	for id, l := range t.leases {
+		if t.lapsed(now, l) {
+			delete(t.leases, id)
+			lost = append(lost, Lost{Backend: id, Service: l.Service, Reason: Lapsed})
+		}
+	}
+	slices.SortFunc(lost, func(a, b Lost) int { return cmp.Compare(a.Backend, b.Backend) })
+	return lost
+}
+
+// Owned returns the backend servers of the table sorted by id. Leases that have
+// lapsed since the last Tick are included.
+func (t *Table) Owned() []Owned {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Owned, 0, len(t.leases))
+	for _, l := range t.leases {
+		list = append(list, l.Owned)
+	}
+	slices.SortFunc(list, func(a, b Owned) int { return cmp.Compare(a.Backend, b.Backend) })
+	return list
+}
+
+// Stop refuses all further announcements except releases. Leases that are held
+// stay valid until they lapse or ReleaseAll is called.
+func (t *Table) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopping = true
+}
+
+// ReleaseAll ends every lease and returns them, sorted by backend id.
+func (t *Table) ReleaseAll() []Lost {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var lost []Lost
+	for id, l := range t.leases {
+		lost = append(lost, Lost{Backend: id, Service: l.Service, Reason: Released})
+	}
+	clear(t.leases)
+	slices.SortFunc(lost, func(a, b Lost) int { return cmp.Compare(a.Backend, b.Backend) })
+	return lost
+}
+
+// sameRecord reports whether two announcements lead to the same published record.
+func sameRecord(a, b Announcement) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots &&
+		a.Draining == b.Draining && maps.Equal(a.Labels, b.Labels)
+}
--- /dev/null
+++ b/internal/coordination/retry/budget.go
@@ -0,0 +1,145 @@
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
+)
+
+// Defaults of a Budget. They bound the attempts sent to a service to 1.1 x
+// requests + 3 per 10 s per ingress node.
+const (
+	DefaultPercent = 10
+	DefaultMinimum = 3
+	DefaultWindow  = 10 * time.Second
+)
+
+// buckets is the number of parts of the window. Counts are exact to one part.
+const buckets = 100
+
+// BudgetOptions configures a Budget. Zero values select the defaults.
+type BudgetOptions struct {
+	// Percent is the share of requests in the window that may be retried.
+	Percent float64
+	// Minimum is the number of retries per window that is always allowed.
+	Minimum int
+	// Window is the length of the sliding window.
+	Window time.Duration
+}
+
+// Budget limits the retries of one service at one ingress node. It is safe for
+// concurrent use.
+type Budget struct {
+	mu       sync.Mutex
+	opt      BudgetOptions
+	width    time.Duration
+	start    time.Time
+	newest   int64 // index of the newest bucket since start
+	counts   [buckets + 1]bucket
+	requests int64
+	retries  int64
+	peak     float64 // highest percentage in force since start
+
+	off bool // disables the limit in tests
+}
+
+type bucket struct{ requests, retries int32 }
+
+// NewBudget returns a budget without any recorded request.
+func NewBudget(opt BudgetOptions) *Budget {
+	if opt.Percent == 0 {
+		opt.Percent = DefaultPercent
+	}
+	if opt.Minimum == 0 {
+		opt.Minimum = DefaultMinimum
+	}
+	if opt.Window == 0 {
+		opt.Window = DefaultWindow
+	}
+	return &Budget{opt: opt, width: opt.Window / buckets, peak: opt.Percent}
+}
+
+// SetPercent changes the share of requests that may be retried.
+func (b *Budget) SetPercent(percent float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opt.Percent = percent
+	b.peak = max(b.peak, percent)
+}
+
+// AddRequest records a request. Plan.Next does this once for each plan.
+func (b *Budget) AddRequest(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.counts[b.newest%int64(len(b.counts))].requests++
+	b.requests++
+}
+
+// Take reserves one retry and reports whether the budget allows it.
+func (b *Budget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	requests, retries := b.window()
+	limit := max(float64(b.opt.Minimum), float64(requests)*b.opt.Percent/100)
+	if float64(retries+1) > limit && !b.off {
+		return false
+	}
+	b.counts[b.newest%int64(len(b.counts))].retries++
+	b.retries++
+	invariant.Check(float64(retries+1) <= limit, "retry_budget_window",
+		"%d retries for %d requests in the window", retries+1, requests)
+	windows := b.newest/buckets + 1
+	invariant.Check(float64(b.requests+b.retries) <= b.bound(windows), "retry_attempts_bound",
+		"%d requests led to %d retries in %d windows", b.requests, b.retries, windows)
+	return true
+}
+
+// bound is the largest number of attempts that the budget may have let through
+// since it exists. Windows that end with a retry and do not overlap cover all
+// retries, and each allows its share of its own requests or the minimum.
+func (b *Budget) bound(windows int64) float64 {
+	return float64(b.requests)*(1+b.peak/100) + float64(windows)*float64(b.opt.Minimum)
+}
+
+// Totals returns the requests and retries since the budget exists.
+func (b *Budget) Totals() (requests, retries int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.requests, b.retries
+}
+
+// advance moves the newest bucket to now. Time that goes backwards is taken as
+// the newest time seen.
+func (b *Budget) advance(now time.Time) {
+	if b.start.IsZero() {
+		b.start = now
+		return
+	}
+	index := int64(now.Sub(b.start) / b.width)
+	if index-b.newest > int64(len(b.counts)) {
+		b.counts = [buckets + 1]bucket{}
+		b.newest = index
+	}
+	for b.newest < index {
+		b.newest++
+		b.counts[b.newest%int64(len(b.counts))] = bucket{}
+	}
+}
+
+// window sums the buckets. The oldest bucket lies only partly inside the window:
+// its retries count and its requests do not, so that the limit errs on the safe
+// side.
+func (b *Budget) window() (requests, retries int64) {
+	oldest := b.newest - buckets
+	for i := max(oldest, 0); i <= b.newest; i++ {
+		c := b.counts[i%int64(len(b.counts))]
+		retries += int64(c.retries)
+		if i > oldest {
+			requests += int64(c.requests)
+		}
+	}
+	return requests, retries
+}
--- /dev/null
+++ b/internal/coordination/retry/plan.go
@@ -0,0 +1,222 @@
+package retry
+
+import (
+	"fmt"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
+)
+
+// State is how far an attempt got.
+type State uint8
+
+// States of an attempt: NotSent becomes Refused or Sent, Sent becomes Answered.
+const (
+	// NotSent: no byte reached a connection to the owner or backend server.
+	NotSent State = iota
+	// Refused: the owner refused it before the first byte reached the backend server.
+	Refused
+	// Sent: bytes may have reached the backend server; the outcome is unknown.
+	Sent
+	// Answered: the complete answer of the backend server arrived.
+	Answered
+)
+
+var stateNames = [...]string{"not_sent", "refused", "sent", "answered"}
+
+// String returns the name of the state.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return fmt.Sprintf("state(%d)", uint8(s))
+}
+
+// CanBecome reports whether an attempt may pass from s to next.
+func (s State) CanBecome(next State) bool {
+	return s == NotSent && (next == Refused || next == Sent) || s == Sent && next == Answered
+}
+
+// AttemptResult is how an attempt ended.
+type AttemptResult struct {
+	State State
+	// Shed marks a complete answer with status 503: the backend server refused
+	// the work. Only an idempotent request is retried after it.
+	Shed bool
+}
+
+// Action is what the ingress node does next.
+type Action uint8
+
+// Actions of a Decision. All but Retry are final.
+const (
+	// Retry: start another attempt on a backend server that was not tried yet.
+	Retry Action = iota
+	// Answer: pass the backend server's answer to the caller.
+	Answer
+	// ReportNotRun: tell the caller that no backend server began the request.
+	ReportNotRun
+	// ReportUnknown: tell the caller that the request may have run.
+	ReportUnknown
+	// ReportFailed: tell the caller that an idempotent request, which may have
+	// run, brought no result.
+	ReportFailed
+)
+
+var actionNames = [...]string{"retry", "answer", "report_not_run", "report_unknown", "report_failed"}
+
+// String returns the name of the action.
+func (a Action) String() string {
+	if int(a) < len(actionNames) {
+		return actionNames[a]
+	}
+	return fmt.Sprintf("action(%d)", uint8(a))
+}
+
+// Reason says why an action was chosen.
+type Reason string
+
+// Reasons of a Decision.
+const (
+	// Complete: the answer is complete.
+	Complete Reason = "complete"
+	// AttemptNotSent: the attempt reached no backend server, so it may be repeated.
+	AttemptNotSent Reason = "attempt_not_sent"
+	// AttemptRefused: the owner refused the attempt, so it may be repeated.
+	AttemptRefused Reason = "attempt_refused"
+	// AttemptLost: the outcome of an idempotent attempt is unknown.
+	AttemptLost Reason = "attempt_lost"
+	// AttemptShed: the backend server answered an idempotent request with 503.
+	AttemptShed Reason = "attempt_shed"
+	// MayHaveRun: the request is not idempotent and may have run.
+	MayHaveRun Reason = "may_have_run"
+	// AttemptsSpent: the number of attempts is used up.
+	AttemptsSpent Reason = "attempts_spent"
+	// DeadlinePassed: the caller's deadline has passed.
+	DeadlinePassed Reason = "deadline_passed"
+	// BudgetSpent: the retry budget of the service is used up.
+	BudgetSpent Reason = "retry_budget_spent"
+	// NoTarget: no further backend server could be chosen.
+	NoTarget Reason = "no_target"
+)
+
+// Decision is what follows an attempt.
+type Decision struct {
+	Action Action
+	Reason Reason
+}
+
+// Final reports whether the request ends with this decision.
+func (d Decision) Final() bool { return d.Action != Retry }
+
+// DefaultMaxAttempts is the number of attempts if the policy states none.
+const DefaultMaxAttempts = 3
+
+// Options configures a Plan.
+type Options struct {
+	// Idempotent allows the request to run more than once.
+	Idempotent bool
+	// MaxAttempts bounds the attempts including the first; 0 selects the default.
+	MaxAttempts int
+	// Deadline is the caller's deadline; zero means none.
+	Deadline time.Time
+}
+
+// Plan follows the attempts of one request. It is not safe for concurrent use.
+type Plan struct {
+	opt      Options
+	attempts int
+	// mayHaveRun is set once an attempt may have reached a backend server.
+	mayHaveRun bool
+	final      *Decision
+
+	off bool // disables the rule for requests that are not idempotent, in tests
+}
+
+// NewPlan returns the plan of a request whose first attempt is about to start.
+func NewPlan(opt Options) *Plan {
+	if opt.MaxAttempts <= 0 {
+		opt.MaxAttempts = DefaultMaxAttempts
+	}
+	return &Plan{opt: opt}
+}
+
+// Attempts returns the number of attempts that have ended.
+func (p *Plan) Attempts() int { return p.attempts }
+
+// Next records the end of an attempt and decides what follows. The first call
+// counts the request in the budget and each Retry takes one retry from it, also
+// after a refusal, so that overload is not amplified. After a final decision Next
+// returns the same decision again.
+func (p *Plan) Next(now time.Time, b *Budget, r AttemptResult) Decision {
+	invariant.Check(p.final == nil, "retry_single_outcome", "attempt ended as %s after the final decision", r.State)
+	if p.final != nil {
+		return *p.final
+	}
+	if p.attempts == 0 {
+		b.AddRequest(now)
+	}
+	p.attempts++
+	if r.State == Sent || r.State == Answered {
+		p.mayHaveRun = true
+	}
+	switch r.State {
+	case Answered:
+		if !r.Shed || !p.opt.Idempotent {
+			return p.end(Decision{Answer, Complete})
+		}
+		if d := p.retry(now, b, AttemptShed); d.Action == Retry {
+			return d
+		}
+		return p.end(Decision{Answer, Complete})
+	case Refused:
+		return p.retry(now, b, AttemptRefused)
+	case NotSent:
+		return p.retry(now, b, AttemptNotSent)
+	default:
+		return p.retry(now, b, AttemptLost)
+	}
+}
+
+// GiveUp ends the request without another attempt, for example because no
+// backend server could be chosen. It may be called before the first attempt.
+func (p *Plan) GiveUp(reason Reason) Decision {
+	if p.final != nil {
+		return *p.final
+	}
+	return p.report(reason)
+}
+
+// retry decides on another attempt within the limits of the request.
+func (p *Plan) retry(now time.Time, b *Budget, why Reason) Decision {
+	switch {
+	case p.mayHaveRun && !p.opt.Idempotent && !p.off:
+		return p.report(MayHaveRun)
+	case p.attempts >= p.opt.MaxAttempts:
+		return p.report(AttemptsSpent)
+	case !p.opt.Deadline.IsZero() && !now.Before(p.opt.Deadline):
+		return p.report(DeadlinePassed)
+	case !b.Take(now):
+		return p.report(BudgetSpent)
+	}
+	invariant.Check(!p.mayHaveRun || p.opt.Idempotent, "retry_at_most_once",
+		"attempt %d follows one that may have run", p.attempts+1)
+	return Decision{Retry, why}
+}
+
+// report ends the request with what is known about it.
+func (p *Plan) report(reason Reason) Decision {
+	action := ReportNotRun
+	if p.mayHaveRun {
+		action = ReportUnknown
+		if p.opt.Idempotent {
+			action = ReportFailed
+		}
+	}
+	return p.end(Decision{action, reason})
+}
+
+func (p *Plan) end(d Decision) Decision {
+	p.final = &d
+	return d
+}
--- /dev/null
+++ b/internal/coordination/routing/routing.go
@@ -0,0 +1,488 @@
+package routing
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Parameters of the balancer.
+const (
+	// DefaultSubsetSize is the number of backend servers per locality level to
+	// which one ingress node sends the requests of a route.
+	DefaultSubsetSize = 12
+	// TrustWindow is the time in which trust in a load report ages to zero.
+	TrustWindow = 5 * time.Second
+	// PeerExclusion is how long an owner is avoided after a failure of the
+	// connection to it.
+	PeerExclusion = 5 * time.Second
+	// DefaultSpillPercent and DefaultSpillBytesPerSecond are the limits of
+	// traffic to other regions for a policy that states none. The balancer takes
+	// the limits of a request as they are: 0 means no such traffic.
+	DefaultSpillPercent        = 5
+	DefaultSpillBytesPerSecond = 64 << 10
+)
+
+// Locality says how far the owner of a backend server is from the ingress node.
+type Locality uint8
+
+// Locality levels, nearest first.
+const (
+	SameDomain Locality = iota
+	SameRegion
+	OtherRegion
+	levels = 3
+)
+
+var localityNames = [levels]string{"same_domain", "same_region", "other_region"}
+
+// String returns the name of the level.
+func (l Locality) String() string {
+	if int(l) < levels {
+		return localityNames[l]
+	}
+	return fmt.Sprintf("locality(%d)", uint8(l))
+}
+
+// Reason says why no backend server was chosen.
+type Reason string
+
+// Reasons of a Refusal.
+const (
+	// NoRoute: the request matches no route.
+	NoRoute Reason = "no_route"
+	// NoBackend: no backend server of the service is known.
+	NoBackend Reason = "no_backend"
+	// NoMatch: no backend server carries the labels of the route.
+	NoMatch Reason = "no_backend_matches_route"
+	// NoneServing: all backend servers of the route are draining or ejected.
+	NoneServing Reason = "no_backend_serving"
+	// AllTried: all backend servers of the route were tried for this request.
+	AllTried Reason = "all_backends_tried"
+	// SpillLimited: only other regions have candidates and the limit of traffic
+	// to them is reached.
+	SpillLimited Reason = "spill_limited"
+)
+
+// Refusal is the error of Pick. The request has not run.
+type Refusal struct {
+	Reason  Reason
+	Service registry.ServiceID
+	Route   string
+}
+
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("no backend server for service %q, route %q: %s", r.Service, r.Route, r.Reason)
+}
+
+// Shed reports whether the refusal is due to overload, so that the caller should
+// try again later (Retry-After).
+func (r *Refusal) Shed() bool { return r.Reason == SpillLimited || r.Reason == AllTried }
+
+// Options configures a Balancer.
+type Options struct {
+	// Self is the ingress node.
+	Self          registry.NodeID
+	FailureDomain string
+	Region        string
+	// SubsetSize bounds the candidates per level; 0 selects DefaultSubsetSize.
+	SubsetSize int
+	// SpillBytesPerSecond bounds the traffic of all services of this node to
+	// other regions, in addition to the limit of each service; 0 means no bound.
+	SpillBytesPerSecond int64
+}
+
+// Request is what Pick needs to know about a request.
+type Request struct {
+	Service registry.ServiceID
+	Route   *policy.Route
+	Limits  policy.Limits
+	// BodyBytes is the size of the request body, or negative if it is unknown.
+	BodyBytes int64
+	// Tried lists the backend servers of earlier attempts.
+	Tried []registry.BackendID
+}
+
+// Target is a chosen backend server. Each Target is passed to Done exactly once.
+type Target struct {
+	Backend  registry.BackendID
+	Service  registry.ServiceID
+	Owner    *registry.Node
+	Locality Locality
+
+	service *service
+	stat    *stat
+	charged int64
+	body    int64
+}
+
+// Outcome is how an attempt ended for the balancer.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Completed: the owner passed on an answer or the failure of the backend server.
+	Completed Outcome = iota
+	// RefusedByOwner: the owner refused the request before it ran.
+	RefusedByOwner
+	// PeerFailed: the connection to the owner failed.
+	PeerFailed
+	// Abandoned: the caller went away; it is no evidence.
+	Abandoned
+)
+
+// Result is the end of an attempt.
+type Result struct {
+	Outcome Outcome
+	// Failed marks a Completed attempt as a failure of the backend server.
+	Failed  bool
+	Latency time.Duration
+	// Load is the load that the owner reported with its response, or nil.
+	Load *evidence.Load
+	// Bytes is the size of request and response together.
+	Bytes int64
+}
+
+// Balancer chooses backend servers at one ingress node. It is safe for concurrent
+// use.
+type Balancer struct {
+	opt        Options
+	services   sync.Map // registry.ServiceID -> *service
+	exclusions atomic.Pointer[exclusions]
+	mu         sync.Mutex // serializes changes of exclusions and guards nodeSpill
+	nodeSpill  *byteLimiter
+
+	off mechanismsOff
+}
+
+// mechanismsOff disables mechanisms in tests, to show that the invariants detect
+// their absence.
+type mechanismsOff struct{ states, tried, spillShare bool }
+
+// exclusions is an immutable set of owners to avoid.
+type exclusions struct {
+	until map[registry.NodeID]time.Time
+	last  time.Time // latest end
+}
+
+func (e *exclusions) has(id registry.NodeID, now time.Time) bool {
+	return e != nil && now.Before(e.until[id])
+}
+
+// New returns a balancer without observations.
+func New(opt Options) *Balancer {
+	opt.SubsetSize = cmp.Or(opt.SubsetSize, DefaultSubsetSize)
+	b := &Balancer{opt: opt}
+	if opt.SpillBytesPerSecond > 0 {
+		b.nodeSpill = newByteLimiter(opt.SpillBytesPerSecond)
+	}
+	return b
+}
+
+// Pick chooses the backend server of an attempt, or returns a *Refusal. rng must
+// not be used by another call at the same time.
+func (b *Balancer) Pick(now time.Time, rng *rand.Rand, snap *registry.Snapshot, r Request) (Target, error) {
+	if r.Route == nil {
+		return Target{}, &Refusal{Reason: NoRoute, Service: r.Service}
+	}
+	s := b.service(r.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.view(b, snap, r.Route)
+	if len(r.Tried) == 0 {
+		s.spill.earn(r.Limits.SpillPercent)
+	}
+	p := picker{b: b, s: s, v: v, now: now, rng: rng, r: &r}
+	if e := b.exclusions.Load(); e != nil && now.Before(e.last) {
+		p.excluded = e
+	}
+	t, reason := p.pick()
+	if reason != "" && p.excluded != nil {
+		// An excluded owner is better than no owner: the failure may have been
+		// brief, and a failed connection attempt costs little.
+		p.excluded = nil
+		t, reason = p.pick()
+	}
+	if reason != "" {
+		if v.empty() {
+			reason = v.reason
+		}
+		return Target{}, &Refusal{Reason: reason, Service: r.Service, Route: r.Route.Name}
+	}
+	return t, nil
+}
+
+// Done records the end of the attempt to which Pick returned the target.
+func (b *Balancer) Done(now time.Time, t Target, r Result) {
+	if t.service == nil {
+		return
+	}
+	if r.Outcome == PeerFailed {
+		b.PeerFailed(now, t.Owner.ID)
+	}
+	s := t.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Load != nil {
+		t.stat.report(now, *r.Load)
+	}
+	t.stat.inUse--
+	invariant.Check(t.stat.inUse >= 0, "routing_in_use", "backend server %s: in use %d", t.Backend, t.stat.inUse)
+	switch r.Outcome {
+	case Completed:
+		s.pressure[t.Locality].relieve(now)
+		s.samples.add(sample{at: now, stat: t.stat, failed: r.Failed, latency: r.Latency})
+	case RefusedByOwner:
+		s.pressure[t.Locality].raise(now)
+	}
+	if t.Locality == OtherRegion {
+		s.spill.settle(now, t, r.Bytes)
+		b.chargeNode(now, r.Bytes-t.charged)
+	}
+}
+
+// PeerFailed avoids the owner for PeerExclusion.
+func (b *Balancer) PeerFailed(now time.Time, id registry.NodeID) {
+	if id == b.opt.Self {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := &exclusions{until: map[registry.NodeID]time.Time{id: now.Add(PeerExclusion)}, last: now.Add(PeerExclusion)}
+	if old := b.exclusions.Load(); old != nil {
+		for other, until := range old.until {
+			if other != id && now.Before(until) {
+				next.until[other] = until
+				next.last = maxTime(next.last, until)
+			}
+		}
+	}
+	b.exclusions.Store(next)
+}
+
+// Baseline returns this node's view of the service in the last 30 s without one
+// backend server. It is computed at most twice a second per backend server.
+func (b *Balancer) Baseline(now time.Time, id registry.ServiceID, exclude registry.BackendID) evidence.Baseline {
+	s := b.service(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stats[exclude]
+	if st == nil {
+		return s.samples.baseline(now, nil)
+	}
+	if st.baselineAt.IsZero() || now.Sub(st.baselineAt) >= baselineRefresh {
+		st.baseline, st.baselineAt = s.samples.baseline(now, st), now
+	}
+	return st.baseline
+}
+
+// InUse returns the number of attempts of this node in flight at a backend server.
+func (b *Balancer) InUse(service registry.ServiceID, id registry.BackendID) int {
+	s := b.service(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.stats[id]; st != nil {
+		return st.inUse
+	}
+	return 0
+}
+
+func (b *Balancer) service(id registry.ServiceID) *service {
+	if s, ok := b.services.Load(id); ok {
+		return s.(*service)
+	}
+	s, _ := b.services.LoadOrStore(id, newService(id))
+	return s.(*service)
+}
+
+// nodeAllows reports whether the limit of the node admits traffic to other regions.
+func (b *Balancer) nodeAllows(now time.Time) bool {
+	if b.nodeSpill == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.nodeSpill.open(now)
+}
+
+func (b *Balancer) chargeNode(now time.Time, bytes int64) {
+	if b.nodeSpill == nil || bytes <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodeSpill.charge(now, bytes)
+}
+
+// picker is one decision.
+type picker struct {
+	b        *Balancer
+	s        *service
+	v        *view
+	now      time.Time
+	rng      *rand.Rand
+	r        *Request
+	excluded *exclusions
+}
+
+// pick chooses the level and the backend server in it. It returns a reason if
+// there is none.
+func (p *picker) pick() (Target, Reason) {
+	nearest := Locality(levels) // nearest level with candidates
+	for level := range Locality(levels) {
+		cands, tried := p.candidates(level)
+		if len(cands) == 0 {
+			continue
+		}
+		spare := p.withSpare(cands)
+		if level == OtherRegion {
+			if nearest < levels && len(spare) == 0 {
+				break // No better than waiting nearby.
+			}
+			if !p.spillAllowed() {
+				if nearest < levels {
+					break
+				}
+				return Target{}, SpillLimited
+			}
+		}
+		if len(spare) > 0 {
+			return p.take(level, p.twoChoices(spare)), ""
+		}
+		nearest = min(nearest, level)
+		if !p.passOn(level, tried) {
+			break
+		}
+	}
+	if nearest == levels {
+		return Target{}, AllTried
+	}
+	cands, _ := p.candidates(nearest)
+	return p.take(nearest, p.twoChoices(cands)), ""
+}
+
+// candidates returns the subset of a level without the backend servers that were
+// tried, and whether one of them was tried.
+func (p *picker) candidates(level Locality) (cands []candidate, tried bool) {
+	cands = p.s.scratch[:0]
+	subset := 0
+	for _, c := range p.v.levels[level] {
+		if subset == p.b.opt.SubsetSize {
+			break
+		}
+		if p.excluded.has(c.member.Owner.ID, p.now) {
+			continue
+		}
+		subset++
+		if slices.Contains(p.r.Tried, c.member.Backend.ID) && !p.b.off.tried {
+			tried = true
+			continue
+		}
+		cands = append(cands, c)
+	}
+	p.s.scratch = cands
+	return cands, tried
+}
+
+// withSpare returns the candidates with a free slot.
+func (p *picker) withSpare(cands []candidate) []candidate {
+	spare := p.s.spare[:0]
+	for _, c := range cands {
+		if p.spare(c) >= 1 {
+			spare = append(spare, c)
+		}
+	}
+	p.s.spare = spare
+	return spare
+}
+
+// spare estimates the free slots of a candidate. Use by other nodes is known from
+// reports and counts less the older the report is. Only whole slots count, so
+// that a full backend server stays full for a second, not for an instant.
+func (p *picker) spare(c candidate) int {
+	slots, trust := c.slots(p.r.Limits.MaxSlots), c.stat.trust(p.now)
+	if trust > 0 {
+		slots = min(slots, c.stat.slots)
+	}
+	return slots - c.stat.inUse - int(math.Ceil(trust*float64(c.stat.others)))
+}
+
+// passOn decides whether a request leaves a level without spare capacity. The
+// share grows with the refusals at the level. A request that was itself refused
+// there leaves at once.
+func (p *picker) passOn(level Locality, tried bool) bool {
+	return tried || p.rng.Float64() < p.s.pressure[level].value(p.now)
+}
+
+func (p *picker) spillAllowed() bool {
+	return (p.s.spill.allows(p.now, p.r.Limits) || p.b.off.spillShare) && p.b.nodeAllows(p.now)
+}
+
+// twoChoices returns the better of two random candidates. A backend server of low
+// weight would lose against every idle one and bring no evidence of its recovery,
+// so it is taken with the probability of its weight when it is drawn first.
+func (p *picker) twoChoices(cands []candidate) candidate {
+	n := len(cands)
+	if n == 1 {
+		return cands[0]
+	}
+	i := p.rng.IntN(n)
+	j := p.rng.IntN(n - 1)
+	if j >= i {
+		j++
+	}
+	a, b := cands[i], cands[j]
+	if w := p.weight(a); w < 1 && p.rng.Float64() < w {
+		return a
+	}
+	if p.score(b) < p.score(a) {
+		return b
+	}
+	return a
+}
+
+// score is the expected wait at a candidate.
+func (p *picker) score(c candidate) float64 {
+	return (float64(c.stat.inUse) + c.stat.trust(p.now)*float64(c.stat.queued) + 1) / p.weight(c)
+}
+
+func (p *picker) weight(c candidate) float64 {
+	w := c.member.Backend.Weight
+	if c.stat.trust(p.now) > 0 && c.stat.weight > 0 {
+		w = c.stat.weight
+	}
+	return w
+}
+
+func (p *picker) take(level Locality, c candidate) Target {
+	backend := c.member.Backend
+	invariant.Check(backend.Serving(), "routing_serving", "backend server %s chosen in state %d", backend.ID, backend.State)
+	invariant.Check(!slices.Contains(p.r.Tried, backend.ID), "routing_not_tried", "backend server %s chosen twice", backend.ID)
+	t := Target{
+		Backend: backend.ID, Service: p.r.Service, Owner: c.member.Owner, Locality: level,
+		service: p.s, stat: c.stat, body: max(p.r.BodyBytes, 0),
+	}
+	if level == OtherRegion {
+		t.charged = p.s.spill.spend(p.now, t.body)
+		p.b.chargeNode(p.now, t.charged)
+	}
+	c.stat.inUse++
+	return t
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
