--- /dev/null
+++ b/cmd/wigeon-platform/main.go
@@ -0,0 +1,67 @@
+// Command wigeon-platform runs the test double of the platform over HTTP.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"wigeonspring.example/wigeonspring/standin/platform"
+)
+
+type options struct {
+	Listen  string `long:"listen" default:"127.0.0.1:0" description:"address to listen on"`
+	History int    `long:"history" default:"4096" description:"number of revisions kept for watches"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "wigeon-platform:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	server := &http.Server{
+		Handler:           platform.New(platform.Options{History: o.History}),
+		ReadHeaderTimeout: 10 * time.Second,
+		// Waiting watches end with the program instead of holding up its stop.
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	fmt.Println("listening", listener.Addr())
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	shutdown, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	err = server.Shutdown(shutdown)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = server.Close()
+	}
+	return err
+}
--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -22,6 +22,9 @@
 	ErrUnavailable = errors.New("platform unavailable")
 	// ErrTooLarge says that the value exceeds MaxValueBytes.
 	ErrTooLarge = errors.New("value too large")
+	// ErrCompacted says that the changes after the given revision are no longer
+	// kept. The watcher must list again.
+	ErrCompacted = errors.New("revision compacted")
 )
 
 // Object is a stored value with its version.
@@ -50,6 +53,7 @@
 	Delete(ctx context.Context, key string, version uint64) error
 	// Watch waits at most wait for changes of keys under prefix after revision
 	// since. It returns the changed objects and the revision to continue from.
-	// An empty result means that nothing changed.
+	// An empty result means that nothing changed. It returns ErrCompacted if the
+	// changes after since are no longer kept.
 	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]Object, uint64, error)
 }
