--- /dev/null
+++ b/internal/state/policy/apply.go
@@ -0,0 +1,283 @@
+package policy
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/fault"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
+)
+
+const (
+	// KeyPrefix is the prefix of the platform keys that hold policies.
+	KeyPrefix = "policy/"
+	// HostsKey is the platform key of the host claims. It lies outside KeyPrefix,
+	// so that watchers of policies do not see it.
+	HostsKey = "policy-hosts"
+
+	// recentOperations is the number of operation ids that an envelope keeps. A
+	// writer that lost the answer finds its id even if other operators have
+	// applied this many policies in the meantime.
+	recentOperations = 8
+	// applyTries bounds the writes of one object within one Apply.
+	applyTries = 5
+)
+
+// Key returns the platform key of a service's policy.
+func Key(service string) string { return KeyPrefix + service }
+
+// Envelope is a policy as stored in the platform.
+type Envelope struct {
+	Epoch    uint64    `json:"epoch"`
+	Text     string    `json:"text"`
+	Operator string    `json:"operator"`
+	Time     time.Time `json:"time"`
+	// Operation identifies the write that stored this epoch.
+	Operation string `json:"operation"`
+	// Recent are the operations of the epochs before, the newest first.
+	Recent []string `json:"recent,omitempty"`
+}
+
+// DecodeEnvelope reads an envelope from a platform object.
+func DecodeEnvelope(obj platform.Object) (Envelope, error) {
+	var e Envelope
+	if err := json.Unmarshal(obj.Value, &e); err != nil {
+		return Envelope{}, fault.New("decode policy envelope", obj.Key, err)
+	}
+	return e, nil
+}
+
+// ConflictError says that the policy in the platform is not the one that the
+// operator based the change on.
+type ConflictError struct {
+	Service string
+	// Base is the epoch that the operator started from.
+	Base uint64
+	// Epoch and Operator describe the policy that won; Epoch 0 means that the
+	// service has no policy.
+	Epoch    uint64
+	Operator string
+	Time     time.Time
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	if e.Epoch == 0 {
+		return fmt.Sprintf("policy of service %s: based on epoch %d, but the platform has none", e.Service, e.Base)
+	}
+	return fmt.Sprintf("policy of service %s: based on epoch %d, but operator %s applied epoch %d at %s",
+		e.Service, e.Base, e.Operator, e.Epoch, e.Time.UTC().Format(time.RFC3339))
+}
+
+// ClaimError says that another service has claimed a host in the platform.
+type ClaimError struct {
+	Service string
+	Host    string
+	Holder  string
+	// Epoch is the epoch for which the holder claimed the host.
+	Epoch uint64
+}
+
+// Error implements error.
+func (e *ClaimError) Error() string {
+	return fmt.Sprintf("policy of service %s: host %s is claimed by service %s since epoch %d", e.Service, e.Host, e.Holder, e.Epoch)
+}
+
+// UnknownError says that the platform gave no answer to a write and could not
+// be read back, so the policy may or may not have been accepted.
+type UnknownError struct {
+	Service string
+	Epoch   uint64
+	Err     error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("policy of service %s: epoch %d may or may not have been accepted: %v", e.Service, e.Epoch, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// ApplyOptions describes who applies a policy.
+type ApplyOptions struct {
+	Operator string
+	// Now returns the time stored in the envelope; nil means time.Now.
+	Now func() time.Time
+	// Pause is the time before an unanswered write is read back; 0 means 200 ms.
+	Pause time.Duration
+}
+
+// claim is the entry of one host under HostsKey.
+type claim struct {
+	Service string `json:"service"`
+	// Epoch is the policy epoch for which the host was claimed. A release for an
+	// earlier epoch leaves the claim in place.
+	Epoch uint64 `json:"epoch"`
+}
+
+// Apply validates text and stores it as the next epoch of its service if the
+// platform still holds baseEpoch; 0 means that the service has no policy yet.
+// It returns Problems, a ConflictError, a ClaimError, an UnknownError or the
+// error of the platform. The hosts are claimed before the policy is written and
+// released after it, so that two operators who apply policies of different
+// services at the same moment cannot both get the same host accepted.
+func Apply(ctx context.Context, c platform.Client, text []byte, baseEpoch uint64, o ApplyOptions) (Envelope, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Pause == 0 {
+		o.Pause = 200 * time.Millisecond
+	}
+	doc, problems := Parse(text)
+	if len(problems) > 0 {
+		return Envelope{}, problems
+	}
+	service := doc.Service.Name
+	cur, version, err := Read(ctx, c, service)
+	if err != nil {
+		return Envelope{}, err
+	}
+	if cur.Epoch != baseEpoch {
+		return Envelope{}, conflict(service, baseEpoch, cur)
+	}
+	env := Envelope{
+		Epoch: baseEpoch + 1, Text: string(text), Operator: o.Operator, Time: o.Now().UTC(), Operation: rand.Text(),
+	}
+	if cur.Operation != "" {
+		env.Recent = append([]string{cur.Operation}, cur.Recent...)
+		env.Recent = env.Recent[:min(len(env.Recent), recentOperations)]
+	}
+	if err := updateClaims(ctx, c, o.Pause, service, env.Epoch, doc.Service.Hosts, false); err != nil {
+		return Envelope{}, err
+	}
+	if err := write(ctx, c, service, env, version, o.Pause); err != nil {
+		return Envelope{}, err
+	}
+	// The policy is accepted. Claims that could not be released are released by
+	// the next Apply of the service.
+	_ = updateClaims(ctx, c, o.Pause, service, env.Epoch, doc.Service.Hosts, true)
+	return env, nil
+}
+
+// Read returns the stored policy of a service and the version of its object.
+// Both are zero if the service has none.
+func Read(ctx context.Context, c platform.Client, service string) (Envelope, uint64, error) {
+	obj, err := c.Get(ctx, Key(service))
+	if errors.Is(err, platform.ErrNotFound) {
+		return Envelope{}, 0, nil
+	}
+	if err != nil {
+		return Envelope{}, 0, fault.New("read policy", service, err)
+	}
+	env, err := DecodeEnvelope(obj)
+	return env, obj.Version, err
+}
+
+func conflict(service string, base uint64, winner Envelope) error {
+	return &ConflictError{Service: service, Base: base, Epoch: winner.Epoch, Operator: winner.Operator, Time: winner.Time}
+}
+
+// write stores the envelope. A write without an answer may have taken effect,
+// so it is looked for by its operation id and repeated under the same version
+// until the platform shows who won.
+func write(ctx context.Context, c platform.Client, service string, env Envelope, version uint64, pause time.Duration) error {
+	value, err := json.Marshal(env)
+	if err != nil {
+		return fault.New("encode policy envelope", service, err)
+	}
+	unanswered := false
+	for try := 0; ; try++ {
+		_, err := c.Put(ctx, Key(service), value, version)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, platform.ErrUnavailable):
+			unanswered = true
+		case !errors.Is(err, platform.ErrConflict):
+			return fault.New("write policy", service, err)
+		}
+		cur, curVersion, readErr := Read(ctx, c, service)
+		if readErr == nil {
+			if cur.Operation == env.Operation || slices.Contains(cur.Recent, env.Operation) {
+				return nil
+			}
+			// A read that shows no later version than the one written on is stale.
+			if curVersion > version && !(unanswered && cur.Epoch >= env.Epoch+recentOperations) {
+				return conflict(service, env.Epoch-1, cur)
+			}
+			readErr = err
+		}
+		if try+1 == applyTries || !sleep(ctx, pause) {
+			if !unanswered {
+				return fault.New("write policy", service, readErr)
+			}
+			return &UnknownError{Service: service, Epoch: env.Epoch, Err: readErr}
+		}
+	}
+}
+
+// updateClaims claims the hosts for the service, or, if release is set, gives up
+// the claims of the service on other hosts.
+func updateClaims(ctx context.Context, c platform.Client, pause time.Duration, service string, epoch uint64, hosts []string, release bool) error {
+	for try := 0; ; try++ {
+		claims := map[string]claim{}
+		obj, err := c.Get(ctx, HostsKey)
+		if err == nil {
+			err = json.Unmarshal(obj.Value, &claims)
+		} else if errors.Is(err, platform.ErrNotFound) {
+			err = nil
+		}
+		if err == nil {
+			changed, refusal := changeClaims(claims, service, epoch, hosts, release)
+			if refusal != nil || !changed {
+				return refusal
+			}
+			var value []byte
+			if value, err = json.Marshal(claims); err == nil {
+				if _, err = c.Put(ctx, HostsKey, value, obj.Version); err == nil {
+					return nil
+				}
+			}
+		}
+		retryable := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrConflict)
+		if !retryable || try+1 == applyTries || !sleep(ctx, pause) {
+			return fault.New("claim hosts", service, err)
+		}
+	}
+}
+
+func changeClaims(claims map[string]claim, service string, epoch uint64, hosts []string, release bool) (changed bool, err error) {
+	before := maps.Clone(claims)
+	if release {
+		maps.DeleteFunc(claims, func(host string, cl claim) bool {
+			return cl.Service == service && cl.Epoch <= epoch && !slices.Contains(hosts, host)
+		})
+		return !maps.Equal(before, claims), nil
+	}
+	for _, h := range hosts {
+		cl, taken := claims[h]
+		if taken && cl.Service != service {
+			return false, &ClaimError{Service: service, Host: h, Holder: cl.Service, Epoch: cl.Epoch}
+		}
+		claims[h] = claim{Service: service, Epoch: max(epoch, cl.Epoch)}
+	}
+	return !maps.Equal(before, claims), nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/state/policy/policy.go
+++ b/internal/state/policy/policy.go
@@ -31,14 +31,18 @@
 // Service is the body of a policy document.
 type Service struct {
 	Name string `toml:"name"`
-	// Hosts are the HTTP host names that select this service.
+	// Hosts are the HTTP host names that select this service, in lower case and
+	// without a port.
 	Hosts []string `toml:"hosts"`
 	// Floor is the number of healthy backend servers that removing sick ones
-	// must never undercut.
+	// must never undercut. It has no default, because a forgotten floor would
+	// permit the removal of all capacity.
 	Floor int `toml:"floor"`
 	// DetectionWeight balances detection time (1) against false ejections (0).
+	// The default is 0.5.
 	DetectionWeight float64 `toml:"detection_weight"`
-	// Timeout bounds a request that brings no deadline of its own.
+	// Timeout bounds a request that brings no deadline of its own. The default is
+	// 10 s.
 	Timeout Duration `toml:"timeout"`
 	Limits  Limits   `toml:"limits"`
 	Routes  []Route  `toml:"route"`
@@ -48,15 +52,20 @@
 type Limits struct {
 	// MaxSlots caps the concurrency announced by a backend server; 0 means no cap.
 	MaxSlots int `toml:"max_slots"`
-	// Queue is the number of requests that wait for one backend server.
+	// Queue is the number of requests that wait for one backend server; 0, the
+	// default, means twice its slots and at most 64.
 	Queue int `toml:"queue"`
-	// MaxAttempts is the number of attempts of an idempotent request.
+	// MaxAttempts is the number of attempts of an idempotent request. The default
+	// is 3.
 	MaxAttempts int `toml:"max_attempts"`
-	// RetryPercent is the share of requests that may be retried.
+	// RetryPercent is the share of requests that may be retried. The default is
+	// 10, which is also the most: attempts are bounded by 1.1 times the requests.
 	RetryPercent float64 `toml:"retry_percent"`
-	// SpillPercent is the share of requests that may leave the region.
+	// SpillPercent is the share of requests that may leave the region. The
+	// default is 5.
 	SpillPercent float64 `toml:"spill_percent"`
-	// SpillBytesPerSecond bounds the traffic of one node to other regions.
+	// SpillBytesPerSecond bounds the traffic of one node to other regions. The
+	// default is 65536.
 	SpillBytesPerSecond int64 `toml:"spill_bytes_per_second"`
 	// CallerInFlight bounds the requests of one caller in flight at one backend
 	// server; 0 means no bound.
@@ -67,14 +76,17 @@
 
 // Route selects the backend servers that may take a kind of request.
 type Route struct {
-	Name    string   `toml:"name"`
-	Methods []string `toml:"methods"`
-	// Path is matched exactly, or as a prefix if it ends in "/*".
+	Name string `toml:"name"`
+	// Methods are the HTTP methods of the route; none means every method.
+	Methods []string `toml:"methods,omitempty"`
+	// Path is matched exactly, or as a prefix if it ends in "/*". The prefix
+	// "/a/*" covers "/a/" and everything below it, but not "/a".
 	Path string `toml:"path"`
 	// Selector lists labels that a backend server must carry.
-	Selector map[string]string `toml:"selector"`
-	// Idempotent allows the request to be repeated. The default is false.
+	Selector map[string]string `toml:"selector,omitempty"`
+	// Idempotent allows the request to be repeated. The default is false. An
+	// idempotent route must name its methods.
 	Idempotent bool `toml:"idempotent"`
 	// Timeout overrides the timeout of the service; 0 keeps it.
-	Timeout Duration `toml:"timeout"`
+	Timeout Duration `toml:"timeout,omitempty"`
 }
--- /dev/null
+++ b/internal/state/policy/table.go
@@ -0,0 +1,294 @@
+package policy
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Versioned is the text of a service's policy at an epoch.
+type Versioned struct {
+	Service string
+	Epoch   uint64
+	Text    []byte
+}
+
+// InForce is a policy in force on this node. It must not be changed.
+type InForce struct {
+	Service  string
+	Epoch    uint64
+	Hash     uint64
+	Text     []byte
+	Document *Document
+	// Since is when this node put the policy in force.
+	Since time.Time
+}
+
+// SetResult says what Set did.
+type SetResult struct {
+	// Changed is false if the same epoch and hash were in force already.
+	Changed bool
+	// Policies are the policies that Set put in force: the given one and those
+	// that were held back because of a host that is now free.
+	Policies []*InForce
+}
+
+// EpochError says that a lower epoch than the one known to the table was offered.
+type EpochError struct {
+	Service        string
+	Known, Offered uint64
+}
+
+// Error implements error.
+func (e *EpochError) Error() string {
+	return fmt.Sprintf("policy of service %s: epoch %d refused, epoch %d is known", e.Service, e.Offered, e.Known)
+}
+
+// HashError says that another text was offered for a known epoch.
+type HashError struct {
+	Service        string
+	Epoch          uint64
+	Known, Offered uint64
+}
+
+// Error implements error.
+func (e *HashError) Error() string {
+	return fmt.Sprintf("policy of service %s: epoch %d has hash %s, refused hash %s",
+		e.Service, e.Epoch, FormatHash(e.Known), FormatHash(e.Offered))
+}
+
+// DocumentError says that an offered text is not a valid policy of the service.
+type DocumentError struct {
+	Service  string
+	Epoch    uint64
+	Problems Problems
+}
+
+// Error implements error.
+func (e *DocumentError) Error() string {
+	return fmt.Sprintf("policy of service %s: epoch %d is invalid: %v", e.Service, e.Epoch, e.Problems)
+}
+
+// Unwrap returns the problems.
+func (e *DocumentError) Unwrap() error { return e.Problems }
+
+// HostError says that a host of the offered policy belongs to another service.
+// The table holds the policy back and puts it in force once the host is free.
+type HostError struct {
+	Service string
+	Epoch   uint64
+	Host    string
+	// Holder is the service that has the host in force.
+	Holder string
+}
+
+// Error implements error.
+func (e *HostError) Error() string {
+	return fmt.Sprintf("policy of service %s: epoch %d refused, host %s belongs to service %s", e.Service, e.Epoch, e.Host, e.Holder)
+}
+
+// TableOptions configures a Table.
+type TableOptions struct {
+	// Now returns the time recorded in InForce.Since; nil means time.Now.
+	Now func() time.Time
+}
+
+// Table holds the policies in force on a node. Reads take no lock, so that
+// they are cheap on the request path; every change replaces the snapshot.
+//
+// Policies of different services arrive in any order. A host that moves from
+// one service to another is therefore claimed twice for a moment on nodes that
+// hear of the new holder first. The newcomer is refused, held back and put in
+// force as soon as the hosts are free, so that the final state does not depend
+// on the order of arrival.
+type Table struct {
+	now      func() time.Time
+	snapshot atomic.Pointer[snapshot]
+
+	mu sync.Mutex
+	// held are the newest policies that wait for a host.
+	held map[string]*InForce
+}
+
+type snapshot struct {
+	byService map[string]*InForce
+	byHost    map[string]*InForce
+	digest    uint64
+}
+
+// NewTable returns an empty table.
+func NewTable(o TableOptions) *Table {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	t := &Table{now: o.Now, held: map[string]*InForce{}}
+	t.snapshot.Store(&snapshot{byService: map[string]*InForce{}, byHost: map[string]*InForce{}})
+	return t
+}
+
+// Set puts a policy in force if its epoch is higher than the known one and its
+// document is valid. It returns an EpochError, HashError, DocumentError or
+// HostError otherwise, and the old policy stays in force.
+func (t *Table) Set(v Versioned) (SetResult, error) {
+	hash := Hash(v.Text)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cur := t.snapshot.Load()
+	known, isHeld := t.held[v.Service]
+	if !isHeld {
+		known = cur.byService[v.Service]
+	}
+	if known != nil {
+		switch {
+		case v.Epoch < known.Epoch:
+			return SetResult{}, &EpochError{Service: v.Service, Known: known.Epoch, Offered: v.Epoch}
+		case v.Epoch == known.Epoch && hash != known.Hash:
+			return SetResult{}, &HashError{Service: v.Service, Epoch: v.Epoch, Known: known.Hash, Offered: hash}
+		case v.Epoch == known.Epoch && !isHeld:
+			return SetResult{}, nil
+		}
+	}
+	doc, problems := Parse(v.Text)
+	if doc != nil && doc.Service.Name != v.Service {
+		problems = Problems{{Line: 1, Key: "service.name", Reason: "document of another service", Found: doc.Service.Name, Allowed: v.Service}}
+	}
+	if len(problems) > 0 {
+		return SetResult{}, &DocumentError{Service: v.Service, Epoch: v.Epoch, Problems: problems}
+	}
+	p := &InForce{Service: v.Service, Epoch: v.Epoch, Hash: hash, Text: slices.Clone(v.Text), Document: doc}
+	t.held[v.Service] = p
+	applied := t.applyHeld()
+	if slices.Contains(applied, p) {
+		return SetResult{Changed: true, Policies: applied}, nil
+	}
+	host, holder := t.obstacle(p, nil)
+	return SetResult{Policies: applied}, &HostError{Service: v.Service, Epoch: v.Epoch, Host: host, Holder: holder}
+}
+
+// obstacle returns a host of p that another service has in force, apart from
+// the services that are replaced together with p.
+func (t *Table) obstacle(p *InForce, together map[string]*InForce) (host, holder string) {
+	cur := t.snapshot.Load()
+	for _, h := range p.Document.Service.Hosts {
+		if q := cur.byHost[h]; q != nil && q.Service != p.Service && together[q.Service] == nil {
+			return h, q.Service
+		}
+	}
+	return "", ""
+}
+
+// applyHeld puts in force every held policy whose hosts are free, or become
+// free when other held policies take effect with it.
+func (t *Table) applyHeld() []*InForce {
+	var applied []*InForce
+	for progress := true; progress; {
+		progress = false
+		for _, service := range slices.Sorted(maps.Keys(t.held)) {
+			if group := t.group(t.held[service]); group != nil {
+				t.replace(group)
+				for _, s := range slices.Sorted(maps.Keys(group)) {
+					applied = append(applied, group[s])
+					delete(t.held, s)
+				}
+				progress = true
+				break
+			}
+		}
+	}
+	return applied
+}
+
+// group returns p together with the held policies that must take effect at the
+// same time to free its hosts, or nil if a host stays taken.
+func (t *Table) group(p *InForce) map[string]*InForce {
+	group := map[string]*InForce{p.Service: p}
+	for grown := true; grown; {
+		grown = false
+		for _, member := range slices.Collect(maps.Values(group)) {
+			_, holder := t.obstacle(member, group)
+			if holder == "" {
+				continue
+			}
+			if t.held[holder] == nil {
+				return nil
+			}
+			group[holder] = t.held[holder]
+			grown = true
+		}
+	}
+	hosts := map[string]bool{}
+	for _, member := range group {
+		for _, h := range member.Document.Service.Hosts {
+			if hosts[h] {
+				return nil
+			}
+			hosts[h] = true
+		}
+	}
+	return group
+}
+
+func (t *Table) replace(group map[string]*InForce) {
+	cur := t.snapshot.Load()
+	next := &snapshot{
+		byService: maps.Clone(cur.byService),
+		byHost:    maps.Clone(cur.byHost),
+		digest:    cur.digest,
+	}
+	for service := range group {
+		if old := next.byService[service]; old != nil {
+			next.digest -= EntryDigest(old.Service, old.Epoch, old.Hash)
+			for _, h := range old.Document.Service.Hosts {
+				delete(next.byHost, h)
+			}
+		}
+	}
+	now := t.now()
+	for service, p := range group {
+		p.Since = now
+		next.byService[service] = p
+		next.digest += EntryDigest(p.Service, p.Epoch, p.Hash)
+		for _, h := range p.Document.Service.Hosts {
+			next.byHost[h] = p
+		}
+	}
+	t.snapshot.Store(next)
+}
+
+// Get returns the policy in force of a service, or nil.
+func (t *Table) Get(service string) *InForce { return t.snapshot.Load().byService[service] }
+
+// ByHost returns the policy in force that claims the host, or nil.
+func (t *Table) ByHost(host string) *InForce { return t.snapshot.Load().byHost[host] }
+
+// All returns the policies in force in the order of the service names.
+func (t *Table) All() []*InForce {
+	s := t.snapshot.Load()
+	all := make([]*InForce, 0, len(s.byService))
+	for _, name := range slices.Sorted(maps.Keys(s.byService)) {
+		all = append(all, s.byService[name])
+	}
+	return all
+}
+
+// Digest identifies the whole table: tables with the same services, epochs and
+// hashes have the same digest, whatever the order of the changes. The digest of
+// an empty table is 0.
+func (t *Table) Digest() uint64 { return t.snapshot.Load().digest }
+
+// EntryDigest is the share of one policy in the digest of a table. The digest is
+// the sum of the shares, modulo 2^64.
+func EntryDigest(service string, epoch, hash uint64) uint64 {
+	b := make([]byte, 0, 80)
+	b = append(b, service...)
+	b = append(b, 0)
+	b = binary.BigEndian.AppendUint64(b, epoch)
+	b = binary.BigEndian.AppendUint64(b, hash)
+	return xxhash.Sum64(b)
+}
