Add the daemon settings with a generated reference page

The settings use the strict decoder of the policies, so a refused file names file, line, key, found and allowed values of every problem at once. The peer and operator addresses must name an IP address, because they are published to other nodes; an unspecified address was ruled out, because a node with several interfaces cannot tell which of its addresses others reach. The reference page comes from the struct tags, which are also the source of the error messages; a test compares it with docs/settings.md.

--- /dev/null
+++ b/internal/state/settings/settings.go
@@ -0,0 +1,280 @@
+// Package settings reads the settings of the daemon: a TOML document with
+// strict keys, of which every problem is reported at once.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/strict"
+)
+
+// Duration is a time.Duration written as text, such as "1.5s".
+type Duration = policy.Duration
+
+// Settings are the settings of one node. The tags "doc" and "allowed" of the
+// fields are the source of the reference page and of the error messages.
+type Settings struct {
+	Node       Node       `toml:"node"`
+	Listen     Listen     `toml:"listen"`
+	Platform   Platform   `toml:"platform"`
+	Membership Membership `toml:"membership"`
+	Drain      Drain      `toml:"drain"`
+	Output     Output     `toml:"output"`
+	Limits     Limits     `toml:"limits"`
+}
+
+// Node says which node this is and where it runs.
+type Node struct {
+	ID            string `toml:"id" required:"true" allowed:"1 to 63 letters, digits and the characters . _ -" doc:"Identity of the node across restarts, unique in the fleet."`
+	FailureDomain string `toml:"failure_domain" required:"true" allowed:"1 to 63 letters, digits and the characters . _ -" doc:"Failure domain of the VM."`
+	Region        string `toml:"region" required:"true" allowed:"1 to 63 letters, digits and the characters . _ -" doc:"Region of the VM."`
+}
+
+// Listen holds the addresses that the node listens on. Other nodes reach it at
+// the peer and operator addresses, so these must name an IP address.
+type Listen struct {
+	CallerListen   string `toml:"caller_listen" required:"true" allowed:"IP:port or :port" doc:"Address for callers, HTTP over TCP."`
+	PeerListen     string `toml:"peer_listen" required:"true" allowed:"IP:port with the IP address of one interface" doc:"Address for other nodes: HTTP/2 over TCP and gossip over UDP on the same port."`
+	OperatorListen string `toml:"operator_listen" required:"true" allowed:"IP:port with the IP address of one interface" doc:"Address for operators and for the announcements of backend servers, HTTP over TCP."`
+}
+
+// Platform says how the platform's object API is reached.
+type Platform struct {
+	Address string   `toml:"address" required:"true" allowed:"an http or https URL with a host" doc:"Address of the platform's object API."`
+	Timeout Duration `toml:"timeout" allowed:"100ms to 1m" doc:"Time after which a call counts as unanswered."`
+}
+
+// Membership sets the cost and the speed of failure detection between nodes.
+type Membership struct {
+	Seeds          []string `toml:"seeds" allowed:"an array of at most 16 entries IP:port" doc:"Peer addresses of nodes to join at start. The seeds in the platform are used if none of them answers."`
+	ProbeInterval  Duration `toml:"probe_interval" allowed:"100ms to 10s" doc:"Time between two probes of other nodes."`
+	GossipInterval Duration `toml:"gossip_interval" allowed:"50ms to 10s" doc:"Time between two rounds of sending updates."`
+	SyncInterval   Duration `toml:"sync_interval" allowed:"1s to 1h" doc:"Time between two comparisons of the whole directory with a random peer."`
+}
+
+// Drain bounds a graceful shutdown.
+type Drain struct {
+	Timeout Duration `toml:"timeout" allowed:"0s to 10m" doc:"Time that requests in flight have to finish after SIGTERM."`
+}
+
+// Output says where the node reports what it does.
+type Output struct {
+	LogLevel string `toml:"log_level" allowed:"\"debug\", \"info\", \"warn\" or \"error\"" doc:"Lowest level of the log lines on standard error."`
+	Trace    string `toml:"trace" allowed:"\"\" (off), \"stdout\" or the http or https URL of an OTLP endpoint" doc:"Destination of the trace spans."`
+}
+
+// Limits bounds what the node takes from its VM and from the network.
+type Limits struct {
+	MaxPeerConnections    int `toml:"max_peer_connections" allowed:"8 to 4096" doc:"Connections to other nodes; the least recently used one is closed first."`
+	ControlBytesPerSecond int `toml:"control_bytes_per_second" allowed:"512 to 1048576" doc:"Mean rate of membership and policy messages that the node sends."`
+	ControlBurstBytes     int `toml:"control_burst_bytes" allowed:"2048 to 16777216" doc:"Bytes of such messages that the node may send at once."`
+}
+
+// Defaults returns the settings of an empty document.
+func Defaults() *Settings {
+	return &Settings{
+		Platform: Platform{Timeout: Duration(5 * time.Second)},
+		Membership: Membership{
+			ProbeInterval:  Duration(time.Second),
+			GossipInterval: Duration(200 * time.Millisecond),
+			SyncInterval:   Duration(time.Minute),
+		},
+		Drain:  Drain{Timeout: Duration(30 * time.Second)},
+		Output: Output{LogLevel: "info"},
+		Limits: Limits{MaxPeerConnections: 128, ControlBytesPerSecond: 3072, ControlBurstBytes: 16384},
+	}
+}
+
+// LoadError says why the settings in a file are refused.
+type LoadError struct {
+	File     string
+	Problems strict.Problems
+}
+
+// Error lists the problems, each with file, line, key, found and allowed values.
+func (e *LoadError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = e.File + ": " + p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the problems.
+func (e *LoadError) Unwrap() error { return e.Problems }
+
+// Load reads and validates the settings in a file. A refused file is a
+// LoadError with every problem.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, problems := Parse(text)
+	if len(problems) > 0 {
+		return nil, &LoadError{File: path, Problems: problems}
+	}
+	return s, nil
+}
+
+// Parse decodes and validates settings.
+func Parse(text []byte) (*Settings, strict.Problems) {
+	s := Defaults()
+	lines, problems := strict.Decode(text, s)
+	if len(problems) > 0 && len(lines) == 0 {
+		return nil, problems
+	}
+	undecoded := map[string]bool{}
+	for _, p := range problems {
+		undecoded[p.Key] = true
+	}
+	add := func(key, reason string, found any, allowed string) {
+		problems = append(problems, strict.Problem{
+			Line: lines.Line(key), Key: key, Reason: reason, Found: strict.Show(found), Allowed: allowed,
+		})
+	}
+	for _, f := range fields(s) {
+		switch {
+		case undecoded[f.key]:
+		case f.required && !lines.Has(f.key):
+			add(f.key, "missing key", nil, f.allowed)
+		case f.key == "membership.seeds":
+			if len(s.Membership.Seeds) > 16 {
+				add(f.key, "too many entries", len(s.Membership.Seeds), f.allowed)
+			}
+			for i, seed := range s.Membership.Seeds {
+				if key := strict.Index(f.key, i); !undecoded[key] && !specificAddress(seed) {
+					add(key, "invalid value", seed, "IP:port")
+				}
+			}
+		case !checks[f.key](f.value.Interface()):
+			add(f.key, "invalid value", f.value.Interface(), f.allowed)
+		}
+	}
+	l := s.Listen
+	for i, pair := range [][2]string{{l.CallerListen, l.PeerListen}, {l.CallerListen, l.OperatorListen}, {l.PeerListen, l.OperatorListen}} {
+		if pair[0] == pair[1] && pair[0] != "" && !strings.HasSuffix(pair[0], ":0") {
+			key := []string{"listen.peer_listen", "listen.operator_listen", "listen.operator_listen"}[i]
+			add(key, "address is used twice", pair[1], "different addresses for callers, nodes and operators")
+		}
+	}
+	if len(problems) > 0 {
+		problems.Sort()
+		return nil, problems
+	}
+	return s, nil
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,63}$`)
+
+// checks holds the test of the allowed values of every key but the seeds.
+var checks = map[string]func(any) bool{
+	"node.id":                         name,
+	"node.failure_domain":             name,
+	"node.region":                     name,
+	"listen.caller_listen":            anyAddress,
+	"listen.peer_listen":              specificAddress,
+	"listen.operator_listen":          specificAddress,
+	"platform.address":                webURL,
+	"platform.timeout":                between(100*time.Millisecond, time.Minute),
+	"membership.probe_interval":       between(100*time.Millisecond, 10*time.Second),
+	"membership.gossip_interval":      between(50*time.Millisecond, 10*time.Second),
+	"membership.sync_interval":        between(time.Second, time.Hour),
+	"drain.timeout":                   between(0, 10*time.Minute),
+	"output.log_level":                func(v any) bool { return slices.Contains([]string{"debug", "info", "warn", "error"}, v.(string)) },
+	"output.trace":                    func(v any) bool { return v == "" || v == "stdout" || webURL(v) },
+	"limits.max_peer_connections":     count(8, 4096),
+	"limits.control_bytes_per_second": count(512, 1<<20),
+	"limits.control_burst_bytes":      count(2048, 16<<20),
+}
+
+func name(v any) bool { return namePattern.MatchString(v.(string)) }
+
+func count(low, high int) func(any) bool {
+	return func(v any) bool { return v.(int) >= low && v.(int) <= high }
+}
+
+func between(low, high time.Duration) func(any) bool {
+	return func(v any) bool { return time.Duration(v.(Duration)) >= low && time.Duration(v.(Duration)) <= high }
+}
+
+func specificAddress(v any) bool {
+	a, err := netip.ParseAddrPort(v.(string))
+	return err == nil && !a.Addr().IsUnspecified()
+}
+
+func anyAddress(v any) bool {
+	if port, ok := strings.CutPrefix(v.(string), ":"); ok {
+		_, err := strconv.ParseUint(port, 10, 16)
+		return err == nil
+	}
+	_, err := netip.ParseAddrPort(v.(string))
+	return err == nil
+}
+
+func webURL(v any) bool {
+	u, err := url.Parse(v.(string))
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Hostname() != "" && u.RawQuery == "" && u.User == nil
+}
+
+// field is one key with its description and value.
+type field struct {
+	key, kind, doc, allowed string
+	required                bool
+	value                   reflect.Value
+}
+
+// fields lists the keys in the order of the struct.
+func fields(s *Settings) []field {
+	var list []field
+	root := reflect.ValueOf(s).Elem()
+	for i := range root.NumField() {
+		table := root.Type().Field(i).Tag.Get("toml")
+		group := root.Field(i)
+		for j := range group.NumField() {
+			t := group.Type().Field(j)
+			kind := map[reflect.Kind]string{reflect.String: "string", reflect.Int: "integer", reflect.Slice: "array of strings", reflect.Int64: "duration"}[t.Type.Kind()]
+			list = append(list, field{
+				key: table + "." + t.Tag.Get("toml"), kind: kind, doc: t.Tag.Get("doc"), allowed: t.Tag.Get("allowed"),
+				required: t.Tag.Get("required") == "true", value: group.Field(j),
+			})
+		}
+	}
+	return list
+}
+
+// Reference returns the reference page of all keys in Markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# Settings of wigeonspringd\n\n")
+	b.WriteString("The settings are a TOML document. Unknown keys are errors. The page is generated from `internal/state/settings`\n")
+	b.WriteString("by `go test ./internal/state/settings -update`.\n\n")
+	b.WriteString("| key | type | default | allowed | meaning |\n|---|---|---|---|---|\n")
+	for _, f := range fields(Defaults()) {
+		value := "required"
+		if !f.required {
+			switch v := f.value.Interface().(type) {
+			case Duration:
+				value = fmt.Sprintf("`%q`", time.Duration(v).String())
+			case []string:
+				value = "`[]`"
+			case string:
+				value = fmt.Sprintf("`%q`", v)
+			default:
+				value = fmt.Sprintf("`%v`", v)
+			}
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", f.key, f.kind, value, f.allowed, f.doc)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/state/settings/settings_test.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+var update = flag.Bool("update", false, "rewrite docs/settings.md")
+
+const valid = `[node]
+id = "n1"
+failure_domain = "fd1"
+region = "r1"
+
+[listen]
+caller_listen = ":8080"
+peer_listen = "127.0.0.1:9000"
+operator_listen = "127.0.0.1:9001"
+
+[platform]
+address = "http://127.0.0.1:7070"
+`
+
+func load(t *testing.T, text string) (*Settings, string, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(path)
+	return s, path, err
+}
+
+// Guards against required keys only known to the code and wrong defaults.
+func TestLoadDefaults(t *testing.T) {
+	s, _, err := load(t, valid+"[membership]\nprobe_interval = \"500ms\"\nseeds = [\"127.0.0.1:9100\"]\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if time.Duration(s.Membership.ProbeInterval) != 500*time.Millisecond || time.Duration(s.Drain.Timeout) != 30*time.Second ||
+		s.Limits.MaxPeerConnections != 128 || s.Limits.ControlBytesPerSecond != 3072 || s.Output.LogLevel != "info" {
+		t.Fatalf("got %+v", s)
+	}
+}
+
+// Guards against a file of which only the first problem is reported, or without
+// file, line, key, found and allowed values.
+func TestLoadReportsEveryProblem(t *testing.T) {
+	text := strings.NewReplacer(`"n1"`, `"n 1"`, `region = "r1"`, "", `"127.0.0.1:9000"`, `"0.0.0.0:9000"`, `"http://127.0.0.1:7070"`, `7070`).Replace(valid) + `
+[membership]
+seeds = ["127.0.0.1:1", "seed.example:2"]
+probe_interval = "1ms"
+
+[limits]
+max_peers = 3
+max_peer_connections = 5000
+
+[output]
+trace = "/var/trace"
+`
+	_, path, err := load(t, text)
+	var le *LoadError
+	if !errors.As(err, &le) {
+		t.Fatalf("got %v", err)
+	}
+	var got []string
+	for _, line := range strings.Split(err.Error(), "\n") {
+		rest, ok := strings.CutPrefix(line, path+": line ")
+		if !ok || !strings.Contains(line, "allowed: ") {
+			t.Errorf("incomplete line %q", line)
+		}
+		got = append(got, strings.Join(strings.SplitN(rest, ": ", 3)[:2], " "))
+	}
+	want := []string{
+		"1 node.region", "2 node.id", "8 listen.peer_listen", "12 platform.address", "15 membership.seeds[1]",
+		"16 membership.probe_interval", "19 limits.max_peers", "20 limits.max_peer_connections", "23 output.trace",
+	}
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Fatalf("got:\n%s\nwant:\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
+
+// Guards against two listeners on one address, which would fail only at start.
+func TestLoadRefusesSharedAddress(t *testing.T) {
+	_, _, err := load(t, strings.Replace(valid, "9001", "9000", 1))
+	if err == nil || !strings.Contains(err.Error(), "listen.operator_listen: address is used twice") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against a key without a check, a description or its allowed values, and
+// against a reference page that differs from the code.
+func TestReferenceIsComplete(t *testing.T) {
+	for _, f := range fields(Defaults()) {
+		if f.doc == "" || f.allowed == "" || f.kind == "" || (checks[f.key] == nil && f.key != "membership.seeds") {
+			t.Errorf("key %s is not fully described: %+v", f.key, f)
+		}
+	}
+	const page = "../../../docs/settings.md"
+	if *update {
+		if err := os.WriteFile(page, []byte(Reference()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text, err := os.ReadFile(page)
+	if err != nil || string(text) != Reference() {
+		t.Fatalf("docs/settings.md differs from the code (%v); run go test ./internal/state/settings -update", err)
+	}
+}
