--- /dev/null
+++ b/internal/transport/control/server.go
@@ -0,0 +1,169 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
+	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/events"
+)
+
+// Node is what the server asks of the daemon.
+type Node interface {
+	// ID returns the identifier of this node.
+	ID() registry.NodeID
+	// Incarnation returns the current incarnation of this node.
+	Incarnation() uint64
+	// Announce grants, renews or releases a lease.
+	Announce(now time.Time, a ownership.Announcement) ownership.Result
+	// Snapshot returns the known nodes and backend servers.
+	Snapshot() *registry.Snapshot
+	// Ready reports whether the node serves requests.
+	Ready() bool
+	// Drain stops new work for a backend server of this node, or for the whole
+	// node if backend is empty.
+	Drain(backend registry.BackendID) error
+}
+
+// Options configures a Server. All fields are required.
+type Options struct {
+	Node     Node
+	Policies *policy.Table
+	Store    *events.Store
+	// Peers is used for questions to other nodes.
+	Peers *http.Client
+}
+
+// Server implements controlpb.Control.
+type Server struct{ opts Options }
+
+// New returns a Server.
+func New(opts Options) *Server { return &Server{opts: opts} }
+
+// Handler returns the HTTP handler of the RPCs.
+func (s *Server) Handler() controlpb.TwirpServer { return controlpb.NewControlServer(s) }
+
+const maxSlots = 4096
+
+// Announce implements controlpb.Control.
+func (s *Server) Announce(_ context.Context, req *controlpb.AnnounceRequest) (*controlpb.AnnounceResponse, error) {
+	switch {
+	case req.BackendId == "":
+		return nil, twirp.RequiredArgumentError("backend_id")
+	case req.Service == "":
+		return nil, twirp.RequiredArgumentError("service")
+	case req.Slots < 1 || req.Slots > maxSlots:
+		return nil, twirp.InvalidArgumentError("slots", "want 1 to 4096")
+	}
+	res := s.opts.Node.Announce(time.Now(), ownership.Announcement{
+		Backend:       registry.BackendID(req.BackendId),
+		Service:       registry.ServiceID(req.Service),
+		Address:       req.Address,
+		Slots:         int(req.Slots),
+		Labels:        req.Labels,
+		Draining:      req.Draining,
+		Released:      req.Released,
+		Incarnation:   req.Incarnation,
+		ReportedInUse: int(req.ReportedInUse),
+	})
+	return &controlpb.AnnounceResponse{
+		NodeId:          string(s.opts.Node.ID()),
+		NodeIncarnation: s.opts.Node.Incarnation(),
+		LeaseMillis:     registry.LeaseDuration.Milliseconds(),
+		Refused:         !res.Accepted,
+		Reason:          string(res.Reason),
+	}, nil
+}
+
+// Nodes implements controlpb.Control.
+func (s *Server) Nodes(context.Context, *controlpb.NodesRequest) (*controlpb.NodesResponse, error) {
+	resp := &controlpb.NodesResponse{}
+	for _, n := range s.opts.Node.Snapshot().Nodes() {
+		resp.Nodes = append(resp.Nodes, &controlpb.NodeInfo{
+			Id:              string(n.ID),
+			Incarnation:     n.Incarnation,
+			Status:          n.Status.String(),
+			FailureDomain:   n.FailureDomain,
+			Region:          n.Region,
+			PeerAddress:     n.PeerAddr,
+			OperatorAddress: n.OperatorAddr,
+			Backends:        int32(len(n.Backends)),
+		})
+	}
+	return resp, nil
+}
+
+// Backends implements controlpb.Control.
+func (s *Server) Backends(_ context.Context, req *controlpb.BackendsRequest) (*controlpb.BackendsResponse, error) {
+	resp := &controlpb.BackendsResponse{}
+	for _, n := range s.opts.Node.Snapshot().Nodes() {
+		for i := range n.Backends {
+			b := &n.Backends[i]
+			if req.Service != "" && req.Service != string(b.Service) {
+				continue
+			}
+			resp.Backends = append(resp.Backends, backendInfo(n, b))
+		}
+	}
+	return resp, nil
+}
+
+func backendInfo(n *registry.Node, b *registry.Backend) *controlpb.BackendInfo {
+	return &controlpb.BackendInfo{
+		Id:            string(b.ID),
+		Service:       string(b.Service),
+		Owner:         string(n.ID),
+		FailureDomain: n.FailureDomain,
+		Region:        n.Region,
+		State:         b.State.String(),
+		Weight:        b.Weight,
+		Slots:         int32(b.Slots),
+		OwnerStatus:   n.Status.String(),
+	}
+}
+
+// Explain implements controlpb.Control.
+func (s *Server) Explain(_ context.Context, req *controlpb.ExplainRequest) (*controlpb.ExplainResponse, error) {
+	found := s.opts.Store.Find(events.Query{
+		Service:   req.Service,
+		Backend:   req.Backend,
+		RequestID: req.RequestId,
+		Limit:     int(req.Limit),
+	})
+	resp := &controlpb.ExplainResponse{}
+	for i := range found {
+		resp.Events = append(resp.Events, eventInfo(&found[i]))
+	}
+	return resp, nil
+}
+
+func eventInfo(e *event.Event) *controlpb.EventInfo {
+	info := &controlpb.EventInfo{
+		UnixNanos: e.Time.UnixNano(),
+		Kind:      string(e.Kind),
+		Node:      e.Node,
+		Service:   e.Service,
+		Backend:   e.Backend,
+		RequestId: e.RequestID,
+		Reason:    e.Reason,
+	}
+	for _, f := range e.Evidence {
+		info.Evidence = append(info.Evidence, &controlpb.EvidenceField{Key: f.Key, Value: f.Value})
+	}
+	return info
+}
+
+// Drain implements controlpb.Control.
+func (s *Server) Drain(_ context.Context, req *controlpb.DrainRequest) (*controlpb.DrainResponse, error) {
+	if err := s.opts.Node.Drain(registry.BackendID(req.Backend)); err != nil {
+		return nil, twirp.NotFoundError(err.Error())
+	}
+	return &controlpb.DrainResponse{State: registry.Draining.String()}, nil
+}
