Add the setting listen.peer_advertise

Nodes behind an address translation, and tests that put a relay in front of one node, need an advertised address that differs from the bound one. Announcements arrive at the peer address, because the operator address is bound to loopback by default while backend servers may be on other VMs.

--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -44,8 +44,9 @@
 // the peer and operator addresses, so these must name an IP address.
 type Listen struct {
 	CallerListen   string `toml:"caller_listen" required:"true" allowed:"IP:port or :port" doc:"Address for callers, HTTP over TCP."`
-	PeerListen     string `toml:"peer_listen" required:"true" allowed:"IP:port with the IP address of one interface" doc:"Address for other nodes: HTTP/2 over TCP and gossip over UDP on the same port."`
-	OperatorListen string `toml:"operator_listen" required:"true" allowed:"IP:port with the IP address of one interface" doc:"Address for operators and for the announcements of backend servers, HTTP over TCP."`
+	PeerListen     string `toml:"peer_listen" required:"true" allowed:"IP:port with the IP address of one interface" doc:"Address for other nodes and for the announcements of backend servers: HTTP over TCP, and gossip over UDP on the same port."`
+	OperatorListen string `toml:"operator_listen" required:"true" allowed:"IP:port with the IP address of one interface" doc:"Address for operators, HTTP over TCP."`
+	PeerAdvertise  string `toml:"peer_advertise" allowed:"\"\" (the same as peer_listen) or IP:port" doc:"Address under which other nodes reach peer_listen, if it differs."`
 }
 
 // Platform says how the platform's object API is reached.
@@ -185,6 +186,7 @@
 	"listen.caller_listen":            anyAddress,
 	"listen.peer_listen":              specificAddress,
 	"listen.operator_listen":          specificAddress,
+	"listen.peer_advertise":           func(v any) bool { return v == "" || specificAddress(v) },
 	"platform.address":                webURL,
 	"platform.timeout":                between(100*time.Millisecond, time.Minute),
 	"membership.probe_interval":       between(100*time.Millisecond, 10*time.Second),
