Add membership, its datagrams and the gossip transport

Every node needs the records of all others within the control budget of 3 KB/s. The membership core is SWIM-like and has no clock, network or goroutine; the transport runs it over UDP and runs directory syncs by twirp.

Pushing full records was ruled out as the normal way: an update is sent up to 3 x log2(n) times by each node, which for 2,100 nodes and records of 600 B is about 20 KB per node and change. Changes travel as short versions and the full record is pulled once per node; the old way stays as an option so that both can be measured.

--- /dev/null
+++ b/internal/coordination/membership/message.go
@@ -0,0 +1,141 @@
+package membership
+
+import "wigeonspring.example/wigeonspring/internal/state/registry"
+
+// Kind is the purpose of a message.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	Ping Kind = iota + 1
+	Ack
+	// PingRequest asks the receiver to ping the target on behalf of the sender.
+	PingRequest
+	// Gossip carries updates only.
+	Gossip
+	// SyncHint tells the receiver that a wanted record needs a directory sync.
+	SyncHint
+)
+
+// Version is the short record of a member.
+type Version struct {
+	ID          registry.NodeID
+	Incarnation uint64
+	Sequence    uint64
+	Status      registry.MemberStatus
+	// ContentHash identifies the content of the full record; 0 in suspect and
+	// dead records.
+	ContentHash uint64
+}
+
+// Have announces that the sender has an epoch of a service's policy.
+type Have struct {
+	Service registry.ServiceID
+	Epoch   uint64
+	Hash    string
+}
+
+// Message is one datagram between two nodes.
+type Message struct {
+	Kind            Kind
+	Probe           uint64
+	From            registry.NodeID
+	FromIncarnation uint64
+	Target          registry.NodeID
+	TargetAddr      string
+	// TargetIncarnation is, in a ping, the incarnation that the sender knows of
+	// the target; in a relayed ack, the incarnation that the target stated.
+	TargetIncarnation uint64
+	// PolicyDigest and DirectoryDigest are 0 if unknown.
+	PolicyDigest    uint64
+	DirectoryDigest uint64
+	Records         []registry.Node
+	Versions        []Version
+	Have            []Have
+	// Want lists members whose full records the sender asks for.
+	Want []registry.NodeID
+}
+
+// The functions below bound the encoded size of a message from above, so that
+// the core can keep to its byte limits without knowing the encoding. Varints of
+// counters are taken with the size of a millisecond timestamp (6 bytes).
+const (
+	tagLen       = 2
+	varintBytes  = 7
+	fixed64Bytes = 9
+)
+
+func stringBytes(n int) int {
+	if n == 0 {
+		return 0
+	}
+	if n < 128 {
+		return tagLen + n
+	}
+	return tagLen + 2 + n
+}
+
+func versionBytes(v *Version) int {
+	n := 2 + stringBytes(len(v.ID)) + 2*varintBytes
+	if v.Status != registry.Alive {
+		n += 2
+	}
+	if v.ContentHash != 0 {
+		n += fixed64Bytes
+	}
+	return n
+}
+
+func haveBytes(h *Have) int {
+	return 3 + stringBytes(len(h.Service)) + varintBytes + stringBytes(len(h.Hash))
+}
+
+// RecordBytes bounds the encoded size of a full record.
+func RecordBytes(n *registry.Node) int {
+	size := 4 + stringBytes(len(n.ID)) + 2*varintBytes + 2 + stringBytes(len(n.PeerAddr)) +
+		stringBytes(len(n.OperatorAddr)) + stringBytes(len(n.FailureDomain)) + stringBytes(len(n.Region))
+	for i := range n.Backends {
+		b := &n.Backends[i]
+		size += 3 + stringBytes(len(b.ID)) + stringBytes(len(b.Service)) + 3
+		if b.State != registry.Active {
+			size += 2
+		}
+		if b.Weight != 1 {
+			size += fixed64Bytes
+		}
+		for k, v := range b.Labels {
+			size += 3 + stringBytes(len(k)) + stringBytes(len(v))
+		}
+	}
+	return size
+}
+
+// Size bounds the encoded size of the message from above, without IP and UDP headers.
+func (m *Message) Size() int {
+	n := 2 + stringBytes(len(m.From)) + varintBytes + stringBytes(len(m.Target)) + stringBytes(len(m.TargetAddr))
+	if m.Probe != 0 {
+		n += varintBytes
+	}
+	if m.TargetIncarnation != 0 {
+		n += varintBytes
+	}
+	if m.PolicyDigest != 0 {
+		n += fixed64Bytes
+	}
+	if m.DirectoryDigest != 0 {
+		n += fixed64Bytes
+	}
+	for i := range m.Records {
+		n += RecordBytes(&m.Records[i])
+	}
+	for i := range m.Versions {
+		n += versionBytes(&m.Versions[i])
+	}
+	for i := range m.Have {
+		n += haveBytes(&m.Have[i])
+	}
+	for _, id := range m.Want {
+		n += stringBytes(len(id))
+	}
+	return n
+}
--- /dev/null
+++ b/internal/coordination/membership/send.go
@@ -0,0 +1,178 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Reserves of the token bucket by class of traffic. Probes and acks may use the
+// last byte, because a node that cannot answer is suspected; full records wait
+// first, because they can be asked for again.
+const (
+	reserveUrgent = 300
+	reserveNormal = 1000
+	reserveRecord = 1500
+)
+
+func (c *Core) message(kind Kind) *Message {
+	return &Message{
+		Kind:            kind,
+		From:            c.self.node.ID,
+		FromIncarnation: c.self.node.Incarnation,
+	}
+}
+
+// send completes a message with digests and piggybacked updates and queues it.
+// It returns false if the send budget refused it.
+func (c *Core) send(to Peer, msg *Message, reserve int) bool {
+	if c.superseded {
+		return false
+	}
+	if msg.Kind == Ping || msg.Kind == Ack {
+		msg.PolicyDigest = c.policyDigest
+		msg.DirectoryDigest = c.digest
+	}
+	// A member that is suspect or dead here is told first, so that it can refute.
+	if m := c.members[to.ID]; m != nil && m != c.self &&
+		(m.node.Status == registry.Suspect || m.node.Status == registry.Dead) {
+		msg.Versions = append(msg.Versions, m.version())
+	}
+	size := msg.Size() + headerBytes
+	if !c.budget.allow(size, reserve) {
+		c.stats.Deferred++
+		return false
+	}
+	c.piggyback(to, msg, size)
+	c.ready.Datagrams = append(c.ready.Datagrams, Datagram{To: to, Message: msg})
+	return true
+}
+
+// piggyback adds queued updates to a message within the limit of the datagram
+// and of the send budget.
+func (c *Core) piggyback(to Peer, msg *Message, size int) {
+	if c.queue.len() == 0 {
+		return
+	}
+	room := min(c.opts.PiggybackBytes, DefaultMaxRecordBytes+headerBytes-size)
+	used := 0
+	c.queue.take(c.transmitLimit(), func(id registry.NodeID, urgent bool) bool {
+		m := c.members[id]
+		if m == nil {
+			return true
+		}
+		if id == to.ID && m != c.self {
+			// The receiver knows its own record.
+			return false
+		}
+		reserve := reserveNormal
+		if urgent {
+			reserve = reserveUrgent
+		}
+		v := m.version()
+		n := versionBytes(&v)
+		full := c.opts.Disable.ShortVersions && v.ContentHash != 0
+		if full {
+			n = RecordBytes(&m.node)
+		}
+		if used+n > room || !c.budget.allow(n, reserve) {
+			return false
+		}
+		used += n
+		if full {
+			msg.Records = append(msg.Records, m.node)
+		} else {
+			msg.Versions = append(msg.Versions, v)
+		}
+		return true
+	})
+}
+
+// gossipFresh sends updates that are new here to a few random members at once.
+// Waiting for the next probe would cost up to a second per hop.
+func (c *Core) gossipFresh() {
+	if c.opts.Disable.EagerGossip || !c.queue.fresh(c.opts.Fanout) {
+		return
+	}
+	for _, m := range c.randomLive(c.opts.Fanout, "") {
+		if c.budget.available(reserveUrgent) < 200 {
+			return
+		}
+		c.send(m.peer(), c.message(Gossip), reserveUrgent)
+	}
+}
+
+// wantRecord asks a peer for the full record of a member.
+func (c *Core) wantRecord(from Peer, id registry.NodeID) {
+	w := c.wants[id]
+	if w == nil {
+		w = &want{}
+		c.wants[id] = w
+	}
+	w.from = from
+	if w.tries > 0 && c.now.Sub(w.asked) < wantRetry {
+		return
+	}
+	c.askRecord(id, w)
+}
+
+func (c *Core) askRecord(id registry.NodeID, w *want) {
+	w.asked = c.now
+	w.tries++
+	msg := c.message(Gossip)
+	msg.Want = []registry.NodeID{id}
+	c.send(w.from, msg, reserveUrgent)
+}
+
+// tickWants repeats requests for records that did not arrive.
+func (c *Core) tickWants() {
+	if len(c.wants) == 0 {
+		return
+	}
+	var late []registry.NodeID
+	for id, w := range c.wants {
+		if c.now.Sub(w.asked) >= wantRetry {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	for _, id := range late {
+		w := c.wants[id]
+		if w.tries >= 4 {
+			// The next version heard or the next sync asks again.
+			delete(c.wants, id)
+			continue
+		}
+		c.askRecord(id, w)
+	}
+}
+
+// receiveWant answers a request for full records.
+func (c *Core) receiveWant(from Peer, msg *Message) {
+	for _, id := range msg.Want {
+		m := c.members[id]
+		if m == nil || m.node.Status == registry.Dead {
+			continue
+		}
+		if RecordBytes(&m.node) > c.opts.MaxRecordBytes {
+			c.send(from, c.message(SyncHint), reserveUrgent)
+			continue
+		}
+		reply := c.message(Gossip)
+		reply.Records = []registry.Node{m.node}
+		if c.send(from, reply, reserveRecord) {
+			c.stats.RecordsSent++
+		}
+	}
+}
+
+// sortedDead lists the dead members in a reproducible order.
+func (c *Core) sortedDead() []*member {
+	out := make([]*member, 0, len(c.dead))
+	for _, m := range c.dead {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *member) int { return cmp.Compare(a.node.ID, b.node.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/coordination/membership/simnet/simnet.go
@@ -0,0 +1,336 @@
+package simnet
+
+import (
+	"container/heap"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/membership"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Options configures a Network.
+type Options struct {
+	Seed uint64
+	// MinDelay and MaxDelay bound the one-way delay of a message.
+	MinDelay, MaxDelay time.Duration
+	// Loss and Duplicate are the probabilities that a datagram is lost or
+	// delivered twice.
+	Loss, Duplicate float64
+	// Wire encodes and decodes a message and returns its size in bytes, without
+	// headers. The default passes the message on with its estimated size.
+	Wire func(to *Node, m *membership.Message) (*membership.Message, int)
+	// WireSync does the same for the messages of a directory sync.
+	WireSync func(to *Node, req *membership.SyncRequest, resp *membership.SyncResponse) (
+		*membership.SyncRequest, *membership.SyncResponse, int)
+	// OnChange and OnEvent observe every node.
+	OnChange func(n *Node, c membership.Change)
+	OnEvent  func(n *Node, e membership.Event)
+	// OnHave observes policy notices.
+	OnHave func(n *Node, h membership.PeerHave)
+}
+
+// HeaderBytes is added to the size of each datagram for IP and UDP headers.
+const HeaderBytes = 28
+
+// RPCOverhead approximates the headers of one message of a directory sync.
+const RPCOverhead = 400
+
+// syncTimeout is how long a sync with an unreachable peer takes to fail.
+const syncTimeout = time.Second
+
+var errUnreachable = errors.New("peer is unreachable")
+
+// Node is one simulated process.
+type Node struct {
+	ID   registry.NodeID
+	Addr string
+	Core *membership.Core
+	// Index is the position in Network.Nodes.
+	Index int
+	Down  bool
+
+	// BytesSent and BytesReceived count datagrams and syncs, headers included.
+	// Fills of starting nodes are counted in FillBytes only.
+	BytesSent, BytesReceived, FillBytes int64
+	Datagrams                           int64
+	// CPU is the wall time spent in the core and in Wire.
+	CPU time.Duration
+	// Window counts bytes sent by second of virtual time, fills excluded.
+	Window map[int64]int64
+
+	pausedUntil time.Time
+	generation  int
+}
+
+type action struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type actions []action
+
+func (a actions) Len() int { return len(a) }
+func (a actions) Less(i, j int) bool {
+	if !a[i].at.Equal(a[j].at) {
+		return a[i].at.Before(a[j].at)
+	}
+	return a[i].order < a[j].order
+}
+func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *actions) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	old[len(old)-1] = action{}
+	*a = old[:len(old)-1]
+	return x
+}
+
+// Network is a set of nodes on one virtual clock.
+type Network struct {
+	Nodes []*Node
+	// Blocked reports whether datagrams and syncs from one node to another are cut.
+	Blocked func(from, to *Node) bool
+	Rand    *rand.Rand
+
+	opts    Options
+	now     time.Time
+	start   time.Time
+	queue   actions
+	counter uint64
+	byAddr  map[string]*Node
+}
+
+// New returns an empty network.
+func New(opts Options) *Network {
+	if opts.MaxDelay < opts.MinDelay {
+		opts.MaxDelay = opts.MinDelay
+	}
+	start := time.UnixMilli(1_700_000_000_000)
+	return &Network{
+		opts: opts, now: start, start: start, byAddr: make(map[string]*Node),
+		Rand:    rand.New(rand.NewPCG(opts.Seed, 1)),
+		Blocked: func(*Node, *Node) bool { return false },
+	}
+}
+
+// Now returns the virtual time.
+func (n *Network) Now() time.Time { return n.now }
+
+// Elapsed returns the virtual time since the start.
+func (n *Network) Elapsed() time.Duration { return n.now.Sub(n.start) }
+
+// At runs f after d.
+func (n *Network) At(d time.Duration, f func()) {
+	n.counter++
+	heap.Push(&n.queue, action{at: n.now.Add(d), order: n.counter, run: f})
+}
+
+// Run advances virtual time by d.
+func (n *Network) Run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
+		a := heap.Pop(&n.queue).(action)
+		n.now = a.at
+		a.run()
+	}
+	n.now = end
+}
+
+// Add starts a node. Rand and an unset incarnation are filled in.
+func (n *Network) Add(opts membership.Options) *Node {
+	node := &Node{ID: opts.Self.ID, Addr: opts.Self.PeerAddr, Index: len(n.Nodes), Window: make(map[int64]int64)}
+	n.Nodes = append(n.Nodes, node)
+	n.launch(node, opts)
+	return node
+}
+
+// Restart replaces the process of a node by a new one.
+func (n *Network) Restart(node *Node, opts membership.Options) { n.launch(node, opts) }
+
+func (n *Network) launch(node *Node, opts membership.Options) {
+	if opts.Self.Incarnation == 0 {
+		opts.Self.Incarnation = uint64(n.now.UnixMilli())
+	}
+	opts.Rand = rand.New(rand.NewPCG(n.Rand.Uint64(), n.Rand.Uint64()))
+	node.Down = false
+	node.generation++
+	node.Addr = opts.Self.PeerAddr
+	n.byAddr[node.Addr] = node
+	node.Core = membership.New(n.now, opts)
+	n.scheduleTick(node, node.generation, time.Duration(n.Rand.Int64N(int64(membership.TickInterval))))
+}
+
+// Kill stops a node without any announcement.
+func (n *Network) Kill(node *Node) {
+	node.Down = true
+	node.generation++
+}
+
+// Pause stops a node's process for d. Messages wait in its socket.
+func (n *Network) Pause(node *Node, d time.Duration) { node.pausedUntil = n.now.Add(d) }
+
+func (n *Network) scheduleTick(node *Node, generation int, d time.Duration) {
+	n.At(d, func() {
+		if node.generation != generation {
+			return
+		}
+		if wait := node.pausedUntil.Sub(n.now); wait > 0 {
+			n.scheduleTick(node, generation, wait)
+			return
+		}
+		n.Do(node, func(c *membership.Core) { c.Tick(n.now) })
+		n.scheduleTick(node, generation, membership.TickInterval)
+	})
+}
+
+// Do runs f on the core of a node and carries out its output.
+func (n *Network) Do(node *Node, f func(*membership.Core)) {
+	if node.Down {
+		return
+	}
+	began := time.Now()
+	f(node.Core)
+	r := node.Core.Ready()
+	node.CPU += time.Since(began)
+	for _, ch := range r.Changes {
+		if n.opts.OnChange != nil {
+			n.opts.OnChange(node, ch)
+		}
+	}
+	for _, e := range r.Events {
+		if n.opts.OnEvent != nil {
+			n.opts.OnEvent(node, e)
+		}
+	}
+	for _, h := range r.Haves {
+		if n.opts.OnHave != nil {
+			n.opts.OnHave(node, h)
+		}
+	}
+	for i := range r.Datagrams {
+		n.deliver(node, &r.Datagrams[i])
+	}
+	for _, s := range r.Syncs {
+		n.sync(node, s)
+	}
+}
+
+func (n *Network) delay() time.Duration {
+	d := n.opts.MinDelay
+	if span := n.opts.MaxDelay - n.opts.MinDelay; span > 0 {
+		d += time.Duration(n.Rand.Int64N(int64(span)))
+	}
+	return d
+}
+
+func (n *Network) count(from *Node, size int, fill bool) {
+	if fill {
+		from.FillBytes += int64(size)
+		return
+	}
+	from.BytesSent += int64(size)
+	from.Window[int64(n.Elapsed()/time.Second)] += int64(size)
+}
+
+func (n *Network) deliver(from *Node, d *membership.Datagram) {
+	to := n.byAddr[d.To.Addr]
+	msg, size := d.Message, d.Message.Size()
+	if n.opts.Wire != nil {
+		// Encoding costs the sender and decoding the receiver; the sum is what
+		// counts per node on average.
+		began := time.Now()
+		msg, size = n.opts.Wire(to, d.Message)
+		from.CPU += time.Since(began)
+	}
+	size += HeaderBytes
+	n.count(from, size, false)
+	from.Datagrams++
+	if to == nil || n.Rand.Float64() < n.opts.Loss || n.Blocked(from, to) {
+		return
+	}
+	copies := 1
+	if n.Rand.Float64() < n.opts.Duplicate {
+		copies = 2
+	}
+	for range copies {
+		n.At(n.delay(), func() { n.arrive(from, to, msg, size) })
+	}
+}
+
+func (n *Network) arrive(from, to *Node, msg *membership.Message, size int) {
+	if to.Down {
+		return
+	}
+	if wait := to.pausedUntil.Sub(n.now); wait > 0 {
+		n.At(wait, func() { n.arrive(from, to, msg, size) })
+		return
+	}
+	to.BytesReceived += int64(size)
+	n.Do(to, func(c *membership.Core) { c.Receive(n.now, from.Addr, msg) })
+}
+
+// sync runs a directory sync of two rounds.
+func (n *Network) sync(from *Node, s membership.Sync) {
+	var req *membership.SyncRequest
+	n.Do(from, func(c *membership.Core) { req = c.SyncStart(s.Fill) })
+	n.syncRound(from, s, req, 2)
+}
+
+func (n *Network) syncRound(from *Node, s membership.Sync, req *membership.SyncRequest, rounds int) {
+	generation := from.generation
+	done := func(err error) {
+		if from.generation == generation {
+			n.Do(from, func(c *membership.Core) { c.SyncDone(n.now, s, err) })
+		}
+	}
+	to := n.byAddr[s.Peer.Addr]
+	if to == nil || to.Down || n.Blocked(from, to) || n.Blocked(to, from) || to.pausedUntil.After(n.now) {
+		n.At(syncTimeout, func() { done(errUnreachable) })
+		return
+	}
+	size := RPCOverhead
+	if n.opts.WireSync != nil {
+		var wire int
+		req, _, wire = n.opts.WireSync(to, req, nil)
+		size += wire
+	}
+	n.count(from, size, s.Fill)
+	from.Core.Debit(size)
+	n.At(2*n.delay(), func() {
+		if to.Down {
+			done(errUnreachable)
+			return
+		}
+		var resp *membership.SyncResponse
+		n.Do(to, func(c *membership.Core) { resp = c.SyncServe(n.now, from.Addr, req) })
+		size := RPCOverhead
+		if n.opts.WireSync != nil {
+			var wire int
+			_, resp, wire = n.opts.WireSync(from, nil, resp)
+			size += wire
+		}
+		n.count(to, size, s.Fill)
+		if !s.Fill {
+			to.Core.Debit(size)
+		}
+		n.At(n.delay(), func() {
+			if from.Down || from.generation != generation {
+				return
+			}
+			if !s.Fill {
+				from.BytesReceived += int64(size)
+			}
+			var next *membership.SyncRequest
+			n.Do(from, func(c *membership.Core) { next = c.SyncContinue(n.now, s, resp) })
+			if next == nil || rounds == 1 {
+				done(nil)
+				return
+			}
+			n.syncRound(from, s, next, rounds-1)
+		})
+	})
+}
--- /dev/null
+++ b/internal/coordination/membership/sync.go
@@ -0,0 +1,242 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// SyncRequest is one side of a directory sync.
+type SyncRequest struct {
+	From            registry.NodeID
+	FromIncarnation uint64
+	// Fill asks for all records.
+	Fill bool
+	// Digests holds the digest of each bucket, or is empty.
+	Digests  []uint64
+	Want     []registry.NodeID
+	Records  []registry.Node
+	Versions []Version
+}
+
+// SyncResponse answers a SyncRequest.
+type SyncResponse struct {
+	From            registry.NodeID
+	FromIncarnation uint64
+	Buckets         []int
+	Versions        []Version
+	Records         []registry.Node
+}
+
+// tickSync fills the directory of a starting node and starts syncs, one at a
+// time: every SyncInterval with a random peer, and early with a peer whose
+// digest stays different.
+func (c *Core) tickSync() {
+	if c.syncing {
+		return
+	}
+	if !c.joined {
+		if !c.now.Before(c.nextFill) {
+			c.nextFill = c.now.Add(fillRetry + c.jitter(fillRetry))
+			c.startSync(Peer{Addr: c.opts.Seeds[c.rand.IntN(len(c.opts.Seeds))]}, true)
+		}
+		return
+	}
+	if c.opts.Disable.AntiEntropy {
+		return
+	}
+	if c.mismatchPeer.ID != "" {
+		switch {
+		case c.mismatchDigest != c.digest:
+			c.mismatchPeer = Peer{}
+		case c.now.Sub(c.mismatchSince) >= c.opts.MismatchDelay && c.now.Sub(c.mismatchSync) >= mismatchSyncInterval:
+			peer := c.mismatchPeer
+			c.mismatchPeer, c.mismatchSync = Peer{}, c.now
+			c.startSync(peer, false)
+			return
+		}
+	}
+	if !c.now.Before(c.nextSync) {
+		c.nextSync = c.now.Add(c.opts.SyncInterval)
+		for _, m := range c.randomLive(1, "") {
+			c.startSync(m.peer(), false)
+		}
+	}
+}
+
+func (c *Core) startSync(peer Peer, fill bool) {
+	if c.syncing || peer.Addr == "" || peer.Addr == c.self.node.PeerAddr {
+		return
+	}
+	c.syncing = true
+	c.ready.Syncs = append(c.ready.Syncs, Sync{Peer: peer, Fill: fill})
+}
+
+// SyncStart returns the first request of a sync.
+func (c *Core) SyncStart(fill bool) *SyncRequest {
+	req := &SyncRequest{From: c.self.node.ID, FromIncarnation: c.self.node.Incarnation, Fill: fill}
+	if fill {
+		req.Records = []registry.Node{c.self.node}
+	} else {
+		req.Digests = slices.Clone(c.buckets[:])
+	}
+	return req
+}
+
+// SyncServe answers a sync request.
+func (c *Core) SyncServe(now time.Time, from string, req *SyncRequest) *SyncResponse {
+	c.observe(now)
+	resp := &SyncResponse{From: c.self.node.ID, FromIncarnation: c.self.node.Incarnation}
+	if c.superseded {
+		return resp
+	}
+	peer := Peer{ID: req.From, Addr: from}
+	if m := c.members[req.From]; m != nil {
+		peer.Addr = m.node.PeerAddr
+	}
+	for i := range req.Records {
+		if req.Records[i].ID == req.From {
+			peer.Addr = req.Records[i].PeerAddr
+		}
+	}
+	c.applySync(peer, req.Records, req.Versions)
+	if req.Fill {
+		for _, m := range c.sorted() {
+			if m.node.ID == req.From && m.node.Incarnation <= req.FromIncarnation && m.node.Status != registry.Dead {
+				continue
+			}
+			if m.node.Status == registry.Dead {
+				resp.Versions = append(resp.Versions, m.version())
+			} else {
+				resp.Records = append(resp.Records, m.node)
+			}
+		}
+		return resp
+	}
+	if len(req.Digests) == Buckets {
+		var differs [Buckets]bool
+		for b, d := range req.Digests {
+			if d != c.buckets[b] {
+				differs[b] = true
+				resp.Buckets = append(resp.Buckets, b)
+			}
+		}
+		if len(resp.Buckets) > 0 {
+			for _, m := range c.sorted() {
+				if differs[m.bucket] {
+					resp.Versions = append(resp.Versions, m.version())
+				}
+			}
+		}
+	}
+	for _, id := range req.Want {
+		if m := c.members[id]; m != nil && m.node.Status != registry.Dead {
+			resp.Records = append(resp.Records, m.node)
+		}
+	}
+	return resp
+}
+
+// SyncContinue takes the answer to a sync request. It returns the next request,
+// or nil if the sync is complete.
+func (c *Core) SyncContinue(now time.Time, sync Sync, resp *SyncResponse) *SyncRequest {
+	c.observe(now)
+	peer := Peer{ID: resp.From, Addr: sync.Peer.Addr}
+	c.applySync(peer, resp.Records, nil)
+	next := &SyncRequest{From: c.self.node.ID, FromIncarnation: c.self.node.Incarnation}
+	listed := make(map[registry.NodeID]bool, len(resp.Versions))
+	for _, v := range resp.Versions {
+		listed[v.ID] = true
+		m := c.members[v.ID]
+		switch {
+		case m != nil && newerThan(m, &v):
+			c.offer(next, m)
+		case v.ID == c.self.node.ID, v.Status == registry.Dead, v.Status == registry.Suspect && m != nil,
+			m != nil && (v.ContentHash == m.hash || !supersedes(v.Incarnation, v.Sequence, m)):
+			c.applyVersion(peer, v)
+		default:
+			next.Want = append(next.Want, v.ID)
+		}
+	}
+	if len(resp.Buckets) > 0 {
+		var differs [Buckets]bool
+		for _, b := range resp.Buckets {
+			if b >= 0 && b < Buckets {
+				differs[b] = true
+			}
+		}
+		for _, m := range c.sorted() {
+			if differs[m.bucket] && !listed[m.node.ID] {
+				c.offer(next, m)
+			}
+		}
+	}
+	if len(next.Want)+len(next.Records)+len(next.Versions) == 0 {
+		return nil
+	}
+	return next
+}
+
+// newerThan reports whether the member's state here supersedes v.
+func newerThan(m *member, v *Version) bool {
+	if m.node.Incarnation != v.Incarnation {
+		return m.node.Incarnation > v.Incarnation
+	}
+	if m.node.Sequence != v.Sequence {
+		return m.node.Sequence > v.Sequence
+	}
+	return m.node.Status > v.Status
+}
+
+// offer adds what the peer lacks of a member to a request.
+func (c *Core) offer(req *SyncRequest, m *member) {
+	if m.node.Status == registry.Dead {
+		req.Versions = append(req.Versions, m.version())
+	} else {
+		req.Records = append(req.Records, m.node)
+	}
+}
+
+// SyncDone reports the end of a sync that Ready asked for.
+func (c *Core) SyncDone(now time.Time, sync Sync, err error) {
+	c.observe(now)
+	c.syncing = false
+	if !sync.Fill || c.joined {
+		return
+	}
+	reason := "directory received from " + sync.Peer.Addr
+	if err != nil {
+		if c.fillTries++; c.fillTries < fillAttempts {
+			return
+		}
+		reason = "no seed reachable"
+	}
+	c.joined = true
+	// Transmissions before the fill had no members to go to.
+	c.queue.add(c.self.node.ID, true)
+	c.event(EventFilled, c.self, reason)
+}
+
+func (c *Core) applySync(peer Peer, records []registry.Node, versions []Version) {
+	for i := range records {
+		c.applyRecord(peer, &records[i])
+	}
+	for _, v := range versions {
+		c.applyVersion(peer, v)
+	}
+}
+
+// sorted lists all members in the order of their ids.
+func (c *Core) sorted() []*member {
+	ids := make([]registry.NodeID, 0, len(c.members))
+	for id := range c.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	out := make([]*member, len(ids))
+	for i, id := range ids {
+		out[i] = c.members[id]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/protocol/cluster/doc.go
@@ -0,0 +1,3 @@
+// Package cluster converts the messages of the membership core to and from
+// their encoding in clusterpb.
+package cluster
--- /dev/null
+++ b/internal/transport/gossip/gossip_test.go
@@ -0,0 +1,170 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/membership"
+	"wigeonspring.example/wigeonspring/internal/protocol/clusterpb"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// directory is a minimal index that is safe for concurrent reading.
+type directory struct {
+	mu    sync.Mutex
+	nodes map[registry.NodeID]registry.Node
+}
+
+func (d *directory) Apply(n registry.Node) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nodes[n.ID] = n
+	return true
+}
+
+func (d *directory) SetStatus(id registry.NodeID, incarnation uint64, status registry.MemberStatus) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n, ok := d.nodes[id]
+	if !ok || n.Incarnation != incarnation {
+		return false
+	}
+	n.Status = status
+	d.nodes[id] = n
+	return true
+}
+
+func (d *directory) Remove(id registry.NodeID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.nodes, id)
+}
+
+func (d *directory) get(id registry.NodeID) registry.Node {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.nodes[id]
+}
+
+type testNode struct {
+	*Transport
+	dir    *directory
+	server *http.Server
+}
+
+// start runs a node with UDP and HTTP on the same loopback port.
+func start(t *testing.T, i int, change func(*Options)) *testNode {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := listener.Addr().String()
+	dir := &directory{nodes: make(map[registry.NodeID]registry.Node)}
+	opts := Options{
+		Self: registry.Node{
+			ID: registry.NodeID(fmt.Sprintf("node-%d", i)), PeerAddr: addr, FailureDomain: "domain-0", Region: "west",
+			Backends: []registry.Backend{{ID: registry.BackendID(fmt.Sprintf("backend-%d", i)), Service: "tracking", Slots: 5, Weight: 1}},
+		},
+		Directory: dir,
+	}
+	if change != nil {
+		change(&opts)
+	}
+	transport, err := New(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(clusterpb.ClusterPathPrefix, transport.Handler())
+	n := &testNode{Transport: transport, dir: dir, server: &http.Server{Handler: mux}}
+	served := make(chan struct{})
+	go func() { defer close(served); _ = n.server.Serve(listener) }()
+	transport.Start(t.Context())
+	t.Cleanup(func() {
+		transport.Stop()
+		_ = n.server.Close()
+		<-served
+		transport.opts.HTTPClient.CloseIdleConnections()
+	})
+	return n
+}
+
+func eventually(t *testing.T, what string, limit time.Duration, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// Guards against a node that does not fill its directory from a seed, a change,
+// a planned stop or a death that does not reach the directories of others, and
+// policy notices or digests that do not reach the hooks.
+func TestNodesOverLoopback(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("fleet", func(t *testing.T) {
+		var mu sync.Mutex
+		haves := map[string]int{}
+		mismatches := 0
+		var nodes []*testNode
+		for i := range 5 {
+			nodes = append(nodes, start(t, i, func(o *Options) {
+				if i > 0 {
+					o.Seeds = []string{nodes[0].Addr()}
+				}
+				o.PolicyDigest = func() uint64 { return uint64(1 + i/4) }
+				o.OnDigestMismatch = func(membership.Peer) { mu.Lock(); mismatches++; mu.Unlock() }
+				o.OnHave = func(_ membership.Peer, h membership.Have) { mu.Lock(); haves[h.Hash]++; mu.Unlock() }
+			}))
+		}
+		eventually(t, "every directory holds every node with its backend server", 10*time.Second, func() bool {
+			for _, a := range nodes {
+				for _, b := range nodes {
+					if got := a.dir.get(b.opts.Self.ID); got.Status != registry.Alive || len(got.Backends) != 1 {
+						return false
+					}
+				}
+			}
+			return true
+		})
+		if !nodes[0].SendHave(membership.Have{Service: "tracking", Epoch: 4, Hash: "abc"}, 4) {
+			t.Fatal("policy notice not taken")
+		}
+		eventually(t, "policy notice at all 4 peers, digest mismatch seen", 10*time.Second, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return haves["abc"] == 4 && mismatches > 0
+		})
+		changed := nodes[1].opts.Self
+		changed.Backends = []registry.Backend{{ID: "backend-1", Service: "tracking", Slots: 5, Weight: 1, State: registry.Draining}}
+		nodes[1].UpdateSelf(changed)
+		eventually(t, "draining backend server known everywhere", 10*time.Second, func() bool {
+			for _, n := range nodes {
+				if got := n.dir.get("node-1"); len(got.Backends) != 1 || got.Backends[0].State != registry.Draining {
+					return false
+				}
+			}
+			return true
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if err := nodes[2].Leave(ctx); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "planned stop known", 5*time.Second, func() bool { return nodes[0].dir.get("node-2").Status == registry.Leaving })
+		nodes[3].Stop()
+		_ = nodes[3].server.Close()
+		eventually(t, "stopped node declared dead", 20*time.Second, func() bool {
+			return nodes[0].dir.get("node-3").Status == registry.Dead && nodes[4].dir.get("node-3").Status == registry.Dead
+		})
+	})
+}
