Add the command-line tool wigeonctl

Operators need one tool that checks and applies policies and asks a node what it knows. Policies are applied through the platform with a conditional update, so a loser of a conflict sees the winning epoch and operator; sending them through a node was ruled out, because it would add a second writer of the same object. The policy status counts nodes by epoch, because the whole table has a row for each node and service. Found values of type duration are shown as written, not as nanoseconds.

The tests cover every sub-command with text and JSON output over a twirp server and the platform double.

--- a/internal/state/policy/parse.go
+++ b/internal/state/policy/parse.go
@@ -143,7 +143,7 @@
 	if zero {
 		allowed = "0s (the timeout of the service) or 1ms to 10m"
 	}
-	v.add(key, "out of range", d, allowed)
+	v.add(key, "out of range", value, allowed)
 }
 
 func (v *validator) service(s *Service) {
--- a/internal/state/settings/settings_test.go
+++ b/internal/state/settings/settings_test.go
@@ -64,6 +64,9 @@
 trace = "/var/trace"
 `
 	_, path, err := load(t, text)
+	if !strings.Contains(err.Error(), `membership.probe_interval: invalid value; found "1ms"; allowed: 100ms to 10s`) {
+		t.Errorf("duration is not shown as in the file: %v", err)
+	}
 	var le *LoadError
 	if !errors.As(err, &le) {
 		t.Fatalf("got %v", err)
--- a/internal/state/strict/strict.go
+++ b/internal/state/strict/strict.go
@@ -304,6 +304,12 @@
 		return "a table"
 	case []any:
 		return fmt.Sprintf("an array of %d elements", len(v))
+	case encoding.TextMarshaler:
+		text, err := v.MarshalText()
+		if err != nil {
+			return ""
+		}
+		s = strconv.Quote(string(text))
 	default:
 		s = fmt.Sprint(v)
 	}
--- /dev/null
+++ b/internal/transport/ctl/ctl.go
@@ -0,0 +1,235 @@
+// Package ctl implements the command-line tool wigeonctl. Policies are applied
+// through the platform; everything else asks one node over its operator address.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+	"unicode"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+)
+
+// Exit statuses.
+const (
+	// ExitDone means that the command was carried out.
+	ExitDone = 0
+	// ExitFailed means that the command was refused or failed.
+	ExitFailed = 1
+	// ExitUsage means that the arguments or the document are invalid.
+	ExitUsage = 2
+)
+
+// Options says where the tool reads and writes, and how it reaches the outside.
+type Options struct {
+	Stdout, Stderr io.Writer
+	// Platform returns the client for a platform URL; nil means HTTP.
+	Platform func(url string, timeout time.Duration) platform.Client
+	// Node returns the client for a node's operator URL; nil means twirp over HTTP.
+	Node func(url string, timeout time.Duration) controlpb.Control
+}
+
+type globals struct {
+	Platform string        `long:"platform" env:"WIGEON_PLATFORM" value-name:"URL" description:"address of the platform"`
+	Node     string        `long:"node" env:"WIGEON_NODE" value-name:"URL" description:"operator address of a node"`
+	Output   string        `long:"output" choice:"text" choice:"json" default:"text" description:"output format"`
+	Timeout  time.Duration `long:"timeout" default:"10s" description:"time limit of one call"`
+}
+
+type tool struct {
+	// Commands embed the tool, so the parser must not see its options again.
+	globals `no-flag:"yes"`
+	o       Options
+}
+
+// usageError is an error in the arguments.
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
+
+// Run carries out one command and returns the exit status.
+func Run(args []string, o Options) int {
+	if o.Platform == nil {
+		o.Platform = func(url string, timeout time.Duration) platform.Client {
+			return platform.NewHTTP(platform.Options{URL: url, Timeout: timeout})
+		}
+	}
+	if o.Node == nil {
+		o.Node = func(url string, timeout time.Duration) controlpb.Control {
+			return controlpb.NewControlProtobufClient(url, &http.Client{Timeout: timeout})
+		}
+	}
+	t := &tool{o: o}
+	parser := flags.NewNamedParser("wigeonctl", flags.HelpFlag|flags.PassDoubleDash)
+	must(parser.AddGroup("Global options", "", &t.globals))
+	policies := must(parser.AddCommand("policy", "check, apply and show routing policies", "", &struct{}{}))
+	must(policies.AddCommand("check", "check a policy document", "", &checkCommand{tool: t}))
+	must(policies.AddCommand("apply", "apply a policy document", "", &applyCommand{tool: t}))
+	must(policies.AddCommand("show", "show the accepted policy of a service", "", &showCommand{tool: t}))
+	must(policies.AddCommand("status", "show the epochs in force on the nodes", "", &statusCommand{tool: t}))
+	must(parser.AddCommand("nodes", "list the nodes", "", &nodesCommand{tool: t}))
+	must(parser.AddCommand("backends", "list the backend servers", "", &backendsCommand{tool: t}))
+	must(parser.AddCommand("explain", "show recent decisions", "", &explainCommand{tool: t}))
+	must(parser.AddCommand("drain", "drain a backend server or a node", "", &drainCommand{tool: t}))
+
+	_, err := parser.ParseArgs(args)
+	if err == nil {
+		return ExitDone
+	}
+	if flags.WroteHelp(err) {
+		fmt.Fprintln(o.Stdout, err)
+		return ExitDone
+	}
+	return t.report(err)
+}
+
+// must panics on an invalid command definition, which is a fault of this package.
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error    string          `json:"error"`
+	Kind     string          `json:"kind"`
+	Problems policy.Problems `json:"problems,omitempty"`
+	// Epoch and Operator describe the policy that won a conflict.
+	Epoch    uint64 `json:"epoch,omitempty"`
+	Operator string `json:"operator,omitempty"`
+}
+
+// report prints an error and returns the exit status for it.
+func (t *tool) report(err error) int {
+	var (
+		f        = failure{Error: err.Error(), Kind: "failed"}
+		status   = ExitFailed
+		usage    *usageError
+		flagsErr *flags.Error
+		conflict *policy.ConflictError
+		claim    *policy.ClaimError
+		unknown  *policy.UnknownError
+		twerr    twirp.Error
+	)
+	switch {
+	case errors.As(err, &usage), errors.As(err, &flagsErr):
+		f.Kind, status = "usage", ExitUsage
+	case errors.As(err, &f.Problems):
+		f.Kind, f.Error, status = "invalid", "invalid policy document", ExitUsage
+	case errors.As(err, &conflict):
+		f.Kind, f.Epoch, f.Operator = "conflict", conflict.Epoch, conflict.Operator
+	case errors.As(err, &claim):
+		f.Kind = "host_claimed"
+	case errors.As(err, &unknown):
+		f.Kind = "unknown"
+	case errors.Is(err, platform.ErrUnavailable):
+		f.Kind = "unavailable"
+	case errors.As(err, &twerr):
+		f.Kind, f.Error = string(twerr.Code()), "node: "+twerr.Msg()
+	}
+	if t.Output == "json" {
+		t.printJSON(f)
+		return status
+	}
+	fmt.Fprintln(t.o.Stderr, "wigeonctl:", printable(f.Error))
+	for _, p := range f.Problems {
+		fmt.Fprintln(t.o.Stderr, printable(p.String()))
+	}
+	return status
+}
+
+func (t *tool) printJSON(v any) {
+	e := json.NewEncoder(t.o.Stdout)
+	e.SetIndent("", "  ")
+	// The only errors are those of standard output.
+	_ = e.Encode(v)
+}
+
+// message prints a message of a node as JSON.
+func (t *tool) message(m proto.Message) error {
+	text, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(t.o.Stdout, string(text))
+	return err
+}
+
+// table prints rows under a heading.
+func (t *tool) table(heading string, rows [][]any) error {
+	w := tabwriter.NewWriter(t.o.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, strings.ReplaceAll(heading, " ", "\t"))
+	for _, row := range rows {
+		cells := make([]string, len(row))
+		for i, c := range row {
+			cells[i] = printable(fmt.Sprint(c))
+			if cells[i] == "" {
+				cells[i] = "-"
+			}
+		}
+		fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+	return w.Flush()
+}
+
+// printable replaces control characters, because names and reasons come from
+// other processes and must not steer the operator's terminal.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) && r != '\n' {
+			return unicode.ReplacementChar
+		}
+		return r
+	}, s)
+}
+
+func (t *tool) platform() (platform.Client, error) {
+	if t.globals.Platform == "" {
+		return nil, &usageError{"this command needs --platform or WIGEON_PLATFORM"}
+	}
+	return t.o.Platform(t.globals.Platform, t.Timeout), nil
+}
+
+func (t *tool) node() (controlpb.Control, context.Context, context.CancelFunc, error) {
+	if t.Node == "" {
+		return nil, nil, nil, &usageError{"this command needs --node or WIGEON_NODE"}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), t.Timeout)
+	return t.o.Node(t.Node, t.Timeout), ctx, cancel, nil
+}
+
+func (t *tool) readDocument(file string) ([]byte, *policy.Document, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	doc, problems := policy.Parse(text)
+	if len(problems) > 0 {
+		return nil, nil, problems
+	}
+	return text, doc, nil
+}
+
+func noArgs(args []string) error {
+	if len(args) > 0 {
+		return &usageError{"unexpected argument " + args[0]}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/ctl/ctl_test.go
@@ -0,0 +1,183 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	api "wigeonspring.example/wigeonspring/internal/state/platform"
+	"wigeonspring.example/wigeonspring/standin/platform"
+)
+
+const document = `[service]
+name = "booking"
+hosts = ["booking.example"]
+floor = 9
+[[service.route]]
+name = "all"
+path = "/*"
+`
+
+// fakeNode answers with one record of each kind.
+type fakeNode struct{ controlpb.Control }
+
+func (fakeNode) Nodes(context.Context, *controlpb.NodesRequest) (*controlpb.NodesResponse, error) {
+	return &controlpb.NodesResponse{Nodes: []*controlpb.NodeInfo{{Id: "n1", Status: "alive\x1b[2J", FailureDomain: "fd1"}}}, nil
+}
+
+func (fakeNode) Backends(_ context.Context, r *controlpb.BackendsRequest) (*controlpb.BackendsResponse, error) {
+	return &controlpb.BackendsResponse{Backends: []*controlpb.BackendInfo{{Id: "b1", Service: r.Service, State: "active"}}}, nil
+}
+
+func (fakeNode) PolicyStatus(context.Context, *controlpb.PolicyStatusRequest) (*controlpb.PolicyStatusResponse, error) {
+	booking := func(epoch uint64) []*controlpb.PolicyEpoch {
+		return []*controlpb.PolicyEpoch{{Service: "booking", Epoch: epoch, Hash: "aa"}}
+	}
+	return &controlpb.PolicyStatusResponse{Nodes: []*controlpb.PolicyNodeStatus{
+		{NodeId: "n1", Ready: true, Policies: booking(7)}, {NodeId: "n2", Ready: true, Policies: booking(7)},
+		{NodeId: "n3", Ready: true, Policies: booking(6)}, {NodeId: "n4", Error: "timeout"},
+	}}, nil
+}
+
+func (fakeNode) Explain(context.Context, *controlpb.ExplainRequest) (*controlpb.ExplainResponse, error) {
+	return &controlpb.ExplainResponse{Events: []*controlpb.EventInfo{{Kind: "backend_ejected", Backend: "b1",
+		Evidence: []*controlpb.EvidenceField{{Key: "failure_rate", Value: "0.4"}}}}}, nil
+}
+
+func (fakeNode) Drain(_ context.Context, r *controlpb.DrainRequest) (*controlpb.DrainResponse, error) {
+	if r.Backend == "b9" {
+		return nil, twirp.NotFoundError("no backend server b9")
+	}
+	return &controlpb.DrainResponse{State: "draining " + r.Backend}, nil
+}
+
+type fixture struct {
+	t        *testing.T
+	memory   *platform.Memory
+	nodeURL  string
+	document string
+}
+
+func newFixture(t *testing.T) *fixture {
+	server := httptest.NewServer(controlpb.NewControlServer(fakeNode{}))
+	t.Cleanup(server.Close)
+	f := &fixture{t: t, memory: platform.NewMemory(), nodeURL: server.URL}
+	f.document = f.write(document)
+	return f
+}
+
+func (f *fixture) write(text string) string {
+	path := filepath.Join(f.t.TempDir(), "policy.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// run carries out a command and checks its exit status and parts of its output.
+func (f *fixture) run(status int, args []string, parts ...string) string {
+	f.t.Helper()
+	var out, errs bytes.Buffer
+	got := Run(append([]string{"--platform", "fake", "--node", f.nodeURL}, args...), Options{
+		Stdout: &out, Stderr: &errs,
+		Platform: func(string, time.Duration) api.Client { return f.memory },
+	})
+	all := out.String() + errs.String()
+	if got != status {
+		f.t.Fatalf("%v: exit status %d, want %d; output:\n%s", args, got, status, all)
+	}
+	for _, p := range parts {
+		if !strings.Contains(strings.Join(strings.Fields(all), " "), p) {
+			f.t.Errorf("%v: output lacks %q:\n%s", args, p, all)
+		}
+	}
+	return out.String()
+}
+
+// Guards against a wrong exit status, on which scripts rely, and against a
+// loser of a conflict that is not told who won.
+func TestPolicyCommands(t *testing.T) {
+	f := newFixture(t)
+	invalid := f.write(strings.NewReplacer("9", "-1", "/*", "x").Replace(document))
+	f.run(ExitDone, []string{"policy", "check", f.document}, "valid policy of service booking")
+	f.run(ExitUsage, []string{"policy", "check", invalid}, "line 4: service.floor: out of range; found -1", "line 7: service.route[0].path")
+	f.run(ExitFailed, []string{"policy", "check", "missing.toml"}, "missing.toml")
+	f.run(ExitFailed, []string{"policy", "show", "booking"}, "no policy")
+
+	f.run(ExitUsage, []string{"policy", "apply", invalid})
+	f.run(ExitDone, []string{"policy", "apply", "--operator", "ann", f.document}, "epoch 1 accepted")
+	second := f.write(strings.Replace(document, "9", "10", 1))
+	f.run(ExitDone, []string{"policy", "apply", "--operator", "ben", second}, "epoch 2 accepted", "service.floor: 9 -> 10")
+	f.run(ExitFailed, []string{"policy", "apply", "--base", "1", f.document}, "operator ben applied epoch 2")
+	f.run(ExitFailed, []string{"policy", "apply", "--base", "0", f.document}, "operator ben applied epoch 2")
+	f.run(ExitDone, []string{"policy", "show", "booking"}, `# epoch 2, applied by "ben"`, "floor = 10")
+	f.memory.SetFaults(platform.Faults{Outage: true})
+	f.run(ExitFailed, []string{"policy", "show", "booking"}, "platform unavailable")
+}
+
+// Guards against JSON output that scripts cannot read, also for errors.
+func TestJSONOutput(t *testing.T) {
+	f := newFixture(t)
+	for _, c := range []struct {
+		status int
+		args   []string
+		key    string
+	}{
+		{ExitDone, []string{"policy", "check", f.document}, "hash"},
+		{ExitDone, []string{"policy", "apply", f.document}, "changes"},
+		{ExitFailed, []string{"policy", "apply", "--base", "5", f.document}, "operator"},
+		{ExitUsage, []string{"policy", "check", f.write("[service]")}, "problems"},
+		{ExitDone, []string{"policy", "show", "booking"}, "text"},
+		{ExitDone, []string{"policy", "status"}, "nodes"},
+		{ExitDone, []string{"nodes"}, "nodes"},
+		{ExitDone, []string{"backends"}, "backends"},
+		{ExitDone, []string{"explain"}, "events"},
+		{ExitDone, []string{"drain", "b1"}, "state"},
+		{ExitFailed, []string{"drain", "b9"}, "kind"},
+	} {
+		var v map[string]any
+		out := f.run(c.status, append([]string{"--output", "json"}, c.args...))
+		if err := json.Unmarshal([]byte(out), &v); err != nil || v[c.key] == nil {
+			t.Errorf("%v: %v, key %q missing in\n%s", c.args, err, c.key, out)
+		}
+	}
+}
+
+// Guards against a node command that hides records or a node's refusal, and
+// against control characters of other processes on the terminal.
+func TestNodeCommands(t *testing.T) {
+	f := newFixture(t)
+	if out := f.run(ExitDone, []string{"nodes"}, "n1 alive"); strings.Contains(out, "\x1b") {
+		t.Error("control character in the output")
+	}
+	f.run(ExitDone, []string{"backends", "--service", "booking"}, "b1 booking active")
+	f.run(ExitDone, []string{"policy", "status"}, "booking 7 aa 2", "booking 6 aa 1", "n4 timeout")
+	f.run(ExitDone, []string{"policy", "status", "--service", "booking"}, "n3 booking 6 aa")
+	f.run(ExitDone, []string{"explain", "--backend", "b1"}, "backend_ejected", "failure_rate=0.4")
+	f.run(ExitDone, []string{"drain", "b1"}, "draining b1")
+	f.run(ExitDone, []string{"drain", "--this-node"}, "draining")
+	f.run(ExitFailed, []string{"drain", "b9"}, "no backend server b9")
+}
+
+// Guards against bad arguments that are carried out; a drain without an
+// argument would stop a node.
+func TestUsage(t *testing.T) {
+	f := newFixture(t)
+	for _, args := range [][]string{
+		{}, {"unknown"}, {"policy"}, {"policy", "check"}, {"policy", "check", f.document, "more"}, {"nodes", "more"},
+		{"drain"}, {"drain", "b1", "--this-node"}, {"explain", "--limit", "0"}, {"--output", "xml", "nodes"}, {"policy", "apply", "--base", "x", f.document},
+		{"--node", "", "nodes"}, {"--platform", "", "policy", "show", "booking"},
+	} {
+		f.run(ExitUsage, args)
+	}
+	f.run(ExitDone, []string{"--help"}, "Global options")
+}
--- /dev/null
+++ b/internal/transport/ctl/policy.go
@@ -0,0 +1,195 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+)
+
+type fileArg struct {
+	File string `positional-arg-name:"FILE" description:"policy document in TOML"`
+}
+
+type checkCommand struct {
+	*tool
+	Args fileArg `positional-args:"yes" required:"yes"`
+}
+
+// Execute checks a document without the platform.
+func (c *checkCommand) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	text, doc, err := c.readDocument(c.Args.File)
+	if err != nil {
+		return err
+	}
+	hash := policy.FormatHash(policy.Hash(text))
+	if c.Output == "json" {
+		c.printJSON(map[string]any{"service": doc.Service.Name, "hash": hash, "valid": true})
+		return nil
+	}
+	fmt.Fprintf(c.o.Stdout, "%s: valid policy of service %s, hash %s\n", c.Args.File, doc.Service.Name, hash)
+	return nil
+}
+
+type applyCommand struct {
+	*tool
+	Base     *uint64 `long:"base" value-name:"EPOCH" description:"epoch that the document is based on, 0 for a new service; the default is the epoch in the platform"`
+	Operator string  `long:"operator" env:"USER" default:"unknown" description:"name recorded with the policy"`
+	Args     fileArg `positional-args:"yes" required:"yes"`
+}
+
+// Execute applies a document and prints the changed keys.
+func (c *applyCommand) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	text, doc, err := c.readDocument(c.Args.File)
+	if err != nil {
+		return err
+	}
+	client, err := c.platform()
+	if err != nil {
+		return err
+	}
+	// An apply makes up to six calls, and repeats those without an answer.
+	ctx, cancel := context.WithTimeout(context.Background(), 6*c.Timeout)
+	defer cancel()
+	old, _, err := policy.Read(ctx, client, doc.Service.Name)
+	if err != nil {
+		return err
+	}
+	base := old.Epoch
+	if c.Base != nil {
+		base = *c.Base
+	}
+	env, err := policy.Apply(ctx, client, text, base, policy.ApplyOptions{Operator: c.Operator})
+	if err != nil {
+		return err
+	}
+	// A stored document that the current rules refuse has no keys to compare.
+	before, _ := policy.Parse([]byte(old.Text))
+	changes := policy.Diff(before, doc)
+	if c.Output == "json" {
+		c.printJSON(map[string]any{
+			"service": doc.Service.Name, "epoch": env.Epoch, "hash": policy.FormatHash(policy.Hash(text)), "changes": changes,
+		})
+		return nil
+	}
+	fmt.Fprintf(c.o.Stdout, "service %s: epoch %d accepted\n", doc.Service.Name, env.Epoch)
+	for _, ch := range changes {
+		fmt.Fprintf(c.o.Stdout, "  %s: %s -> %s\n", ch.Key, cmp.Or(ch.Old, "(none)"), cmp.Or(ch.New, "(none)"))
+	}
+	return nil
+}
+
+type showCommand struct {
+	*tool
+	Args struct {
+		Service string `positional-arg-name:"SERVICE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute prints the accepted policy of a service. The text output is the
+// document itself, preceded by comment lines, so that it can be edited and
+// applied again.
+func (c *showCommand) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	client, err := c.platform()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	env, _, err := policy.Read(ctx, client, c.Args.Service)
+	if err != nil {
+		return err
+	}
+	if env.Epoch == 0 {
+		return fmt.Errorf("service %s has no policy", c.Args.Service)
+	}
+	if c.Output == "json" {
+		c.printJSON(env)
+		return nil
+	}
+	fmt.Fprintf(c.o.Stdout, "# epoch %d, applied by %s at %s\n%s",
+		env.Epoch, printable(fmt.Sprintf("%q", env.Operator)), env.Time.UTC().Format(time.RFC3339), env.Text)
+	return nil
+}
+
+type statusCommand struct {
+	*tool
+	Service string `long:"service" description:"show every node for this service"`
+	Local   bool   `long:"local" description:"ask only the given node"`
+}
+
+// Execute prints the epochs in force. Without a service, it prints how many
+// nodes have which epoch, because the whole table has a row for each node and
+// service.
+func (c *statusCommand) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	node, ctx, cancel, err := c.node()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	resp, err := node.PolicyStatus(ctx, &controlpb.PolicyStatusRequest{Service: c.Service, Local: c.Local})
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return c.message(resp)
+	}
+	var rows, problems [][]any
+	type entry struct {
+		service, hash string
+		epoch         uint64
+	}
+	counts := map[entry]int{}
+	for _, n := range resp.Nodes {
+		if n.Error != "" {
+			problems = append(problems, []any{n.NodeId, n.Error})
+		} else if !n.Ready {
+			problems = append(problems, []any{n.NodeId, "not ready"})
+		}
+		for _, p := range n.Policies {
+			counts[entry{p.Service, p.Hash, p.Epoch}]++
+			if c.Service != "" {
+				rows = append(rows, []any{n.NodeId, p.Service, p.Epoch, p.Hash, instant(p.InForceUnixMillis)})
+			}
+		}
+	}
+	heading := "NODE SERVICE EPOCH HASH SINCE"
+	if c.Service == "" {
+		heading = "SERVICE EPOCH HASH NODES"
+		entries := slices.SortedFunc(maps.Keys(counts), func(a, b entry) int {
+			return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(b.epoch, a.epoch), cmp.Compare(a.hash, b.hash))
+		})
+		for _, e := range entries {
+			rows = append(rows, []any{e.service, e.epoch, e.hash, counts[e]})
+		}
+	}
+	if err := c.table(heading, rows); err != nil || len(problems) == 0 {
+		return err
+	}
+	fmt.Fprintln(c.o.Stdout)
+	return c.table("NODE PROBLEM", problems)
+}
+
+func instant(millis int64) string {
+	if millis == 0 {
+		return ""
+	}
+	return time.UnixMilli(millis).UTC().Format("2006-01-02T15:04:05.000Z")
+}
