--- /dev/null
+++ b/internal/transport/node/node.go
@@ -0,0 +1,327 @@
+package node
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	oteltrace "go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
+	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
+	"wigeonspring.example/wigeonspring/internal/coordination/routing"
+	"wigeonspring.example/wigeonspring/internal/fault"
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/state/settings"
+	"wigeonspring.example/wigeonspring/internal/transport/control"
+	"wigeonspring.example/wigeonspring/internal/transport/events"
+	"wigeonspring.example/wigeonspring/internal/transport/gossip"
+	"wigeonspring.example/wigeonspring/internal/transport/health"
+	"wigeonspring.example/wigeonspring/internal/transport/peer"
+	"wigeonspring.example/wigeonspring/internal/transport/policysync"
+	"wigeonspring.example/wigeonspring/internal/transport/proxy"
+	"wigeonspring.example/wigeonspring/internal/transport/trace"
+)
+
+// Options configures a Node.
+type Options struct {
+	Settings *settings.Settings
+	Log      *zap.Logger
+	// TraceWriter receives spans if the settings select "stdout".
+	TraceWriter io.Writer
+}
+
+// explainEvents is the number of decisions kept in memory for explanations.
+const explainEvents = 4096
+
+// Node is a running daemon.
+type Node struct {
+	opts        Options
+	log         *zap.Logger
+	incarnation uint64
+	peerAddr    string
+
+	listeners listeners
+	tracing   oteltrace.TracerProvider
+	stopTrace func(context.Context) error
+
+	platform  platform.Client
+	directory *registry.Directory
+	policies  *policy.Table
+	records   *records
+	store     *events.Store
+	bus       *events.Bus
+	gossip    *gossip.Transport
+	sync      *policysync.Runner
+	health    *health.Health
+	backends  *proxy.Backends
+	owner     *proxy.Owner
+	ingress   *proxy.Ingress
+	peers     *peer.Pool
+	control   *control.Server
+	rpcClient *http.Client
+
+	stopping atomic.Bool
+	// drainRequested is closed when an operator asks the node to stop.
+	drainRequested chan struct{}
+	// changed asks for the publication of the own record.
+	changed chan struct{}
+}
+
+// listeners are the bound addresses of a node.
+type listeners struct{ caller, peer, operator net.Listener }
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.caller, l.peer, l.operator} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+func listen(s *settings.Settings) (l listeners, err error) {
+	defer func() {
+		if err != nil {
+			l.close()
+		}
+	}()
+	for _, bind := range []struct {
+		step, addr string
+		to         *net.Listener
+	}{
+		{"listen for callers", s.Listen.CallerListen, &l.caller},
+		{"listen for nodes", s.Listen.PeerListen, &l.peer},
+		{"listen for operators", s.Listen.OperatorListen, &l.operator},
+	} {
+		if *bind.to, err = net.Listen("tcp", bind.addr); err != nil {
+			return l, fault.New(bind.step, bind.addr, err)
+		}
+	}
+	return l, nil
+}
+
+// New binds all addresses and assembles a node. Nothing runs until Run; on an
+// error nothing stays bound.
+func New(ctx context.Context, opts Options) (*Node, error) {
+	s := opts.Settings
+	l, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		opts:           opts,
+		log:            opts.Log,
+		incarnation:    uint64(time.Now().UnixMilli()),
+		peerAddr:       l.peer.Addr().String(),
+		listeners:      l,
+		directory:      registry.NewDirectory(),
+		records:        newRecords(),
+		store:          events.NewStore(explainEvents),
+		rpcClient:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
+		drainRequested: make(chan struct{}),
+		changed:        make(chan struct{}, 1),
+	}
+	if s.Listen.PeerAdvertise != "" {
+		n.peerAddr = s.Listen.PeerAdvertise
+	}
+	if err := n.assemble(ctx); err != nil {
+		l.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+// assemble creates the parts from the bottom up.
+func (n *Node) assemble(ctx context.Context) error {
+	s := n.opts.Settings
+	var err error
+	if n.bus, err = events.New(events.Options{Node: s.Node.ID}); err != nil {
+		return err
+	}
+	n.bus.Handle("log", events.Logger(n.log))
+	n.bus.Handle("metrics", events.Count)
+	n.bus.Handle("explain", n.store.Add)
+	n.tracing, n.stopTrace, err = trace.New(ctx, trace.Options{
+		Output:        s.Output.Trace,
+		Writer:        n.opts.TraceWriter,
+		Node:          s.Node.ID,
+		FailureDomain: s.Node.FailureDomain,
+		SampleRatio:   1,
+	})
+	if err != nil {
+		return err
+	}
+	n.platform, err = platform.NewHTTP(platform.Options{Address: s.Platform.Address, Timeout: time.Duration(s.Platform.Timeout)})
+	if err != nil {
+		return err
+	}
+	n.assembleProxy()
+	n.assemblePolicies()
+	if err := n.assembleGossip(ctx); err != nil {
+		return err
+	}
+	n.health = health.New(health.Options{
+		View:    n.view,
+		Permits: n.newPermits(),
+		Apply:   n.applyVerdict,
+		Sink:    n.bus,
+		Node:    s.Node.ID,
+	})
+	n.control = control.New(control.Options{Node: n, Policies: n.policies, Store: n.store, Peers: n.rpcClient})
+	return nil
+}
+
+func (n *Node) assembleProxy() {
+	s := n.opts.Settings
+	n.backends = proxy.NewBackends(proxy.BackendsOptions{})
+	n.peers = peer.NewPool(peer.Options{MaxPeers: s.Limits.MaxPeerConnections})
+	n.owner = proxy.NewOwner(proxy.OwnerOptions{
+		Self:         n.ID(),
+		Region:       s.Node.Region,
+		Incarnations: n.incarnations,
+		Leases:       n.records.leases,
+		Backends:     n.backends,
+		Observe:      n.observe,
+		Events:       n.bus,
+		Logger:       n.log,
+		Tracing:      n.tracing,
+	})
+	n.policies = policy.NewTable(policy.TableOptions{})
+	n.ingress = proxy.NewIngress(proxy.IngressOptions{
+		Self:      n.ID(),
+		Region:    s.Node.Region,
+		Directory: n.directory,
+		Policies:  policyLookup{n},
+		Balancer: routing.New(routing.Options{
+			Self:          n.ID(),
+			FailureDomain: s.Node.FailureDomain,
+			Region:        s.Node.Region,
+		}),
+		Peers:   n.peers,
+		Owner:   n.owner,
+		Events:  n.bus,
+		Logger:  n.log,
+		Tracing: n.tracing,
+	})
+}
+
+func (n *Node) assemblePolicies() {
+	s := n.opts.Settings
+	core := distribution.New(distribution.Options{
+		Self:          n.ID(),
+		FailureDomain: s.Node.FailureDomain,
+		Start:         time.Now(),
+		Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	n.policies = core.Table()
+	n.sync = policysync.New(policysync.Options{
+		Core:       core,
+		Platform:   n.platform,
+		Members:    n.liveMembers,
+		Address:    n.address,
+		SendHave:   n.sendHave,
+		InForce:    n.policyInForce,
+		Events:     n.bus,
+		HTTPClient: n.rpcClient,
+	})
+}
+
+// ID implements control.Node.
+func (n *Node) ID() registry.NodeID { return registry.NodeID(n.opts.Settings.Node.ID) }
+
+// Incarnation implements control.Node.
+func (n *Node) Incarnation() uint64 {
+	_, current := n.incarnations()
+	return current
+}
+
+// Snapshot implements control.Node.
+func (n *Node) Snapshot() *registry.Snapshot { return n.directory.Snapshot() }
+
+// Ready implements control.Node.
+func (n *Node) Ready() bool { return n.sync.Status().Ready && !n.stopping.Load() }
+
+// CallerAddr returns the bound address for callers.
+func (n *Node) CallerAddr() string { return n.listeners.caller.Addr().String() }
+
+// OperatorAddr returns the bound address for operators.
+func (n *Node) OperatorAddr() string { return n.listeners.operator.Addr().String() }
+
+// PeerAddr returns the advertised address for nodes.
+func (n *Node) PeerAddr() string { return n.peerAddr }
+
+// incarnations returns the incarnation at the start of the process and the
+// current one, which rises when the node refutes a suspicion.
+func (n *Node) incarnations() (first, current uint64) {
+	current = n.incarnation
+	if self := n.directory.Snapshot().Node(n.ID()); self != nil {
+		current = max(current, self.Incarnation)
+	}
+	return n.incarnation, current
+}
+
+// publish is a shorthand for events about a backend server of this node.
+func (n *Node) publish(kind event.Kind, service registry.ServiceID, id registry.BackendID, reason string) {
+	n.bus.Publish(event.Event{Kind: kind, Service: string(service), Backend: string(id), Reason: reason})
+}
+
+// applyVerdict puts a decision about the health of a backend server in force.
+func (n *Node) applyVerdict(id registry.BackendID, state registry.BackendState, weight float64) {
+	n.records.setVerdict(id, verdict{state: state, weight: weight})
+	n.backends.SetState(id, state, weight)
+	n.requestPublication()
+}
+
+// take starts or updates the work of a backend server whose lease was granted.
+func (n *Node) take(_ time.Time, a ownership.Announcement, res ownership.Result) {
+	if res.New {
+		n.records.forget(a.Backend)
+		n.health.Remove(a.Backend)
+		n.publish(event.BackendAnnounced, a.Service, a.Backend, "")
+	}
+	if res.New || res.Changed {
+		n.upsert(a)
+		n.requestPublication()
+		if a.Draining {
+			n.publish(event.BackendDraining, a.Service, a.Backend, "announced")
+		}
+	}
+}
+
+func (n *Node) upsert(a ownership.Announcement) {
+	var limits policy.Limits
+	if p := n.policies.Get(string(a.Service)); p != nil {
+		limits = p.Document.Service.Limits
+	}
+	a.Draining = a.Draining || n.records.isDrained(a.Backend)
+	n.backends.Upsert(a, limits)
+}
+
+// lose ends the work of a backend server whose lease ended.
+func (n *Node) lose(lost ownership.Lost) {
+	n.backends.Remove(lost.Backend)
+	n.health.Remove(lost.Backend)
+	n.records.forget(lost.Backend)
+	n.publish(event.BackendLost, lost.Service, lost.Backend, string(lost.Reason))
+	n.requestPublication()
+}
+
+// policyInForce applies the limits of a policy to the backend servers of its
+// service.
+func (n *Node) policyInForce(p *policy.InForce) {
+	service := registry.ServiceID(p.Service)
+	n.health.SetWeight(service, p.Document.Service.DetectionWeight)
+	for _, o := range n.records.leases.Owned() {
+		if o.Service == service {
+			n.upsert(o.Announcement)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/node/records.go
@@ -0,0 +1,157 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/ejection"
+	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// verdict is what the health of a backend server allows it to receive.
+type verdict struct {
+	state  registry.BackendState
+	weight float64
+}
+
+// records combines the leases of the backend servers that this node owns with
+// the decisions about their health and with drains that operators asked for.
+type records struct {
+	leases *ownership.Table
+
+	mu       sync.Mutex
+	verdicts map[registry.BackendID]verdict
+	drained  map[registry.BackendID]bool
+}
+
+func newRecords() *records {
+	return &records{
+		leases:   ownership.New(ownership.Options{}),
+		verdicts: make(map[registry.BackendID]verdict),
+		drained:  make(map[registry.BackendID]bool),
+	}
+}
+
+// setVerdict stores a decision about the health of a backend server.
+func (r *records) setVerdict(id registry.BackendID, v verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.verdicts[id] = v
+}
+
+// drain marks a backend server as draining until its lease ends.
+func (r *records) drain(id registry.BackendID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drained[id] = true
+}
+
+// forget drops what is known about a backend server whose lease ended.
+func (r *records) forget(id registry.BackendID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.verdicts, id)
+	delete(r.drained, id)
+}
+
+// effective returns the state and weight of an owned backend server. Draining
+// overrides every decision about its health.
+func (r *records) effective(o *ownership.Owned) (registry.BackendState, float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v, ok := r.verdicts[o.Backend]
+	if !ok {
+		v = verdict{state: registry.Active, weight: 1}
+	}
+	if o.Draining || r.drained[o.Backend] {
+		v.state = registry.Draining
+	}
+	return v.state, v.weight
+}
+
+// backends returns the records of the owned backend servers for publication.
+func (r *records) backends() []registry.Backend {
+	owned := r.leases.Owned()
+	list := make([]registry.Backend, 0, len(owned))
+	for i := range owned {
+		o := &owned[i]
+		state, weight := r.effective(o)
+		list = append(list, registry.Backend{
+			ID:      o.Backend,
+			Service: o.Service,
+			Slots:   o.Slots,
+			Labels:  o.Labels,
+			State:   state,
+			Weight:  weight,
+		})
+	}
+	return list
+}
+
+// services returns the services of the owned backend servers.
+func (r *records) services() map[registry.ServiceID]bool {
+	set := make(map[registry.ServiceID]bool)
+	for _, o := range r.leases.Owned() {
+		set[o.Service] = true
+	}
+	return set
+}
+
+// view returns the local view of the services that this node owns a part of.
+// The own records are taken from the leases, because the directory receives
+// them with a delay; the others come from the directory.
+func (n *Node) view() ejection.View {
+	view := make(ejection.View)
+	own := n.records.backends()
+	for _, b := range own {
+		if _, done := view[b.Service]; done {
+			continue
+		}
+		view[b.Service] = n.serviceView(b.Service, own)
+	}
+	return view
+}
+
+func (n *Node) serviceView(service registry.ServiceID, own []registry.Backend) ejection.ServiceView {
+	var v ejection.ServiceView
+	if p := n.policies.Get(string(service)); p != nil {
+		v.Floor = p.Document.Service.Floor
+	}
+	add := func(b *registry.Backend) {
+		if b.Service == service && b.Serving() {
+			v.Serving++
+			v.Capacity += b.Weight
+		}
+	}
+	for i := range own {
+		add(&own[i])
+	}
+	for _, m := range n.directory.Snapshot().Service(service) {
+		if m.Owner.ID != n.ID() && m.Owner.Status == registry.Alive {
+			add(m.Backend)
+		}
+	}
+	return v
+}
+
+// Announce implements control.Node.
+func (n *Node) Announce(now time.Time, a ownership.Announcement) ownership.Result {
+	res := n.records.leases.Announce(now, a)
+	if !res.Accepted {
+		return res
+	}
+	if a.Released {
+		n.lose(ownership.Lost{Backend: a.Backend, Service: a.Service, Reason: ownership.Released})
+		return res
+	}
+	n.take(now, a, res)
+	return res
+}
+
+// isDrained reports whether an operator asked for the drain of a backend server.
+func (r *records) isDrained(id registry.BackendID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.drained[id]
+}
--- /dev/null
+++ b/internal/transport/node/seeds.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wigeonspring.example/wigeonspring/internal/fault"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+const (
+	seedPrefix = "seeds/"
+	// maxSeeds bounds the entries of a failure domain, so that the writes do not
+	// grow with the fleet.
+	maxSeeds = 16
+	// seedsPerDomain is how many nodes of each failure domain a starting node
+	// contacts. Reading all domains keeps them from forming separate clusters.
+	seedsPerDomain = 3
+	seedTimeout    = 2 * time.Second
+	seedAttempts   = 4
+	// seedDelay is the longest wait before a node registers itself, so that a
+	// fleet that starts as a whole spreads its writes.
+	seedDelay = 10 * time.Second
+)
+
+type seed struct {
+	Node registry.NodeID `json:"node"`
+	Addr string          `json:"addr"`
+}
+
+// findSeeds reads the seed addresses of all failure domains in one call. It
+// returns nil if the platform does not answer; seeds from the settings are used
+// then.
+func findSeeds(ctx context.Context, client platform.Client, log *zap.Logger) []string {
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	objects, _, err := client.List(ctx, seedPrefix)
+	if err != nil {
+		log.Warn("cannot read seeds from the platform", zap.Error(err))
+		return nil
+	}
+	var addrs []string
+	for _, o := range objects {
+		list, err := decodeSeeds(o)
+		if err != nil {
+			log.Warn("malformed seeds in the platform", zap.Error(err))
+			continue
+		}
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		for _, s := range list[:min(len(list), seedsPerDomain)] {
+			addrs = append(addrs, s.Addr)
+		}
+	}
+	return addrs
+}
+
+func decodeSeeds(o platform.Object) ([]seed, error) {
+	var list []seed
+	if err := json.Unmarshal(o.Value, &list); err != nil {
+		return nil, fault.New("decode seeds", o.Key, err)
+	}
+	return list, nil
+}
+
+// registerSeed adds this node to the seeds of its failure domain if fewer than
+// maxSeeds of the entries are alive. Entries of dead nodes are replaced.
+func (n *Node) registerSeed(ctx context.Context) error {
+	if !sleep(ctx, rand.N(seedDelay)) {
+		return nil
+	}
+	key := seedPrefix + n.opts.Settings.Node.FailureDomain
+	for range seedAttempts {
+		err := n.tryRegisterSeed(ctx, key)
+		if err == nil || ctx.Err() != nil {
+			return nil
+		}
+		n.log.Info("cannot register as seed", zap.Error(err))
+		if !sleep(ctx, time.Second+rand.N(seedDelay)) {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (n *Node) tryRegisterSeed(ctx context.Context, key string) error {
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	object, err := n.platform.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	var list []seed
+	if err == nil {
+		if list, err = decodeSeeds(object); err != nil {
+			n.log.Warn("replacing malformed seeds", zap.Error(err))
+		}
+	}
+	self := seed{Node: n.ID(), Addr: n.peerAddr}
+	if slices.Contains(list, self) {
+		return nil
+	}
+	list = slices.DeleteFunc(list, func(s seed) bool { return s.Node == self.Node || n.isDead(s.Node) })
+	if len(list) >= maxSeeds {
+		return nil
+	}
+	list = append(list, self)
+	slices.SortFunc(list, func(a, b seed) int { return strings.Compare(string(a.Node), string(b.Node)) })
+	value, err := json.Marshal(list)
+	if err != nil {
+		return fault.New("encode seeds", key, err)
+	}
+	_, err = n.platform.Put(ctx, key, value, object.Version)
+	return err
+}
+
+// isDead reports whether a node is known to be dead. An unknown node may be
+// alive in a part of the fleet that this node has not heard of yet.
+func (n *Node) isDead(id registry.NodeID) bool {
+	record := n.directory.Snapshot().Node(id)
+	return record != nil && record.Status == registry.Dead
+}
+
+// sleep waits for d and returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/transport/policysync/rpc.go
@@ -0,0 +1,100 @@
+package policysync
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
+	"wigeonspring.example/wigeonspring/internal/protocol/policypb"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+)
+
+// maxPullServices bounds the services that one Pull may name.
+const maxPullServices = 4096
+
+// Handler returns the handler of the RPCs of other nodes.
+func (r *Runner) Handler() http.Handler { return policypb.NewPoliciesServer(r) }
+
+// Sync implements policypb.Policies.
+func (r *Runner) Sync(_ context.Context, req *policypb.SyncRequest) (*policypb.SyncResponse, error) {
+	if len(req.Digests) != distribution.Buckets {
+		return nil, twirp.InvalidArgumentError("digests", "wrong number of digests")
+	}
+	var in distribution.Sync
+	copy(in.Digests[:], req.Digests)
+	out := r.core.ServeSync(in)
+	resp := &policypb.SyncResponse{Confirmed: out.Confirmed}
+	for i, differs := range out.Differs {
+		if differs {
+			resp.Differs = append(resp.Differs, uint32(i))
+		}
+	}
+	for _, h := range out.Have {
+		resp.Have = append(resp.Have, &policypb.Version{Service: h.Service, Epoch: h.Epoch, Hash: h.Hash})
+	}
+	return resp, nil
+}
+
+// Pull implements policypb.Policies.
+func (r *Runner) Pull(_ context.Context, req *policypb.PullRequest) (*policypb.PullResponse, error) {
+	if len(req.Services) > maxPullServices {
+		return nil, twirp.InvalidArgumentError("services", "too many services")
+	}
+	out := r.core.ServePull(distribution.Pull{Services: req.Services})
+	resp := &policypb.PullResponse{More: out.More}
+	for _, p := range out.Policies {
+		resp.Policies = append(resp.Policies, &policypb.Policy{Service: p.Service, Epoch: p.Epoch, Text: p.Text})
+	}
+	return resp, nil
+}
+
+// call sends one request of the core to a peer.
+func (r *Runner) call(ctx context.Context, c distribution.Call) distribution.Reply {
+	reply := distribution.Reply{ID: c.ID}
+	addr, err := r.opts.Address(c.To)
+	if err != nil {
+		reply.Err = err
+		return reply
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := policypb.NewPoliciesProtobufClient("http://"+addr, r.opts.HTTPClient)
+	switch {
+	case c.Pull != nil:
+		reply.Pull, reply.Err = pull(ctx, client, c.Pull)
+	case c.Sync != nil:
+		reply.Sync, reply.Err = syncTable(ctx, client, c.Sync)
+	}
+	return reply
+}
+
+func pull(ctx context.Context, client policypb.Policies, p *distribution.Pull) (*distribution.PullReply, error) {
+	resp, err := client.Pull(ctx, &policypb.PullRequest{Services: p.Services})
+	if err != nil {
+		return nil, err
+	}
+	out := &distribution.PullReply{More: resp.More}
+	for _, v := range resp.Policies {
+		out.Policies = append(out.Policies, policy.Versioned{Service: v.Service, Epoch: v.Epoch, Text: v.Text})
+	}
+	return out, nil
+}
+
+func syncTable(ctx context.Context, client policypb.Policies, s *distribution.Sync) (*distribution.SyncReply, error) {
+	resp, err := client.Sync(ctx, &policypb.SyncRequest{Digests: s.Digests[:]})
+	if err != nil {
+		return nil, err
+	}
+	out := &distribution.SyncReply{Confirmed: resp.Confirmed}
+	for _, i := range resp.Differs {
+		if i < distribution.Buckets {
+			out.Differs[i] = true
+		}
+	}
+	for _, v := range resp.Have {
+		out.Have = append(out.Have, distribution.Have{Service: v.Service, Epoch: v.Epoch, Hash: v.Hash})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/transport/policysync/runner.go
@@ -0,0 +1,184 @@
+package policysync
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
+	"wigeonspring.example/wigeonspring/internal/ring"
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+const (
+	callTimeout = 2 * time.Second
+	// listTimeout bounds a listing of all policies, 5.4 MB at the design scale.
+	listTimeout = 10 * time.Second
+	// watchGrace is how long a watch may take beyond its own waiting time.
+	watchGrace = 5 * time.Second
+	// prefix is where the platform keeps the policies.
+	prefix   = "policy/"
+	ringSize = 1024
+	// membersInterval is how often the view of the members is refreshed.
+	membersInterval = time.Second
+)
+
+// Options configures a Runner. All fields are required.
+type Options struct {
+	Core     *distribution.Core
+	Platform platform.Client
+	// Members returns the members that are alive, this node included.
+	Members func() []distribution.Member
+	// Address returns the peer address of a node.
+	Address func(registry.NodeID) (string, error)
+	// SendHave sends a notice to k random peers of the own failure domain. It
+	// does not block.
+	SendHave func(h distribution.Have, k int)
+	// InForce is called for every policy that was put in force.
+	InForce    func(*policy.InForce)
+	Events     event.Sink
+	HTTPClient *http.Client
+}
+
+// Runner drives a distribution core.
+type Runner struct {
+	opts   Options
+	core   *distribution.Core
+	inputs *ring.Ring[distribution.Input]
+	status atomic.Pointer[distribution.Status]
+
+	calls sync.WaitGroup
+	// cancelPlatform ends the waiting request to the platform.
+	cancelPlatform context.CancelFunc
+}
+
+// New returns a Runner.
+func New(opts Options) *Runner {
+	r := &Runner{
+		opts:           opts,
+		core:           opts.Core,
+		inputs:         ring.New[distribution.Input](ringSize),
+		cancelPlatform: func() {},
+	}
+	r.status.Store(&distribution.Status{})
+	return r
+}
+
+// Status returns the latest status of the core.
+func (r *Runner) Status() distribution.Status { return *r.status.Load() }
+
+// Heard hands a peer's notice to the core. It never blocks; anti-entropy repairs
+// a notice that is lost because the ring is full.
+func (r *Runner) Heard(h distribution.Heard) {
+	r.inputs.Offer(distribution.Input{Heard: []distribution.Heard{h}})
+}
+
+// HeardDigest hands the digest of a peer's table to the core. It never blocks.
+func (r *Runner) HeardDigest(d distribution.HeardDigest) {
+	r.inputs.Offer(distribution.Input{Digests: []distribution.HeardDigest{d}})
+}
+
+// Run drives the core until ctx ends.
+func (r *Runner) Run(ctx context.Context) error {
+	defer r.calls.Wait()
+	members := time.NewTicker(membersInterval)
+	defer members.Stop()
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	r.step(ctx, distribution.Input{Members: r.opts.Members()}, wake)
+	for {
+		var in distribution.Input
+		select {
+		case <-ctx.Done():
+			return nil
+		case in = <-r.inputs.Items():
+		case <-members.C:
+			in.Members = r.opts.Members()
+		case <-wake.C:
+		}
+		r.step(ctx, in, wake)
+	}
+}
+
+// step gives one input to the core and carries out what it decided.
+func (r *Runner) step(ctx context.Context, in distribution.Input, wake *time.Timer) {
+	in.Now = time.Now()
+	out := r.core.Step(in)
+	status := out.Status
+	r.status.Store(&status)
+	for _, p := range out.InForce {
+		r.opts.InForce(p)
+	}
+	for _, e := range out.Events {
+		r.opts.Events.Publish(e)
+	}
+	r.sendNotices(out.Datagrams)
+	for _, c := range out.Calls {
+		r.start(ctx, c)
+	}
+	if out.CancelPlatform || out.Platform != nil {
+		r.cancelPlatform()
+	}
+	if out.Platform != nil {
+		r.askPlatform(ctx, *out.Platform)
+	}
+	wake.Reset(max(time.Until(out.Wake), 0))
+}
+
+// sendNotices sends each notice to as many peers as the core chose. The gossip
+// transport picks the peers itself, from the same failure domain.
+func (r *Runner) sendNotices(datagrams []distribution.Datagram) {
+	count := make(map[distribution.Have]int)
+	for _, d := range datagrams {
+		count[d.Have]++
+	}
+	for have, k := range count {
+		r.opts.SendHave(have, k)
+	}
+}
+
+func (r *Runner) start(ctx context.Context, c distribution.Call) {
+	r.calls.Add(1)
+	go func() {
+		defer r.calls.Done()
+		r.deliver(ctx, distribution.Input{Replies: []distribution.Reply{r.call(ctx, c)}})
+	}()
+}
+
+// deliver waits for room in the ring, because a reply that is lost would leave
+// its call open in the core.
+func (r *Runner) deliver(ctx context.Context, in distribution.Input) {
+	for !r.inputs.Offer(in) {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Runner) askPlatform(parent context.Context, req distribution.PlatformRequest) {
+	timeout := listTimeout
+	if req.Watch {
+		timeout = req.Wait + watchGrace
+	}
+	ctx, cancel := context.WithTimeout(parent, timeout)
+	r.cancelPlatform = cancel
+	r.calls.Add(1)
+	go func() {
+		defer r.calls.Done()
+		defer cancel()
+		reply := distribution.PlatformReply{ID: req.ID}
+		if req.Watch {
+			reply.Objects, reply.Revision, reply.Err = r.opts.Platform.Watch(ctx, prefix, req.Since, req.Wait)
+		} else {
+			reply.Objects, reply.Revision, reply.Err = r.opts.Platform.List(ctx, prefix)
+		}
+		r.deliver(parent, distribution.Input{Platform: &reply})
+	}()
+}
