Add the request path: headers, backend and peer connections, proxy

Ingress nodes pass every request to the owner of the chosen backend server, in process or over HTTP/2 without TLS; the owner admits it and runs it at most once.

Replays by net/http: http.Transport repeats a request on a new connection when a reused one fails and the method is GET, HEAD, OPTIONS or TRACE or an Idempotency-Key header is present. Ruled out: a non-nil body without GetBody for every request, because an empty POST is then sent chunked; DisableKeepAlives, because it dials for each request. Used instead: http.ClientConn, which is bound to one connection and has no retry loop, for HTTP/1.1 and for HTTP/2.

NotSent is proved by sealing: a given-up connection refuses all further writes, and only if none had started before is the attempt reported as not sent.

--- /dev/null
+++ b/internal/protocol/header/hop.go
@@ -0,0 +1,73 @@
+package header
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Hop is what an ingress node tells the owner about a request.
+type Hop struct {
+	RequestID   string
+	Backend     registry.BackendID
+	Service     registry.ServiceID
+	Route       string
+	Incarnation uint64
+	// Left is the time left for the request.
+	Left    time.Duration
+	Attempt int
+	Caller  string
+	// Region is the region of the ingress node.
+	Region   string
+	Baseline evidence.Baseline
+}
+
+// Write adds the headers of the hop to h.
+func (p *Hop) Write(h http.Header) {
+	h[RequestID] = []string{p.RequestID}
+	h[Backend] = []string{string(p.Backend)}
+	h[Service] = []string{string(p.Service)}
+	h[Route] = []string{p.Route}
+	h[OwnerIncarnation] = []string{strconv.FormatUint(p.Incarnation, 10)}
+	h[DeadlineMillis] = []string{FormatDeadline(p.Left)}
+	h[Attempt] = []string{FormatAttempt(p.Attempt)}
+	h[Region] = []string{p.Region}
+	h[Baseline] = []string{FormatBaseline(p.Baseline)}
+	if p.Caller != "" {
+		h[Caller] = []string{p.Caller}
+	}
+}
+
+// ReadHop reads the headers that Write adds.
+func ReadHop(h http.Header) (Hop, error) {
+	p := Hop{
+		RequestID: h.Get(RequestID),
+		Backend:   registry.BackendID(h.Get(Backend)),
+		Service:   registry.ServiceID(h.Get(Service)),
+		Route:     h.Get(Route),
+		Caller:    CallerName(h.Get(Caller)),
+		Region:    h.Get(Region),
+	}
+	if !ValidRequestID(p.RequestID) {
+		return p, fmt.Errorf("%s: not a request id", RequestID)
+	}
+	if p.Backend == "" || p.Service == "" {
+		return p, fmt.Errorf("%s, %s: missing", Backend, Service)
+	}
+	var err error
+	if p.Incarnation, err = strconv.ParseUint(h.Get(OwnerIncarnation), 10, 64); err != nil {
+		return p, fmt.Errorf("%s: not an incarnation", OwnerIncarnation)
+	}
+	if p.Left, err = ParseDeadline(h.Get(DeadlineMillis)); err != nil {
+		return p, err
+	}
+	if p.Attempt, err = ParseAttempt(h.Get(Attempt)); err != nil {
+		return p, err
+	}
+	p.Baseline, err = ParseBaseline(h.Get(Baseline))
+	return p, err
+}
--- /dev/null
+++ b/internal/transport/backend/exchange.go
@@ -0,0 +1,236 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/fault"
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+)
+
+// Reasons of a failed exchange.
+const (
+	ReasonDial      = "backend_dial_failed"
+	ReasonReset     = "backend_connection_reset"
+	ReasonTimeout   = "deadline_passed"
+	ReasonCanceled  = "caller_canceled"
+	ReasonBodyCut   = "request_body_cut"
+	ReasonMismatch  = "request_id_mismatch"
+	ReasonNoLength  = "answer_without_length"
+	ReasonTruncated = "answer_truncated"
+	ReasonWithdrawn = "dispatch_withdrawn"
+)
+
+// Error is a failed exchange.
+type Error struct {
+	// Kind is the evidence about the backend server.
+	Kind evidence.Kind
+	// NotSent is set if no byte of the request was written.
+	NotSent bool
+	// Reason is a short machine-readable cause.
+	Reason string
+	Err    error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Reason, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Do sends the request on one connection and never repeats it. id is the request
+// identifier, which an answer must repeat if it names one. allowed is asked once,
+// directly before the first byte can be written. The caller reads the body of the
+// answer and closes it; errors, also those of the body, are of type *Error.
+//
+// http.Transport.RoundTrip is not used: it repeats a request on a new connection
+// when a reused one fails and the method or an Idempotency-Key header suggests
+// that this is safe. An http.ClientConn is bound to one connection and cannot.
+func (p *Pool) Do(ctx context.Context, req *http.Request, id string, allowed func() bool) (*Answer, error) {
+	c, err := p.get(ctx)
+	if err != nil {
+		return nil, dialError(ctx, err)
+	}
+	if !allowed() {
+		c.finish()
+		return nil, &Error{Kind: evidence.Canceled, NotSent: true, Reason: ReasonWithdrawn,
+			Err: fault.Newf("exchange with backend server", p.opt.Addr, "the permission to dispatch was withdrawn")}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	req = req.WithContext(ctx)
+	req.GetBody = nil
+	x := &exchange{ctx: ctx, cancel: cancel, conn: c, addr: p.opt.Addr}
+	if req.Body != nil && req.Body != http.NoBody {
+		x.upload = &upload{ReadCloser: req.Body}
+		req.Body = x.upload
+	}
+	resp, err := c.client.RoundTrip(req)
+	if err != nil {
+		untouched := c.seal()
+		x.abandon()
+		return nil, x.classify(err, untouched)
+	}
+	if got := resp.Header.Get(header.RequestID); got != "" && got != id && !p.off.requestID {
+		x.abandon()
+		return nil, x.fail(evidence.Reset, ReasonMismatch, errors.New("the answer belongs to another request"))
+	}
+	if unframed(req, resp) {
+		x.abandon()
+		return nil, x.fail(evidence.Truncated, ReasonNoLength, errors.New("the end of the answer cannot be recognized"))
+	}
+	resp.Body = &body{exchange: x, ReadCloser: resp.Body, whole: req.Method == http.MethodHead || resp.ContentLength == 0}
+	return &Answer{Response: resp, exchange: x}, nil
+}
+
+// Answer is the answer of a backend server. Its body must be closed.
+type Answer struct {
+	*http.Response
+	exchange *exchange
+}
+
+// UploadWait returns the time that the exchange has waited for the body of the
+// request, which is no delay of the backend server.
+func (a *Answer) UploadWait() time.Duration {
+	if a.exchange.upload == nil {
+		return 0
+	}
+	return time.Duration(a.exchange.upload.waited.Load())
+}
+
+// unframed reports whether the answer ends only with the connection, so that a
+// truncated answer would look complete.
+func unframed(req *http.Request, resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead ||
+		resp.StatusCode < 200
+}
+
+func dialError(ctx context.Context, err error) *Error {
+	e := &Error{Kind: evidence.Reset, NotSent: true, Reason: ReasonDial, Err: err}
+	switch cause := ctx.Err(); {
+	case errors.Is(cause, context.DeadlineExceeded):
+		e.Kind, e.Reason = evidence.Timeout, ReasonTimeout
+	case cause != nil:
+		e.Kind, e.Reason = evidence.Canceled, ReasonCanceled
+	}
+	return e
+}
+
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	conn   *conn
+	addr   string
+	upload *upload
+	once   sync.Once
+}
+
+// abandon closes the connection, so that a late answer reaches nobody.
+func (x *exchange) abandon() {
+	x.once.Do(func() {
+		if !x.conn.pool.off.closeAbandoned {
+			_ = x.conn.client.Close()
+		}
+		x.cancel()
+	})
+}
+
+// complete ends an exchange whose answer was read to the end.
+func (x *exchange) complete() {
+	x.once.Do(func() {
+		x.conn.finish()
+		x.cancel()
+	})
+}
+
+// classify turns an error before the answer began into evidence.
+func (x *exchange) classify(err error, untouched bool) *Error {
+	kind, reason := evidence.Reset, ReasonReset
+	switch {
+	case x.upload != nil && x.upload.failed.Load():
+		kind, reason = evidence.Canceled, ReasonBodyCut
+	case errors.Is(x.ctx.Err(), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		kind, reason = evidence.Timeout, ReasonTimeout
+		if x.upload != nil && x.upload.waiting.Load() {
+			kind = evidence.Canceled // The caller was too slow, not the backend server.
+		}
+	case errors.Is(err, context.Canceled):
+		kind, reason = evidence.Canceled, ReasonCanceled
+	}
+	e := x.fail(kind, reason, err)
+	e.NotSent = untouched
+	return e
+}
+
+func (x *exchange) fail(kind evidence.Kind, reason string, err error) *Error {
+	return &Error{Kind: kind, Reason: reason, Err: fault.New("exchange with backend server", x.addr, err)}
+}
+
+// upload notes whether reading the body of the request failed, which is no fault
+// of the backend server.
+type upload struct {
+	io.ReadCloser
+	failed  atomic.Bool
+	waiting atomic.Bool
+	waited  atomic.Int64 // nanoseconds
+}
+
+func (u *upload) Read(p []byte) (int, error) {
+	start := time.Now()
+	u.waiting.Store(true)
+	n, err := u.ReadCloser.Read(p)
+	u.waiting.Store(false)
+	u.waited.Add(int64(time.Since(start)))
+	if err != nil && err != io.EOF {
+		u.failed.Store(true)
+	}
+	return n, err
+}
+
+// body is the body of an answer.
+type body struct {
+	*exchange
+	io.ReadCloser
+	// whole is set when the answer has been read to its end.
+	whole bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if err == io.EOF {
+		b.whole = true
+		return n, io.EOF
+	}
+	kind, reason := evidence.Truncated, ReasonTruncated
+	switch {
+	case errors.Is(b.ctx.Err(), context.DeadlineExceeded):
+		kind, reason = evidence.Timeout, ReasonTimeout
+	case b.ctx.Err() != nil:
+		kind, reason = evidence.Canceled, ReasonCanceled
+	case b.upload != nil && b.upload.failed.Load():
+		kind, reason = evidence.Canceled, ReasonBodyCut
+	}
+	return n, b.fail(kind, reason, err)
+}
+
+// Close ends the exchange. The connection is reused only if the answer was read
+// to its end.
+func (b *body) Close() error {
+	if !b.whole {
+		b.abandon()
+		return nil
+	}
+	err := b.ReadCloser.Close()
+	b.complete()
+	return err
+}
--- /dev/null
+++ b/internal/transport/proxy/attempt.go
@@ -0,0 +1,231 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/retry"
+	"wigeonspring.example/wigeonspring/internal/coordination/routing"
+	"wigeonspring.example/wigeonspring/internal/fault"
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/transport/peer"
+)
+
+const (
+	// maxMargin is taken off the deadline that the owner is told, so that its
+	// verdict arrives before the caller's deadline. It covers a round trip between
+	// regions of 16 ms.
+	maxMargin = 25 * time.Millisecond
+	// silentAfter is the shortest time for an attempt after which an owner without
+	// an answer counts as failed. Below it the margin does not cover a round trip.
+	silentAfter = 10 * maxMargin
+)
+
+// tried is an attempt that has ended, or whose answer is ready to be read.
+type tried struct {
+	call    *call
+	target  routing.Target
+	begin   time.Time
+	latency time.Duration
+	reply   *reply
+	state   retry.State
+	outcome routing.Outcome
+	failed  bool
+	body    io.ReadCloser
+	over    bool
+}
+
+// attempt sends the request to the owner of the target.
+func (c *call) attempt(ctx context.Context, target routing.Target) *tried {
+	in := c.in
+	now := in.opt.Now()
+	left := c.deadline.Sub(now)
+	left -= min(maxMargin, left/10)
+	hop := header.Hop{
+		RequestID: c.id, Backend: target.Backend, Service: c.service, Route: c.route.Name,
+		Incarnation: target.Owner.Incarnation, Left: left, Attempt: len(c.tried), Caller: c.caller,
+		Region: in.opt.Region, Baseline: in.opt.Balancer.Baseline(now, c.service, target.Backend),
+	}
+	if target.Locality == routing.OtherRegion {
+		c.publish(event.RequestSpilled, target.Locality.String())
+	}
+	t := &tried{call: c, target: target, begin: now, body: c.body.open()}
+	if target.Owner.ID == in.opt.Self {
+		t.runLocal(ctx, hop)
+	} else {
+		t.runPeer(ctx, hop)
+	}
+	t.latency = in.opt.Now().Sub(now)
+	switch t.reply.Outcome {
+	case header.Answered:
+		t.state = retry.Answered
+		status := t.reply.Response.StatusCode
+		t.failed = status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable
+	case header.NotRun:
+		t.state = retry.Refused
+		if t.outcome == routing.Completed {
+			t.outcome = routing.RefusedByOwner
+		}
+	default:
+		t.state = retry.Sent
+		t.failed = true
+	}
+	if c.request.Context().Err() != nil && t.state != retry.Answered {
+		t.outcome = routing.Abandoned
+	}
+	return t
+}
+
+// runLocal runs the attempt in this process.
+func (t *tried) runLocal(ctx context.Context, hop header.Hop) {
+	r := t.call.request.Clone(ctx)
+	r.Body, r.ContentLength = t.body, t.call.body.length
+	deadline := t.begin.Add(hop.Left)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	t.reply = t.call.in.opt.Owner.run(ctx, &attempt{Hop: hop, Deadline: deadline, Request: r})
+	if t.reply.Response == nil {
+		cancel()
+		return
+	}
+	t.reply.Response.Body = &closeHook{ReadCloser: t.reply.Response.Body, hook: cancel}
+}
+
+// runPeer runs the attempt on another node.
+func (t *tried) runPeer(ctx context.Context, hop header.Hop) {
+	c := t.call
+	ctx, span := c.in.tracer.Start(ctx, "peer hop", trace.WithSpanKind(trace.SpanKindClient))
+	addr := t.target.Owner.PeerAddr
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("wigeonspring.request_id", c.id),
+			attribute.String("wigeonspring.owner", string(t.target.Owner.ID)),
+			attribute.String("wigeonspring.backend", string(t.target.Backend)))
+	}
+	resp, err := c.in.opt.Peers.Do(ctx, addr, t.outgoing(ctx, hop, addr))
+	if err != nil {
+		t.lost(ctx, err)
+		span.SetAttributes(attribute.String("wigeonspring.reason", t.reply.Reason))
+		span.End()
+		return
+	}
+	resp.Body = &closeHook{ReadCloser: resp.Body, hook: func() { span.End() }}
+	t.reply = t.received(resp, addr)
+	if t.reply.Response == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// outgoing returns the request for the owner.
+func (t *tried) outgoing(ctx context.Context, hop header.Hop, addr string) *http.Request {
+	in := t.call.request
+	h := in.Header.Clone()
+	hop.Write(h)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""}
+	}
+	if t.call.body.streamed() {
+		// The owner asks for the body once it has admitted the request. Until then
+		// no byte is taken from the caller and the request can be tried elsewhere.
+		h["Expect"] = []string{"100-continue"}
+	}
+	inject(ctx, h)
+	u := &url.URL{Scheme: "http", Host: addr, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery}
+	return &http.Request{
+		Method: in.Method, URL: u, Host: in.Host, Header: h, Body: t.body, ContentLength: t.call.body.length,
+		Proto: "HTTP/2.0", ProtoMajor: 2,
+	}
+}
+
+// received checks the response of an owner.
+func (t *tried) received(resp *http.Response, addr string) *reply {
+	c := t.call
+	r := &reply{Outcome: resp.Header.Get(header.Outcome), Reason: resp.Header.Get(header.Reason)}
+	if got := resp.Header.Get(header.RequestID); got != c.id && !c.in.off.requestID {
+		// Nothing on this connection can be trusted any more.
+		c.in.opt.Peers.Drop(addr)
+		t.outcome = routing.PeerFailed
+		c.in.opt.Logger.Error("response of owner belongs to another request",
+			zap.String("request_id", c.id), zap.String("owner", string(t.target.Owner.ID)))
+		c.publish(event.InvariantViolation, reasonWrongID)
+		return &reply{Outcome: header.Unknown, Reason: reasonWrongID}
+	}
+	if load, err := header.ParseLoad(resp.Header.Get(header.Load)); err == nil {
+		r.Load = &load
+	}
+	switch r.Outcome {
+	case header.Answered:
+		r.Response = resp
+	case header.NotRun:
+	case header.Unknown:
+		r.Timeout = resp.StatusCode == http.StatusGatewayTimeout
+	default:
+		t.outcome = routing.PeerFailed
+		r.Outcome, r.Reason = header.Unknown, reasonNoOutcome
+	}
+	return r
+}
+
+// lost classifies a request to an owner that brought no response.
+func (t *tried) lost(ctx context.Context, err error) {
+	t.outcome = routing.PeerFailed
+	t.reply = &reply{Outcome: header.Unknown, Reason: peer.ReasonLost}
+	var e *peer.Error
+	if errors.As(err, &e) {
+		t.reply.Reason = e.Reason
+		if e.NotSent {
+			t.reply.Outcome = header.NotRun
+		}
+		if e.Reason == peer.ReasonBusy || e.Reason == peer.ReasonLimit {
+			t.outcome = routing.RefusedByOwner
+		}
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		t.reply.Timeout = true
+		if t.reply.Outcome == header.Unknown {
+			t.reply.Reason = reasonOwnerSilent
+		}
+		if t.call.deadline.Sub(t.begin) < silentAfter {
+			t.outcome = routing.Abandoned
+		}
+	}
+	if t.outcome == routing.PeerFailed && t.call.request.Context().Err() == nil {
+		t.call.in.opt.Logger.Warn("request to owner failed", zap.String("request_id", t.call.id),
+			zap.String("owner", string(t.target.Owner.ID)), zap.String("step", fault.Step(err)), zap.Error(err))
+	}
+}
+
+// shed reports whether the backend server refused the work.
+func (t *tried) shed() bool {
+	return t.reply.Response != nil && t.reply.Response.StatusCode == http.StatusServiceUnavailable
+}
+
+// done reports the attempt to the balancer, once, and closes the answer.
+func (t *tried) done(answerBytes int64) {
+	if t.over {
+		return
+	}
+	t.over = true
+	t.reply.close()
+	_ = t.body.Close() // The attempt takes no more bytes from the caller.
+	in := t.call.in
+	in.opt.Balancer.Done(in.opt.Now(), t.target, routing.Result{
+		Outcome: t.outcome, Failed: t.failed && t.outcome == routing.Completed, Latency: t.latency,
+		Load: t.reply.Load, Bytes: t.call.body.read.Load() + answerBytes,
+	})
+}
+
+// close ends an attempt whose answer was not passed on to its end.
+func (t *tried) close() {
+	if !t.over {
+		t.outcome = routing.Abandoned
+	}
+	t.done(0)
+}
--- /dev/null
+++ b/internal/transport/proxy/backends.go
@@ -0,0 +1,164 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/admission"
+	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/backend"
+)
+
+// BackendsOptions configures Backends. Zero values select the defaults.
+type BackendsOptions struct {
+	// DialTimeout and IdleTimeout are those of the connections; see backend.Options.
+	DialTimeout time.Duration
+	IdleTimeout time.Duration
+	// Ramp is the duration of the cold start ramp; see admission.Options.
+	Ramp time.Duration
+	// Warm leaves out the ramp of a new backend server.
+	Warm bool
+	Now  func() time.Time
+}
+
+// Backends holds the admission gate and the connections of every backend server
+// that this node owns. It is safe for concurrent use.
+type Backends struct {
+	opt BackendsOptions
+
+	mu   sync.RWMutex
+	byID map[registry.BackendID]*owned
+}
+
+// owned is a backend server that this node owns.
+type owned struct {
+	id          registry.BackendID
+	service     registry.ServiceID
+	address     string
+	incarnation uint64
+	pool        *backend.Pool
+	keeper      *keeper
+
+	// state is the decision of the owner; an announced drain takes precedence.
+	state    registry.BackendState
+	draining bool
+}
+
+// NewBackends returns an empty set.
+func NewBackends(o BackendsOptions) *Backends {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Backends{opt: o, byID: make(map[registry.BackendID]*owned)}
+}
+
+// Upsert adds a backend server or takes over a change of its announcement or of
+// the limits of its service. A backend server that is new, was restarted or has
+// moved to another address starts cold, in the state Active.
+func (b *Backends) Upsert(a ownership.Announcement, limits policy.Limits) {
+	slots := max(a.Slots, 1)
+	if limits.MaxSlots > 0 {
+		slots = min(slots, limits.MaxSlots)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o := b.byID[a.Backend]
+	if o != nil && (o.address != a.Address || o.incarnation != a.Incarnation || o.service != a.Service) {
+		o.retire()
+		o = nil
+	}
+	if o == nil {
+		o = &owned{
+			id: a.Backend, service: a.Service, address: a.Address, incarnation: a.Incarnation,
+			pool: backend.NewPool(backend.Options{
+				Addr: a.Address, MaxConns: slots + 1, DialTimeout: b.opt.DialTimeout, IdleTimeout: b.opt.IdleTimeout,
+			}),
+			keeper: newKeeper(admission.NewGate(admission.Options{
+				Slots: slots, QueueLimit: limits.Queue, CallerInFlight: limits.CallerInFlight,
+				Ramp: b.opt.Ramp, Warm: b.opt.Warm,
+			}, b.opt.Now()), b.opt.Now),
+		}
+		b.byID[a.Backend] = o
+	}
+	o.draining = a.Draining
+	o.pool.SetMaxConns(slots + 1)
+	o.keeper.gate.SetSlots(slots)
+	o.keeper.gate.SetLimits(limits.Queue, limits.CallerInFlight)
+	o.apply()
+}
+
+// SetState takes over the owner's decision about a backend server. It reports
+// false if the backend server is not owned.
+func (b *Backends) SetState(id registry.BackendID, state registry.BackendState, weight float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o := b.byID[id]
+	if o == nil {
+		return false
+	}
+	readmitted := state == registry.Active && (o.state == registry.Ejected || o.state == registry.Probation)
+	o.state = state
+	if readmitted {
+		o.keeper.gate.StartRamp(b.opt.Now())
+	}
+	o.keeper.gate.SetWeight(b.opt.Now(), weight)
+	o.apply()
+	return true
+}
+
+// Remove forgets a backend server that this node no longer owns. Requests that
+// wait are refused, requests in flight end normally.
+func (b *Backends) Remove(id registry.BackendID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if o := b.byID[id]; o != nil {
+		delete(b.byID, id)
+		o.retire()
+	}
+}
+
+// Close removes all backend servers.
+func (b *Backends) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, o := range b.byID {
+		delete(b.byID, id)
+		o.retire()
+	}
+}
+
+// Load returns the load of a backend server.
+func (b *Backends) Load(id registry.BackendID) (evidence.Load, bool) {
+	o := b.get(id)
+	if o == nil {
+		return evidence.Load{}, false
+	}
+	return o.keeper.gate.Load(), true
+}
+
+func (b *Backends) get(id registry.BackendID) *owned {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.byID[id]
+}
+
+// apply puts the state in force. The caller holds the lock of Backends.
+func (o *owned) apply() {
+	state := o.state
+	if o.draining {
+		state = registry.Draining
+	}
+	o.keeper.gate.SetState(state)
+	o.keeper.pump()
+}
+
+// retire refuses the requests that wait and closes idle connections.
+func (o *owned) retire() {
+	o.keeper.gate.SetState(registry.Draining)
+	o.keeper.pump()
+	o.keeper.close()
+	o.pool.Close()
+}
--- /dev/null
+++ b/internal/transport/proxy/call.go
@@ -0,0 +1,213 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/admission"
+	"wigeonspring.example/wigeonspring/internal/coordination/retry"
+	"wigeonspring.example/wigeonspring/internal/coordination/routing"
+	"wigeonspring.example/wigeonspring/internal/invariant"
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// call is one request of a caller.
+type call struct {
+	in       *Ingress
+	w        http.ResponseWriter
+	id       string
+	start    time.Time
+	deadline time.Time
+	span     trace.Span
+
+	request *http.Request
+	body    *callerBody
+	policy  *policy.InForce
+	service registry.ServiceID
+	route   *policy.Route
+	caller  string
+
+	tried []registry.BackendID
+	// ran counts the attempts that may have run.
+	ran int
+	// reason, shed and timeout describe the last attempt without an answer.
+	reason  string
+	shed    bool
+	timeout bool
+}
+
+// run makes attempts until one is final and answers the caller.
+func (c *call) run(ctx context.Context) {
+	in := c.in
+	limits := c.policy.Document.Service.Limits
+	budget := in.budget(c.service, limits.RetryPercent)
+	plan := retry.NewPlan(retry.Options{
+		Idempotent: c.route.Idempotent, MaxAttempts: limits.MaxAttempts, Deadline: c.deadline,
+	})
+	for {
+		target, err := c.pick(limits)
+		if err != nil {
+			var refusal *routing.Refusal
+			if errors.As(err, &refusal) && c.reason == "" {
+				c.reason, c.shed = string(refusal.Reason), refusal.Shed()
+			}
+			c.report(plan.GiveUp(retry.NoTarget))
+			return
+		}
+		c.tried = append(c.tried, target.Backend)
+		t := c.attempt(ctx, target)
+		state := t.state
+		if state == retry.Sent || state == retry.Answered {
+			c.ran++
+		}
+		if in.off.sentIsFinal && state == retry.Sent {
+			state = retry.NotSent
+		}
+		d := plan.Next(in.opt.Now(), budget, retry.AttemptResult{State: state, Shed: t.shed()})
+		if d.Action == retry.Retry && !c.body.repeatable() {
+			d = plan.GiveUp(reasonBodyConsumed)
+		}
+		if d.Action == retry.Retry && ctx.Err() != nil {
+			d = plan.GiveUp(retry.DeadlinePassed)
+		}
+		if d.Action == retry.Answer {
+			c.answer(t)
+			return
+		}
+		t.done(0)
+		c.note(t)
+		if d.Reason == retry.BudgetSpent {
+			c.publish(event.RetryBudgetSpent, c.reason)
+		}
+		if d.Final() {
+			c.report(d)
+			return
+		}
+	}
+}
+
+func (c *call) pick(limits policy.Limits) (routing.Target, error) {
+	in := c.in
+	rng := in.rngs.Get().(*rand.Rand)
+	defer in.rngs.Put(rng)
+	return in.opt.Balancer.Pick(in.opt.Now(), rng, in.opt.Directory.Snapshot(), routing.Request{
+		Service: c.service, Route: c.route, Limits: limits, BodyBytes: c.body.length, Tried: c.tried,
+	})
+}
+
+// note remembers why an attempt brought no answer.
+func (c *call) note(t *tried) {
+	c.reason, c.timeout = t.reply.Reason, t.reply.Timeout
+	switch admission.Reason(c.reason) {
+	case admission.QueueFull, admission.RemoteShareFull, admission.DeadlineTooShort:
+		c.shed = true
+	default:
+		c.shed = false
+	}
+}
+
+// answer passes the answer of an attempt to the caller.
+func (c *call) answer(t *tried) {
+	defer t.close()
+	resp := t.reply.Response
+	h := c.w.Header()
+	copyHeader(h, resp)
+	h[header.RequestID] = []string{c.id}
+	h[header.Outcome] = []string{header.Answered}
+	c.describe(header.Answered, resp.StatusCode)
+	c.w.WriteHeader(resp.StatusCode)
+	n, readErr, writeErr := copyBody(c.w, resp)
+	if readErr != nil || writeErr != nil {
+		if writeErr != nil {
+			t.outcome = routing.Abandoned
+		} else {
+			t.failed = true
+			c.publish(event.RequestFailed, reasonAnswerCut)
+		}
+		t.done(n)
+		// A truncated body must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	copyTrailer(h, resp)
+	t.done(n)
+}
+
+// report tells the caller that there is no answer.
+func (c *call) report(d retry.Decision) {
+	reason := c.reason
+	if reason == "" {
+		reason = string(d.Reason)
+	}
+	if d.Reason == reasonBodyConsumed {
+		reason = reasonBodyConsumed
+	}
+	switch d.Action {
+	case retry.ReportNotRun:
+		c.publish(event.RequestRefused, reason)
+		c.write(http.StatusServiceUnavailable, header.NotRun, reason)
+	case retry.ReportUnknown:
+		status := http.StatusBadGateway
+		if c.timeout {
+			status = http.StatusGatewayTimeout
+		}
+		c.publish(event.RequestFailed, reason)
+		c.write(status, header.Unknown, reason)
+	default:
+		c.publish(event.RequestFailed, reason)
+		c.write(http.StatusBadGateway, header.Failed, reason)
+	}
+}
+
+// refuse answers a request that is not passed on. It returns false.
+func (c *call) refuse(status int, reason string, shed bool) bool {
+	c.shed = shed
+	c.publish(event.RequestRefused, reason)
+	c.write(status, header.NotRun, reason)
+	return false
+}
+
+// write sends an answer of the node itself.
+func (c *call) write(status int, outcome, reason string) {
+	invariant.Check(outcome != header.NotRun || c.ran == 0, "not_run_is_true",
+		"request %s is reported as not run after %d attempts that may have run", c.id, c.ran)
+	c.describe(outcome, status)
+	h := c.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h[header.RequestID] = []string{c.id}
+	h[header.Outcome] = []string{outcome}
+	h[header.Reason] = []string{reason}
+	if c.shed && outcome == header.NotRun {
+		h.Set("Retry-After", "1")
+	}
+	c.w.WriteHeader(status)
+	_, _ = fmt.Fprintf(c.w, "%s: %s\n", outcome, reason)
+}
+
+func (c *call) describe(outcome string, status int) {
+	if c.span == nil || !c.span.IsRecording() {
+		return
+	}
+	c.span.SetAttributes(attribute.String("wigeonspring.outcome", outcome),
+		attribute.Int("http.response.status_code", status), attribute.Int("wigeonspring.attempts", len(c.tried)))
+}
+
+func (c *call) publish(kind event.Kind, reason string) {
+	e := event.Event{
+		Time: c.in.opt.Now(), Kind: kind, Node: string(c.in.opt.Self), Service: string(c.service),
+		RequestID: c.id, Reason: reason,
+	}
+	if n := len(c.tried); n > 0 {
+		e.Backend = string(c.tried[n-1])
+	}
+	c.in.opt.Events.Publish(e)
+}
--- /dev/null
+++ b/internal/transport/proxy/ingress.go
@@ -0,0 +1,198 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/retry"
+	"wigeonspring.example/wigeonspring/internal/coordination/routing"
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/peer"
+)
+
+const (
+	// defaultTimeout bounds a request if the policy states no timeout.
+	defaultTimeout = 30 * time.Second
+	// readGrace is how long after the deadline the caller's body may still arrive
+	// before its connection is closed.
+	readGrace = time.Second
+)
+
+// Policies finds the policy in force for a host. *policy.Table implements it.
+type Policies interface {
+	ByHost(host string) *policy.InForce
+}
+
+// IngressOptions configures an Ingress. Directory, Policies, Balancer, Peers and
+// Owner are required.
+type IngressOptions struct {
+	Self      registry.NodeID
+	Region    string
+	Directory *registry.Directory
+	Policies  Policies
+	Balancer  *routing.Balancer
+	Peers     *peer.Pool
+	// Owner runs the requests whose backend server this node owns.
+	Owner   *Owner
+	Events  event.Sink
+	Logger  *zap.Logger
+	Tracing trace.TracerProvider
+	Now     func() time.Time
+}
+
+// Ingress is the http.Handler for the requests of callers.
+type Ingress struct {
+	opt     IngressOptions
+	tracer  trace.Tracer
+	budgets sync.Map // registry.ServiceID -> *retry.Budget
+	rngs    sync.Pool
+	drainer
+
+	off ingressOff
+}
+
+// ingressOff disables mechanisms in tests, to show that the tests detect their
+// absence.
+type ingressOff struct{ sentIsFinal, requestID bool }
+
+// NewIngress returns an ingress that accepts requests.
+func NewIngress(o IngressOptions) *Ingress {
+	if o.Events == nil {
+		o.Events = event.Discard{}
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Tracing == nil {
+		o.Tracing = noop.NewTracerProvider()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	in := &Ingress{opt: o, tracer: o.Tracing.Tracer(tracerName)}
+	in.rngs.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	return in
+}
+
+// Drain refuses new requests as not run and waits until those in flight have
+// ended or ctx ends.
+func (in *Ingress) Drain(ctx context.Context) error { return in.drain(ctx) }
+
+// ServeHTTP implements http.Handler.
+func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{in: in, w: w, id: header.NewRequestID(), start: in.opt.Now()}
+	if !in.enter() {
+		w.Header().Set("Connection", "close")
+		c.refuse(http.StatusServiceUnavailable, reasonStopping, true)
+		return
+	}
+	defer in.leave()
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, c.span = in.tracer.Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
+	defer c.span.End()
+	if !c.prepare(r) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	c.run(ctx)
+}
+
+// prepare finds the policy and the route and takes over the caller's deadline,
+// headers and body. It answers the request itself and returns false if the
+// request cannot be passed on.
+func (c *call) prepare(r *http.Request) bool {
+	in := c.in
+	p := in.opt.Policies.ByHost(hostName(r.Host))
+	if p == nil {
+		return c.refuse(http.StatusNotFound, reasonUnknownHost, false)
+	}
+	c.policy, c.service = p, registry.ServiceID(p.Service)
+	if r.Header.Get("Upgrade") != "" && strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade") {
+		return c.refuse(http.StatusNotImplemented, reasonUpgradeUnsupp, false)
+	}
+	route, ok := p.Document.Match(r.Method, r.URL.Path)
+	if !ok {
+		return c.refuse(http.StatusNotFound, reasonNoRoute, false)
+	}
+	c.route = route
+	if c.span.IsRecording() {
+		c.span.SetAttributes(attribute.String("wigeonspring.request_id", c.id),
+			attribute.String("wigeonspring.service", p.Service), attribute.String("wigeonspring.route", route.Name),
+			attribute.String("http.request.method", r.Method))
+	}
+	timeout := time.Duration(route.Timeout)
+	if timeout <= 0 {
+		timeout = time.Duration(p.Document.Service.Timeout)
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if s := r.Header.Get(header.DeadlineMillis); s != "" {
+		left, err := header.ParseDeadline(s)
+		if err != nil {
+			return c.refuse(http.StatusBadRequest, reasonBadDeadline, false)
+		}
+		timeout = min(timeout, left)
+	}
+	c.deadline = c.start.Add(timeout)
+	c.caller = header.CallerName(r.Header.Get(header.Caller))
+	header.StripInternal(r.Header)
+	header.StripHopByHop(r.Header)
+	c.request = r
+	return c.takeBody(r)
+}
+
+// takeBody prepares the body of the request for its attempts.
+func (c *call) takeBody(r *http.Request) bool {
+	limit := c.policy.Document.Service.Limits.MaxBodyBytes
+	if limit > 0 && r.ContentLength > limit {
+		return c.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, false)
+	}
+	if r.Body != nil && r.Body != http.NoBody {
+		// A caller that stops sending must not hold the connection for ever.
+		_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline.Add(readGrace))
+		if limit > 0 && r.ContentLength < 0 {
+			r.Body = http.MaxBytesReader(c.w, r.Body, limit)
+		}
+	}
+	body, err := newCallerBody(r, c.route.Idempotent)
+	if err != nil {
+		return c.refuse(http.StatusBadRequest, reasonBodyCut, false)
+	}
+	c.body = body
+	return true
+}
+
+// hostName returns the host of a Host header without port, in lower case.
+func hostName(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// budget returns the retry budget of a service.
+func (in *Ingress) budget(id registry.ServiceID, percent float64) *retry.Budget {
+	if b, ok := in.budgets.Load(id); ok {
+		budget := b.(*retry.Budget)
+		budget.SetPercent(percent)
+		return budget
+	}
+	b, _ := in.budgets.LoadOrStore(id, retry.NewBudget(retry.BudgetOptions{Percent: percent}))
+	return b.(*retry.Budget)
+}
--- /dev/null
+++ b/internal/transport/proxy/owner.go
@@ -0,0 +1,272 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/backend"
+)
+
+const tracerName = "wigeonspring.example/wigeonspring/internal/transport/proxy"
+
+// Leases answers whether this node holds the lease of a backend server.
+// *ownership.Table implements it.
+type Leases interface {
+	Holds(now time.Time, id registry.BackendID) bool
+}
+
+// OwnerOptions configures an Owner. Leases and Backends are required.
+type OwnerOptions struct {
+	Self   registry.NodeID
+	Region string
+	// Incarnations returns the incarnation at the start of the process and the
+	// current one. A request that names another one was meant for an earlier
+	// process. Nil accepts every incarnation.
+	Incarnations func() (first, current uint64)
+	Leases       Leases
+	Backends     *Backends
+	// Observe receives every exchange with a backend server. It must not block.
+	Observe func(evidence.Observation)
+	Events  event.Sink
+	Logger  *zap.Logger
+	Tracing trace.TracerProvider
+	Now     func() time.Time
+}
+
+// Owner admits requests to the backend servers that this node owns and runs each
+// at most once. It is the http.Handler for requests from other nodes.
+type Owner struct {
+	opt    OwnerOptions
+	tracer trace.Tracer
+	drainer
+
+	off ownerOff
+}
+
+// ownerOff disables mechanisms in tests, to show that the invariants detect
+// their absence.
+type ownerOff struct{ lease bool }
+
+// NewOwner returns an owner that accepts requests.
+func NewOwner(o OwnerOptions) *Owner {
+	if o.Observe == nil {
+		o.Observe = func(evidence.Observation) {}
+	}
+	if o.Events == nil {
+		o.Events = event.Discard{}
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Tracing == nil {
+		o.Tracing = noop.NewTracerProvider()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Owner{opt: o, tracer: o.Tracing.Tracer(tracerName)}
+}
+
+// Drain refuses new requests as not run and waits until those in flight have
+// ended or ctx ends.
+func (o *Owner) Drain(ctx context.Context) error { return o.drain(ctx) }
+
+// attempt is a request to one backend server.
+type attempt struct {
+	header.Hop
+	Deadline time.Time
+	// Request is the caller's request without hop-by-hop and internal headers.
+	Request *http.Request
+}
+
+// run executes an attempt. A refusal is returned before the body of the request
+// is read. ctx ends at the deadline or when the caller goes away.
+func (o *Owner) run(ctx context.Context, a *attempt) *reply {
+	if !o.enter() {
+		return notRun(reasonStopping, nil)
+	}
+	ctx, span := o.tracer.Start(ctx, "owner", trace.WithSpanKind(trace.SpanKindServer))
+	r := o.admit(ctx, a)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("wigeonspring.request_id", a.RequestID),
+			attribute.String("wigeonspring.service", string(a.Service)),
+			attribute.String("wigeonspring.route", a.Route),
+			attribute.String("wigeonspring.backend", string(a.Backend)),
+			attribute.String("wigeonspring.outcome", r.Outcome),
+			attribute.String("wigeonspring.reason", r.Reason))
+	}
+	if r.Outcome == header.NotRun {
+		o.opt.Events.Publish(event.Event{
+			Time: o.opt.Now(), Kind: event.RequestRefused, Node: string(o.opt.Self), Service: string(a.Service),
+			Backend: string(a.Backend), RequestID: a.RequestID, Reason: r.Reason,
+		})
+	}
+	if r.Response == nil {
+		span.End()
+		o.leave()
+		return r
+	}
+	// The request is in flight until its answer was passed on.
+	r.Response.Body = &closeHook{ReadCloser: r.Response.Body, hook: func() { span.End(); o.leave() }}
+	return r
+}
+
+// admit checks that this node may run the attempt and waits for a slot.
+func (o *Owner) admit(ctx context.Context, a *attempt) *reply {
+	if o.opt.Incarnations != nil {
+		if first, current := o.opt.Incarnations(); a.Incarnation < first || a.Incarnation > current {
+			return notRun(reasonIncarnation, nil)
+		}
+	}
+	b := o.opt.Backends.get(a.Backend)
+	if b == nil || b.service != a.Service {
+		return notRun(reasonNotOwner, nil)
+	}
+	if !o.opt.Leases.Holds(o.opt.Now(), a.Backend) && !o.off.lease {
+		return notRun(reasonLease, nil)
+	}
+	remote := a.Region != o.opt.Region
+	ticket, reason := b.keeper.admit(ctx, a.Caller, a.Deadline, remote)
+	load := b.keeper.gate.Load()
+	if reason != "" {
+		return notRun(reason, &load)
+	}
+	return o.dispatch(ctx, a, b, ticket, &load)
+}
+
+// dispatch runs an admitted attempt on its backend server.
+func (o *Owner) dispatch(ctx context.Context, a *attempt, b *owned, ticket uint64, load *evidence.Load) *reply {
+	x := &exchange{owner: o, attempt: a, backend: b, ticket: ticket}
+	ctx, x.span = o.tracer.Start(ctx, "backend exchange", trace.WithSpanKind(trace.SpanKindClient))
+	leased, sent := true, false
+	x.start = o.opt.Now()
+	resp, err := b.pool.Do(ctx, o.outgoing(ctx, a, b.address), a.RequestID, func() bool {
+		// The lease may have lapsed in the queue or while connecting.
+		now := o.opt.Now()
+		leased = o.opt.Leases.Holds(now, a.Backend) || o.off.lease
+		sent = leased && ctx.Err() == nil
+		if sent {
+			x.start = now
+		}
+		return sent
+	})
+	if err != nil {
+		return x.failed(err, leased, sent, load)
+	}
+	x.answered(resp)
+	return &reply{Outcome: header.Answered, Load: load, Response: resp.Response}
+}
+
+// outgoing returns the request for the backend server.
+func (o *Owner) outgoing(ctx context.Context, a *attempt, address string) *http.Request {
+	in := a.Request
+	h := in.Header.Clone()
+	h[header.RequestID] = []string{a.RequestID}
+	h[header.DeadlineMillis] = []string{header.FormatDeadline(a.Deadline.Sub(o.opt.Now()))}
+	h[header.Attempt] = []string{header.FormatAttempt(a.Attempt)}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // Keeps net/http from adding its own.
+	}
+	inject(ctx, h)
+	u := &url.URL{Scheme: "http", Host: address, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery}
+	return &http.Request{
+		Method: in.Method, URL: u, Host: in.Host, Header: h, Body: in.Body, ContentLength: in.ContentLength,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+}
+
+// inject replaces the trace context in h by that of ctx.
+func inject(ctx context.Context, h http.Header) {
+	delete(h, "Traceparent")
+	delete(h, "Tracestate")
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(h))
+}
+
+// exchange is an admitted attempt. It returns its slot and reports its evidence
+// exactly once.
+type exchange struct {
+	owner   *Owner
+	attempt *attempt
+	backend *owned
+	ticket  uint64
+	start   time.Time
+	latency time.Duration
+	span    trace.Span
+	once    sync.Once
+}
+
+// failed ends an exchange without an answer.
+func (x *exchange) failed(err error, leased, sent bool, load *evidence.Load) *reply {
+	var e *backend.Error
+	if !errors.As(err, &e) {
+		e = &backend.Error{Kind: evidence.Reset, Reason: backend.ReasonReset, Err: err}
+	}
+	kind, reason := e.Kind, e.Reason
+	switch {
+	case !leased:
+		kind, reason = evidence.Canceled, reasonLease
+	case reason == backend.ReasonWithdrawn:
+		reason = reasonCanceled
+		if !x.owner.opt.Now().Before(x.attempt.Deadline) {
+			reason = reasonDeadline
+		}
+	}
+	x.end(kind, reason, 0)
+	if e.NotSent {
+		return notRun(reason, load)
+	}
+	invariant.Check(sent, "unknown_after_dispatch", "request %s was written without permission", x.attempt.RequestID)
+	return &reply{Outcome: header.Unknown, Reason: reason, Timeout: kind == evidence.Timeout, Load: load}
+}
+
+// answered prepares the answer: its body ends the exchange.
+func (x *exchange) answered(resp *backend.Answer) {
+	x.latency = max(x.owner.opt.Now().Sub(x.start)-resp.UploadWait(), 1)
+	kind := evidence.Success
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		kind = evidence.Shed
+	case resp.StatusCode >= http.StatusInternalServerError:
+		kind = evidence.ServerError
+	}
+	x.span.SetAttributes(attribute.Int("http.response.status_code", resp.StatusCode))
+	resp.Body = &answerBody{ReadCloser: resp.Body, exchange: x, kind: kind, upload: resp.UploadWait}
+}
+
+// end returns the slot and reports the evidence. serviceTime is 0 if the exchange
+// was not completed.
+func (x *exchange) end(kind evidence.Kind, reason string, serviceTime time.Duration) {
+	x.once.Do(func() {
+		o, a := x.owner, x.attempt
+		now := o.opt.Now()
+		x.backend.keeper.release(x.ticket, serviceTime)
+		latency := x.latency
+		if latency == 0 {
+			latency = now.Sub(x.start)
+		}
+		if x.span.IsRecording() {
+			x.span.SetAttributes(attribute.String("wigeonspring.backend", string(a.Backend)),
+				attribute.String("wigeonspring.reason", reason))
+		}
+		x.span.End()
+		o.opt.Observe(evidence.Observation{
+			Backend: a.Backend, Service: a.Service, Route: a.Route, Kind: kind,
+			Latency: latency, At: now, Baseline: a.Baseline,
+		})
+	})
+}
--- /dev/null
+++ b/internal/transport/proxy/owner_http.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+)
+
+// ServeHTTP takes the request of another node. A refusal is answered without
+// reading the body, so that the ingress node can try elsewhere.
+func (o *Owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	hop, err := header.ReadHop(r.Header)
+	if err != nil {
+		o.write(w, hop.RequestID, notRun(reasonBadHop, nil))
+		return
+	}
+	deadline := o.opt.Now().Add(hop.Left)
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	header.StripInternal(r.Header)
+	header.StripHopByHop(r.Header)
+	reply := o.run(ctx, &attempt{Hop: hop, Deadline: deadline, Request: r})
+	defer reply.close()
+	o.write(w, hop.RequestID, reply)
+}
+
+// write sends a reply to the ingress node.
+func (o *Owner) write(w http.ResponseWriter, id string, r *reply) {
+	h := w.Header()
+	status := http.StatusServiceUnavailable
+	if r.Response != nil {
+		status = r.Response.StatusCode
+		copyHeader(h, r.Response)
+	}
+	h[header.RequestID] = []string{id}
+	h[header.Outcome] = []string{r.Outcome}
+	if r.Reason != "" {
+		h[header.Reason] = []string{r.Reason}
+	}
+	if r.Load != nil {
+		h[header.Load] = []string{header.FormatLoad(*r.Load)}
+	}
+	if r.Outcome == header.Unknown {
+		status = http.StatusBadGateway
+		if r.Timeout {
+			status = http.StatusGatewayTimeout
+		}
+	}
+	w.WriteHeader(status)
+	if r.Response == nil {
+		return
+	}
+	if _, readErr, writeErr := copyBody(w, r.Response); readErr != nil || writeErr != nil {
+		// Resets the stream: a truncated body must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	copyTrailer(h, r.Response)
+}
