--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -1,4 +1,101 @@
-// Command wigeonspringd is the node daemon.
+// Command wigeonspringd is the node daemon of wigeonspring.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
+	"wigeonspring.example/wigeonspring/internal/state/settings"
+	"wigeonspring.example/wigeonspring/internal/transport/node"
+)
+
+// Exit statuses.
+const (
+	exitFailed      = 1
+	exitBadSettings = 2
+)
+
+type options struct {
+	Config string `long:"config" required:"true" value-name:"FILE" description:"settings in TOML"`
+	Check  bool   `long:"check" description:"validate the settings and exit"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opts options
+	if _, err := flags.ParseArgs(&opts, args); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitBadSettings
+	}
+	s, err := settings.Load(opts.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadSettings
+	}
+	if opts.Check {
+		return 0
+	}
+	log, err := newLogger(s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer func() { _ = log.Sync() }()
+	if err := serve(s, log); err != nil {
+		log.Error("node failed", zap.Error(err))
+		return exitFailed
+	}
+	return 0
+}
+
+func serve(s *settings.Settings, log *zap.Logger) error {
+	invariant.SetHandler(func(name, detail string) {
+		log.Error("invariant violated", zap.String("invariant", name), zap.String("detail", detail))
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		log.Warn("second signal: stopping at once")
+		os.Exit(exitFailed)
+	}()
+	n, err := node.New(ctx, node.Options{Settings: s, Log: log, TraceWriter: os.Stdout})
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+// newLogger returns a logger of JSON lines on standard error.
+func newLogger(s *settings.Settings) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(s.Output.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(level)
+	cfg.Sampling = nil
+	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	cfg.DisableCaller = true
+	cfg.DisableStacktrace = true
+	log, err := cfg.Build()
+	if err != nil {
+		return nil, err
+	}
+	return log.With(zap.String("node", s.Node.ID), zap.String("failure_domain", s.Node.FailureDomain)), nil
+}
--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -75,8 +75,8 @@
 
 // compareDigests notes a peer whose digests differ from ours.
 func (c *Core) compareDigests(peer Peer, msg *Message) {
-	if msg.PolicyDigest != 0 && c.policyDigest != 0 && msg.PolicyDigest != c.policyDigest {
-		c.ready.PolicyMismatches = append(c.ready.PolicyMismatches, peer)
+	if msg.PolicyDigest != c.policyDigest {
+		c.ready.PolicyMismatches = append(c.ready.PolicyMismatches, PolicyMismatch{Peer: peer, Digest: msg.PolicyDigest})
 	}
 	if msg.DirectoryDigest == 0 || msg.DirectoryDigest == c.digest {
 		return
--- a/internal/coordination/membership/ready.go
+++ b/internal/coordination/membership/ready.go
@@ -8,6 +8,13 @@
 	Addr string
 }
 
+// PolicyMismatch is a peer whose policy digest differs from the local one.
+type PolicyMismatch struct {
+	Peer
+	// Digest is the digest of the peer's policy table.
+	Digest uint64
+}
+
 // Datagram is a message to send.
 type Datagram struct {
 	To      Peer
@@ -84,7 +91,7 @@
 	Syncs     []Sync
 	Haves     []PeerHave
 	// PolicyMismatches lists peers whose policy digest differs from ours.
-	PolicyMismatches []Peer
+	PolicyMismatches []PolicyMismatch
 }
 
 // Stats counts what the core did.
--- a/internal/transport/events/consumers.go
+++ b/internal/transport/events/consumers.go
@@ -18,7 +18,7 @@
 	return func(e event.Event) {
 		fields := []zap.Field{
 			zap.Time("at", e.Time),
-			zap.String("node", e.Node),
+			zap.String("event_node", e.Node),
 		}
 		for _, f := range []event.Field{
 			{Key: "service", Value: e.Service},
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -236,7 +236,7 @@
 		t.opts.OnHave(h.Peer, h.Have)
 	}
 	for _, p := range r.PolicyMismatches {
-		t.opts.OnDigestMismatch(p)
+		t.opts.OnDigestMismatch(p.Peer, p.Digest)
 	}
 }
 
--- a/internal/transport/gossip/gossip_test.go
+++ b/internal/transport/gossip/gossip_test.go
@@ -93,7 +93,7 @@
 					o.Seeds = []string{nodes[0].Addr()}
 				}
 				o.PolicyDigest = func() uint64 { return uint64(1 + i/4) }
-				o.OnDigestMismatch = func(membership.Peer) { mu.Lock(); mismatches++; mu.Unlock() }
+				o.OnDigestMismatch = func(membership.Peer, uint64) { mu.Lock(); mismatches++; mu.Unlock() }
 				o.OnHave = func(_ membership.Peer, h membership.Have) { mu.Lock(); haves[h.Hash]++; mu.Unlock() }
 			}))
 		}
--- a/internal/transport/gossip/options.go
+++ b/internal/transport/gossip/options.go
@@ -49,7 +49,7 @@
 	// OnHave is called for every policy notice received.
 	OnHave func(peer membership.Peer, have membership.Have)
 	// OnDigestMismatch is called when a peer's policy digest differs.
-	OnDigestMismatch func(peer membership.Peer)
+	OnDigestMismatch func(peer membership.Peer, digest uint64)
 	// OnSuperseded is called when a newer process has taken over the node's id.
 	OnSuperseded func()
 	// SyncPolicies answers the SyncPolicies RPC; nil answers with nothing.
@@ -89,7 +89,7 @@
 		o.OnHave = func(membership.Peer, membership.Have) {}
 	}
 	if o.OnDigestMismatch == nil {
-		o.OnDigestMismatch = func(membership.Peer) {}
+		o.OnDigestMismatch = func(membership.Peer, uint64) {}
 	}
 	if o.OnSuperseded == nil {
 		o.OnSuperseded = func() {}
--- /dev/null
+++ b/internal/transport/node/cluster.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
+	"wigeonspring.example/wigeonspring/internal/coordination/ejection"
+	"wigeonspring.example/wigeonspring/internal/coordination/membership"
+	"wigeonspring.example/wigeonspring/internal/fault"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/gossip"
+	"wigeonspring.example/wigeonspring/internal/transport/health"
+)
+
+// publishDelay collects changes of the own record, so that the announcements of
+// a dozen backend servers at start lead to few gossip updates.
+const publishDelay = 100 * time.Millisecond
+
+func (n *Node) assembleGossip(ctx context.Context) error {
+	s := n.opts.Settings
+	seeds := append([]string(nil), s.Membership.Seeds...)
+	seeds = append(seeds, findSeeds(ctx, n.platform, n.log)...)
+	var err error
+	n.gossip, err = gossip.New(gossip.Options{
+		Self:      n.selfRecord(),
+		Seeds:     seeds,
+		Listen:    n.listeners.peer.Addr().String(),
+		Directory: n.directory,
+		Membership: membership.Options{
+			ProbeInterval: time.Duration(s.Membership.ProbeInterval),
+		},
+		PolicyDigest: n.policies.Digest,
+		OnHave:       n.hearHave,
+		OnDigestMismatch: func(p membership.Peer, digest uint64) {
+			n.sync.HeardDigest(distribution.HeardDigest{From: p.ID, Digest: digest})
+		},
+		HTTPClient: n.rpcClient,
+		Events:     n.bus,
+		Logger:     n.log,
+	})
+	return err
+}
+
+// selfRecord returns the record that this node publishes.
+func (n *Node) selfRecord() registry.Node {
+	s := n.opts.Settings
+	return registry.Node{
+		ID:            n.ID(),
+		Incarnation:   n.incarnation,
+		PeerAddr:      n.peerAddr,
+		OperatorAddr:  n.OperatorAddr(),
+		FailureDomain: s.Node.FailureDomain,
+		Region:        s.Node.Region,
+		Backends:      n.records.backends(),
+	}
+}
+
+// requestPublication asks for the publication of the own record.
+func (n *Node) requestPublication() {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// publishRecords publishes the own record after changes until ctx ends.
+func (n *Node) publishRecords(ctx context.Context) error {
+	for {
+		select {
+		case <-n.changed:
+		case <-ctx.Done():
+			return nil
+		}
+		if !sleep(ctx, publishDelay) {
+			return nil
+		}
+		if !n.gossip.UpdateSelf(n.selfRecord()) {
+			n.requestPublication()
+		}
+	}
+}
+
+// watchLeases ends the work of backend servers whose lease lapsed.
+func (n *Node) watchLeases(ctx context.Context) error {
+	ticker := time.NewTicker(leaseCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.endLapsedLeases()
+		}
+	}
+}
+
+func (n *Node) endLapsedLeases() {
+	n.leaseMu.Lock()
+	defer n.leaseMu.Unlock()
+	for _, lost := range n.records.leases.Tick(time.Now()) {
+		n.lose(lost)
+	}
+}
+
+// liveMembers returns the members that are alive, this node included.
+func (n *Node) liveMembers() []distribution.Member {
+	nodes := n.directory.Snapshot().Nodes()
+	members := make([]distribution.Member, 0, len(nodes)+1)
+	self := false
+	for _, m := range nodes {
+		if m.Status != registry.Alive && m.ID != n.ID() {
+			continue
+		}
+		self = self || m.ID == n.ID()
+		members = append(members, distribution.Member{ID: m.ID, FailureDomain: m.FailureDomain})
+	}
+	if !self {
+		members = append(members, distribution.Member{ID: n.ID(), FailureDomain: n.opts.Settings.Node.FailureDomain})
+	}
+	return members
+}
+
+// address returns the peer address of a node.
+func (n *Node) address(id registry.NodeID) (string, error) {
+	m := n.directory.Snapshot().Node(id)
+	if m == nil {
+		return "", fault.Newf("find peer address", string(id), "node is unknown")
+	}
+	return m.PeerAddr, nil
+}
+
+func (n *Node) sendHave(h distribution.Have, k int) {
+	n.gossip.SendHave(membership.Have{
+		Service: registry.ServiceID(h.Service),
+		Epoch:   h.Epoch,
+		Hash:    policy.FormatHash(h.Hash),
+	}, k)
+}
+
+func (n *Node) hearHave(p membership.Peer, h membership.Have) {
+	hash, err := strconv.ParseUint(h.Hash, 16, 64)
+	if err != nil {
+		n.log.Debug("malformed hash in a policy notice", zap.String("peer", string(p.ID)))
+		return
+	}
+	n.sync.Heard(distribution.Heard{From: p.ID, Have: distribution.Have{
+		Service: string(h.Service),
+		Epoch:   h.Epoch,
+		Hash:    hash,
+	}})
+}
+
+func (n *Node) observe(o evidence.Observation) { n.health.Observe(o) }
+
+// newPermits returns the source of ejection permits.
+func (n *Node) newPermits() health.Permits { return unlimitedPermits{} }
+
+// unlimitedPermits grants every ejection that the local view allows.
+type unlimitedPermits struct{}
+
+func (unlimitedPermits) Request(_ registry.ServiceID, id registry.BackendID, done func(health.Answer)) {
+	done(health.Answer{Permit: ejection.Permit("local-" + string(id))})
+}
+
+func (unlimitedPermits) Release(registry.ServiceID, registry.BackendID) {}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,9 @@
 	control   *control.Server
 	rpcClient *http.Client
 
+	// leaseMu keeps a grant and its effects together, so that the effects of a
+	// lapse do not overtake those of a later grant.
+	leaseMu  sync.Mutex
 	stopping atomic.Bool
 	// drainRequested is closed when an operator asks the node to stop.
 	drainRequested chan struct{}
@@ -159,12 +163,9 @@
 	if err != nil {
 		return err
 	}
-	n.platform, err = platform.NewHTTP(platform.Options{Address: s.Platform.Address, Timeout: time.Duration(s.Platform.Timeout)})
-	if err != nil {
-		return err
-	}
-	n.assembleProxy()
+	n.platform = platform.NewHTTP(platform.Options{URL: s.Platform.Address, Timeout: time.Duration(s.Platform.Timeout)})
 	n.assemblePolicies()
+	n.assembleProxy()
 	if err := n.assembleGossip(ctx); err != nil {
 		return err
 	}
@@ -194,12 +195,11 @@
 		Logger:       n.log,
 		Tracing:      n.tracing,
 	})
-	n.policies = policy.NewTable(policy.TableOptions{})
 	n.ingress = proxy.NewIngress(proxy.IngressOptions{
 		Self:      n.ID(),
 		Region:    s.Node.Region,
 		Directory: n.directory,
-		Policies:  policyLookup{n},
+		Policies:  n.policies,
 		Balancer: routing.New(routing.Options{
 			Self:          n.ID(),
 			FailureDomain: s.Node.FailureDomain,
@@ -281,7 +281,7 @@
 }
 
 // take starts or updates the work of a backend server whose lease was granted.
-func (n *Node) take(_ time.Time, a ownership.Announcement, res ownership.Result) {
+func (n *Node) take(a ownership.Announcement, res ownership.Result) {
 	if res.New {
 		n.records.forget(a.Backend)
 		n.health.Remove(a.Backend)
--- a/internal/transport/node/records.go
+++ b/internal/transport/node/records.go
@@ -89,15 +89,6 @@
 	return list
 }
 
-// services returns the services of the owned backend servers.
-func (r *records) services() map[registry.ServiceID]bool {
-	set := make(map[registry.ServiceID]bool)
-	for _, o := range r.leases.Owned() {
-		set[o.Service] = true
-	}
-	return set
-}
-
 // view returns the local view of the services that this node owns a part of.
 // The own records are taken from the leases, because the directory receives
 // them with a delay; the others come from the directory.
@@ -137,6 +128,8 @@
 
 // Announce implements control.Node.
 func (n *Node) Announce(now time.Time, a ownership.Announcement) ownership.Result {
+	n.leaseMu.Lock()
+	defer n.leaseMu.Unlock()
 	res := n.records.leases.Announce(now, a)
 	if !res.Accepted {
 		return res
@@ -145,7 +138,7 @@
 		n.lose(ownership.Lost{Backend: a.Backend, Service: a.Service, Reason: ownership.Released})
 		return res
 	}
-	n.take(now, a, res)
+	n.take(a, res)
 	return res
 }
 
--- /dev/null
+++ b/internal/transport/node/run.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"wigeonspring.example/wigeonspring/internal/fault"
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/peer"
+)
+
+const (
+	leaseCheckInterval = 200 * time.Millisecond
+	// callerHeaderTimeout bounds the reading of the header of a caller's request.
+	callerHeaderTimeout = 5 * time.Second
+	callerIdleTimeout   = 2 * time.Minute
+	callerMaxHeader     = 64 << 10
+	// closeTimeout bounds the closing of listeners after the drain.
+	closeTimeout  = 2 * time.Second
+	reasonStarted = "node_not_ready"
+)
+
+// Run serves until ctx ends or an operator drains the node, then shuts down
+// gracefully: in-flight requests have the drain timeout of the settings to end.
+func (n *Node) Run(ctx context.Context) error {
+	// The duties go on during the drain; hard ends them.
+	hard, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, hard := errgroup.WithContext(hard)
+	n.gossip.Start(hard)
+	for _, duty := range []func(context.Context) error{
+		n.bus.Run, n.sync.Run, n.health.Run, n.publishRecords, n.watchLeases, n.registerSeed,
+	} {
+		group.Go(func() error { return duty(hard) })
+	}
+	servers := n.serve(group)
+	n.log.Info("node started", zap.String("caller_address", n.CallerAddr()),
+		zap.String("peer_address", n.PeerAddr()), zap.String("operator_address", n.OperatorAddr()),
+		zap.Uint64("incarnation", n.incarnation))
+	select {
+	case <-ctx.Done():
+	case <-n.drainRequested:
+	case <-hard.Done():
+	}
+	n.shutDown(servers)
+	stop()
+	err := group.Wait()
+	n.gossip.Stop()
+	flushCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	return errors.Join(err, n.stopTrace(flushCtx))
+}
+
+// serve starts the HTTP servers.
+func (n *Node) serve(group *errgroup.Group) []*http.Server {
+	caller := &http.Server{
+		Handler:           http.HandlerFunc(n.serveCaller),
+		Protocols:         new(http.Protocols),
+		ReadHeaderTimeout: callerHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    callerMaxHeader,
+	}
+	caller.Protocols.SetHTTP1(true)
+	caller.Protocols.SetUnencryptedHTTP2(true)
+	operator := &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: callerHeaderTimeout}
+	peers := peer.NewServer(n.peerHandler())
+	servers := []*http.Server{caller, peers, operator}
+	for i, ln := range []net.Listener{n.listeners.caller, n.listeners.peer, n.listeners.operator} {
+		group.Go(func() error {
+			err := servers[i].Serve(ln)
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			return fault.New("serve", ln.Addr().String(), err)
+		})
+	}
+	return servers
+}
+
+// serveCaller refuses requests as not run until the node knows that its policies
+// are not behind.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if !n.sync.Status().Ready {
+		w.Header().Set(header.Outcome, header.NotRun)
+		w.Header().Set(header.Reason, reasonStarted)
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	n.ingress.ServeHTTP(w, r)
+}
+
+// peerHandler serves requests of other nodes and RPCs. A request of a caller may
+// have any path, so the header of the hop tells them apart.
+func (n *Node) peerHandler() http.Handler {
+	rpc := chi.NewRouter()
+	n.mountRPC(rpc)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(header.Backend) != "" {
+			n.owner.ServeHTTP(w, r)
+			return
+		}
+		rpc.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) mountRPC(r chi.Router) {
+	controlHandler := n.control.Handler()
+	r.Mount(controlHandler.PathPrefix(), controlHandler)
+	r.Mount("/twirp/wigeonspring.cluster.Cluster", n.gossip.Handler())
+	r.Mount("/twirp/wigeonspring.policy.Policies", n.sync.Handler())
+}
+
+func (n *Node) operatorHandler() http.Handler {
+	r := chi.NewRouter()
+	controlHandler := n.control.Handler()
+	r.Mount(strings.TrimSuffix(controlHandler.PathPrefix(), "/"), controlHandler)
+	r.Handle("/debug/vars", expvar.Handler())
+	r.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+// Drain implements control.Node.
+func (n *Node) Drain(id registry.BackendID) error {
+	if id == "" {
+		if n.stopping.CompareAndSwap(false, true) {
+			close(n.drainRequested)
+		}
+		return nil
+	}
+	n.leaseMu.Lock()
+	defer n.leaseMu.Unlock()
+	for _, o := range n.records.leases.Owned() {
+		if o.Backend == id {
+			n.records.drain(id)
+			n.upsert(o.Announcement)
+			n.requestPublication()
+			return nil
+		}
+	}
+	return fault.Newf("drain backend server", string(id), "not owned by this node")
+}
+
+// shutDown stops gracefully: new work is refused as not run, requests in flight
+// end, peers learn that the node leaves, and the leases are released.
+func (n *Node) shutDown(servers []*http.Server) {
+	n.stopping.Store(true)
+	n.log.Info("shutting down")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.opts.Settings.Drain.Timeout))
+	defer cancel()
+	n.records.leases.Stop()
+	if err := n.gossip.Leave(ctx); err != nil {
+		n.log.Warn("cannot announce the departure", zap.Error(err))
+	}
+	if err := n.ingress.Drain(ctx); err != nil {
+		n.log.Warn("callers' requests were cut off by the drain timeout", zap.Error(err))
+	}
+	if err := n.owner.Drain(ctx); err != nil {
+		n.log.Warn("nodes' requests were cut off by the drain timeout", zap.Error(err))
+	}
+	n.records.leases.ReleaseAll()
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClose()
+	for _, s := range servers {
+		if err := s.Shutdown(closeCtx); err != nil {
+			s.Close()
+		}
+	}
+	n.backends.Close()
+	n.peers.Close()
+	n.log.Info("stopped")
+}
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,92 @@
+# Functions that start a fleet of separate processes on loopback. Sourced by the
+# demo and by scripts that check the fleet under faults. Every process is ended
+# by its id when the script exits.
+
+BASE_PORT=${BASE_PORT:-21000}
+WORK=$(mktemp -d)
+PIDS=()
+
+# spawn NAME COMMAND...: starts a process with its output in $WORK/NAME.out and
+# $WORK/NAME.err, and its id in $WORK/NAME.pid.
+spawn() {
+  local name=$1
+  shift
+  "$@" >"$WORK/$name.out" 2>"$WORK/$name.err" &
+  PIDS+=($!)
+  echo $! >"$WORK/$name.pid"
+}
+
+pid_of() { cat "$WORK/$1.pid"; }
+
+stop_fleet() {
+  local pid
+  for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  [ -n "${KEEP:-}" ] && echo "logs: $WORK" || rm -rf "$WORK"
+}
+trap stop_fleet EXIT
+
+platform_port() { echo $((BASE_PORT)); }
+platform_url() { echo "http://127.0.0.1:$(platform_port)"; }
+caller_addr() { echo "127.0.0.1:$((BASE_PORT + 100 + $1))"; }
+peer_addr() { echo "127.0.0.1:$((BASE_PORT + 200 + $1))"; }
+operator_addr() { echo "127.0.0.1:$((BASE_PORT + 300 + $1))"; }
+backend_addr() { echo "127.0.0.1:$((BASE_PORT + 400 + $1))"; }
+
+start_platform() { spawn platform bin/wigeon-platform --listen "127.0.0.1:$(platform_port)"; }
+
+# write_node_settings INDEX FAILURE_DOMAIN REGION
+write_node_settings() {
+  cat >"$WORK/n$1.toml" <<EOF
+[node]
+id = "n$1"
+failure_domain = "$2"
+region = "$3"
+
+[listen]
+caller_listen = "$(caller_addr "$1")"
+peer_listen = "$(peer_addr "$1")"
+operator_listen = "$(operator_addr "$1")"
+
+[platform]
+address = "$(platform_url)"
+
+[membership]
+seeds = ["$(peer_addr 1)", "$(peer_addr 2)"]
+
+[output]
+log_level = "${LOG_LEVEL:-info}"
+trace = "${TRACE:-}"
+EOF
+}
+
+# start_node INDEX: starts a node whose settings were written.
+start_node() { spawn "n$1" bin/wigeonspringd --config "$WORK/n$1.toml"; }
+
+# start_backend INDEX ID SERVICE SLOTS NODE...: starts a backend server that
+# announces itself to the given nodes.
+start_backend() {
+  local index=$1 id=$2 service=$3 slots=$4 args=()
+  shift 4
+  for node in "$@"; do args+=(--node "$(peer_addr "$node")"); done
+  spawn "$id" bin/wigeon-backend --id "$id" --service "$service" --slots "$slots" \
+    --listen "$(backend_addr "$index")" --seed "$index" "${args[@]}"
+}
+
+# set_faults INDEX JSON
+set_faults() { curl -sf -X POST -d "$2" "http://$(backend_addr "$1")/admin/faults"; }
+
+ctl() { bin/wigeonctl --platform "$(platform_url)" --node "http://$(operator_addr "${CTL_NODE:-1}")" "$@"; }
+
+# wait_for SECONDS COMMAND...: repeats a command until it succeeds.
+wait_for() {
+  local deadline=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    if [ $SECONDS -ge $deadline ]; then
+      echo "timed out waiting for: $*" >&2
+      return 1
+    fi
+    sleep 0.1
+  done
+}
--- a/standin/verify/verify.go
+++ b/standin/verify/verify.go
@@ -29,8 +29,18 @@
 	// LatencyP50 and LatencyP99 are taken over answered operations.
 	LatencyP50 time.Duration `json:"latency_p50"`
 	LatencyP99 time.Duration `json:"latency_p99"`
-	// LastWork is the time of the last new work of each backend server.
-	LastWork map[string]time.Time `json:"last_work"`
+	// DirectP50 and DirectP99 are latencies without the fleet.
+	DirectP50 time.Duration `json:"direct_p50"`
+	DirectP99 time.Duration `json:"direct_p99"`
+	// LowestCapacity is the lowest sampled number of serving backend servers.
+	LowestCapacity map[string]int `json:"lowest_capacity"`
+	Floors         map[string]int `json:"floors"`
+	// BelowFloor counts services whose capacity fell below the floor.
+	BelowFloor int `json:"below_floor"`
+	// Detection is how long a sick backend server went on receiving work.
+	Detection map[string]time.Duration `json:"detection"`
+	// Undetected lists sick backend servers that never stopped receiving work.
+	Undetected []string `json:"undetected"`
 	// Examples name the first violations.
 	Examples []string `json:"examples,omitempty"`
 }
@@ -39,7 +49,7 @@
 
 // Violated reports whether an invariant was broken.
 func (r *Report) Violated() bool {
-	return r.Wrong+r.Lost+r.RunTwice+r.FalseNotRun > 0
+	return r.Wrong+r.Lost+r.RunTwice+r.FalseNotRun+r.BelowFloor+len(r.Undetected) > 0
 }
 
 func (r *Report) example(format string, args ...any) {
@@ -51,16 +61,13 @@
 // Compare builds the report. Runs are read from the logs of the backend
 // servers, results from the logs of the callers.
 func Compare(runs []record.Run, results []record.Result) *Report {
-	rep := &Report{Outcomes: map[string]int{}, LastWork: map[string]time.Time{}}
+	rep := &Report{Outcomes: map[string]int{}}
 	started := map[string]int{}
 	committed := map[string]int{}
 	for _, run := range runs {
 		switch run.Phase {
 		case record.Started:
 			started[run.Operation]++
-			if run.Time.After(rep.LastWork[run.Backend]) {
-				rep.LastWork[run.Backend] = run.Time
-			}
 		case record.Committed:
 			committed[run.Operation]++
 		}
