Ask all nodes for explanations; send HTTP from the demo by an own tool

Decisions are kept by the node that made them, so that explain on another node showed nothing (seen in the demo: the owner was n3, n4 was asked). curl is not on a fresh machine that has Go and make only.

--- a/cmd/wigeon-verify/main.go
+++ b/cmd/wigeon-verify/main.go
@@ -6,10 +6,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -132,6 +134,35 @@
 	return all, nil
 }
 
+type httpCommand struct {
+	Post string `long:"post" description:"send this body by POST instead of a GET"`
+	Args struct {
+		URL string
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute sends one request and fails unless the status is 2xx.
+func (c *httpCommand) Execute([]string) error {
+	method, body := http.MethodGet, io.Reader(nil)
+	if c.Post != "" {
+		method, body = http.MethodPost, strings.NewReader(c.Post)
+	}
+	req, err := http.NewRequest(method, c.Args.URL, body)
+	if err != nil {
+		return err
+	}
+	resp, err := (&http.Client{Timeout: 5 * time.Second}).Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("status %s", resp.Status)
+	}
+	_, err = io.Copy(os.Stdout, resp.Body)
+	return err
+}
+
 func main() {
 	parser := flags.NewNamedParser("wigeon-verify", flags.Default)
 	for _, c := range []struct {
@@ -139,6 +170,7 @@
 		data        any
 	}{
 		{"watch", "sample the serving backend servers of services", &watchCommand{}},
+		{"http", "send one HTTP request", &httpCommand{}},
 		{"report", "compare callers' answers with backend servers' work", &reportCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.about, "", c.data); err != nil {
--- a/internal/transport/control/server.go
+++ b/internal/transport/control/server.go
@@ -129,19 +129,18 @@
 	}
 }
 
-// Explain implements controlpb.Control.
-func (s *Server) Explain(_ context.Context, req *controlpb.ExplainRequest) (*controlpb.ExplainResponse, error) {
+func (s *Server) localEvents(req *controlpb.ExplainRequest) []*controlpb.EventInfo {
 	found := s.opts.Store.Find(events.Query{
 		Service:   req.Service,
 		Backend:   req.Backend,
 		RequestID: req.RequestId,
 		Limit:     int(req.Limit),
 	})
-	resp := &controlpb.ExplainResponse{}
+	list := make([]*controlpb.EventInfo, len(found))
 	for i := range found {
-		resp.Events = append(resp.Events, eventInfo(&found[i]))
+		list[i] = eventInfo(&found[i])
 	}
-	return resp, nil
+	return list
 }
 
 func eventInfo(e *event.Event) *controlpb.EventInfo {
--- a/internal/transport/control/status.go
+++ b/internal/transport/control/status.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// statusConcurrency bounds the nodes that are asked at the same time.
-	statusConcurrency = 32
-	statusTimeout     = 2 * time.Second
+	// peerConcurrency bounds the nodes that are asked at the same time.
+	peerConcurrency = 32
+	peerTimeout     = 2 * time.Second
 )
 
 // PolicyStatus implements controlpb.Control. Unless the request is local, it
@@ -27,25 +27,75 @@
 		return resp, nil
 	}
 	var mu sync.Mutex
+	s.eachPeer(func(n *registry.Node) {
+		status := s.askStatus(ctx, n, req.Service)
+		mu.Lock()
+		defer mu.Unlock()
+		resp.Nodes = append(resp.Nodes, status)
+	})
+	sort.Slice(resp.Nodes, func(i, j int) bool { return resp.Nodes[i].NodeId < resp.Nodes[j].NodeId })
+	return resp, nil
+}
+
+// eachPeer calls ask for every other node that is not dead, for a bounded number
+// of nodes at the same time, and waits for all calls.
+func (s *Server) eachPeer(ask func(*registry.Node)) {
 	var group errgroup.Group
-	group.SetLimit(statusConcurrency)
+	group.SetLimit(peerConcurrency)
 	for _, n := range s.opts.Node.Snapshot().Nodes() {
 		if n.ID == s.opts.Node.ID() || n.Status == registry.Dead {
 			continue
 		}
 		group.Go(func() error {
-			status := s.askStatus(ctx, n, req.Service)
-			mu.Lock()
-			defer mu.Unlock()
-			resp.Nodes = append(resp.Nodes, status)
+			ask(n)
 			return nil
 		})
 	}
 	_ = group.Wait()
-	sort.Slice(resp.Nodes, func(i, j int) bool { return resp.Nodes[i].NodeId < resp.Nodes[j].NodeId })
+}
+
+// Explain implements controlpb.Control. Decisions are kept by the node that made
+// them, so that all live nodes are asked unless the request is local.
+func (s *Server) Explain(ctx context.Context, req *controlpb.ExplainRequest) (*controlpb.ExplainResponse, error) {
+	resp := &controlpb.ExplainResponse{Events: s.localEvents(req)}
+	if req.Local {
+		return resp, nil
+	}
+	var mu sync.Mutex
+	s.eachPeer(func(n *registry.Node) {
+		found, err := s.askEvents(ctx, n, req)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			resp.Unreachable = append(resp.Unreachable, string(n.ID))
+			return
+		}
+		resp.Events = append(resp.Events, found...)
+	})
+	sort.Slice(resp.Events, func(i, j int) bool { return resp.Events[i].UnixNanos > resp.Events[j].UnixNanos })
+	if req.Limit > 0 && len(resp.Events) > int(req.Limit) {
+		resp.Events = resp.Events[:req.Limit]
+	}
 	return resp, nil
 }
 
+func (s *Server) askEvents(ctx context.Context, n *registry.Node, req *controlpb.ExplainRequest) ([]*controlpb.EventInfo, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	client := controlpb.NewControlProtobufClient("http://"+n.PeerAddr, s.opts.Peers)
+	resp, err := client.Explain(ctx, &controlpb.ExplainRequest{
+		Service:   req.Service,
+		Backend:   req.Backend,
+		RequestId: req.RequestId,
+		Limit:     req.Limit,
+		Local:     true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return resp.Events, nil
+}
+
 func (s *Server) localStatus(service string) *controlpb.PolicyNodeStatus {
 	status := &controlpb.PolicyNodeStatus{
 		NodeId: string(s.opts.Node.ID()),
@@ -66,7 +116,7 @@
 }
 
 func (s *Server) askStatus(ctx context.Context, n *registry.Node, service string) *controlpb.PolicyNodeStatus {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	client := controlpb.NewControlProtobufClient("http://"+n.PeerAddr, s.opts.Peers)
 	resp, err := client.PolicyStatus(ctx, &controlpb.PolicyStatusRequest{Service: service, Local: true})
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,7 +14,7 @@
 echo "demo: seed $SEED, $LOAD_SECONDS s of load at 2 x $RATE requests/s"
 
 start_platform
-wait_for 5 curl -sf "$(platform_url)/admin/calls"
+wait_for 5 http "$(platform_url)/admin/calls"
 for i in 1 2 3 4 5 6; do
   domain=$(((i - 1) / 2 + 1))
   write_node_settings "$i" "fd$domain" "region$domain"
@@ -27,7 +27,7 @@
   start_backend $((12 + k)) "reservations-$k" reservations 7 "$node" "$neighbour"
 done
 
-ready() { curl -sf "http://$(operator_addr "$1")/ready"; }
+ready() { http "http://$(operator_addr "$1")/ready"; }
 for i in 1 2 3 4 5 6; do wait_for 20 ready "$i"; done
 ctl policy apply examples/policies/riemwerk-booking.toml | head -1
 ctl policy apply examples/policies/plechovka-reservations.toml | head -1
@@ -65,4 +65,4 @@
   --floor "booking:$FLOOR" --floor "reservations:$FLOOR" --sick "reservations-7:$gray_start"
 echo
 echo "why reservations-7 is out:"
-CTL_NODE=4 ctl explain --backend reservations-7 | tail -n 8 || true
+ctl explain --backend reservations-7 | tail -n 8 || true
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -33,6 +33,8 @@
 operator_addr() { echo "127.0.0.1:$((BASE_PORT + 300 + $1))"; }
 backend_addr() { echo "127.0.0.1:$((BASE_PORT + 400 + $1))"; }
 
+http() { bin/wigeon-verify http "$@"; }
+
 start_platform() { spawn platform bin/wigeon-platform --listen "127.0.0.1:$(platform_port)"; }
 
 # write_node_settings INDEX FAILURE_DOMAIN REGION
@@ -74,7 +76,7 @@
 }
 
 # set_faults INDEX JSON
-set_faults() { curl -sf -X POST -d "$2" "http://$(backend_addr "$1")/admin/faults"; }
+set_faults() { http --post "$2" "http://$(backend_addr "$1")/admin/faults"; }
 
 ctl() { bin/wigeonctl --platform "$(platform_url)" --node "http://$(operator_addr "${CTL_NODE:-1}")" "$@"; }
 
