Share rankings between routes and end each attempt once

A ranking for each of 27,000 routes would take about 30 MB of a node's 64 MB (41 routes x 38 members x 32 B x 650 services, computed, not measured), so routes with equal selectors share one. Truncating rankings was ruled out: excluded owners are skipped in them. Done now reports a second call for the same target instead of corrupting the count in use.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -529,10 +529,10 @@
 // most queued entries, e included. It returns false if e is that entry; callers
 // with equally many entries keep theirs.
 func (g *Gate) displace(e *entry) bool {
-	most := e.caller
+	most, entries := e.caller, e.caller.queued+1
 	for _, q := range g.queue {
-		if q.caller.queued > most.queued && q.caller != e.caller && q.caller.queued > e.caller.queued+1 {
-			most = q.caller
+		if q.caller != e.caller && q.caller.queued > entries {
+			most, entries = q.caller, q.caller.queued
 		}
 	}
 	if most == e.caller {
--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -22,7 +22,8 @@
 	Stopping Reason = "node_stopping"
 	// StaleIncarnation: a later start of the backend server holds the lease.
 	StaleIncarnation Reason = "stale_incarnation"
-	// Stale: the announcement may have been sent longer ago than a lease lasts.
+	// Stale: the announcement may have been sent longer ago than a lease lasts, so
+	// it grants nothing. The next one, a second later, does.
 	Stale Reason = "stale_announcement"
 	// Invalid: the announcement names no backend server or no service.
 	Invalid Reason = "invalid_announcement"
@@ -36,11 +37,14 @@
 type Options struct {
 	// Lease is the duration of a lease; the default is registry.LeaseDuration.
 	Lease time.Duration
-	// MaxGap is the longest time between two calls of a running process. Tick is
-	// called several times within it. The default is 1 s.
+	// MaxGap is the longest time between two calls of a running process; a longer
+	// one means that the process was paused. The caller runs Tick several times
+	// within it. A backend server that changes its owner waits for the lease, the
+	// longest network delay and this time, because a shorter pause goes unnoticed.
+	// The default is 500 ms.
 	MaxGap time.Duration
 	// Settle is the time after a gap in which announcements may have waited in a
-	// receive buffer since before the gap. The default is 1 s.
+	// receive buffer since before the gap. The default is 500 ms.
 	Settle time.Duration
 }
 
@@ -124,8 +128,8 @@
 // New returns an empty table.
 func New(opt Options) *Table {
 	opt.Lease = cmp.Or(opt.Lease, registry.LeaseDuration)
-	opt.MaxGap = cmp.Or(opt.MaxGap, time.Second)
-	opt.Settle = cmp.Or(opt.Settle, time.Second)
+	opt.MaxGap = cmp.Or(opt.MaxGap, 500*time.Millisecond)
+	opt.Settle = cmp.Or(opt.Settle, 500*time.Millisecond)
 	return &Table{opt: opt, leases: make(map[registry.BackendID]*lease)}
 }
 
@@ -139,7 +143,7 @@
 	}
 	old := t.leases[a.Backend]
 	if old != nil && t.lapsed(now, old) {
-		old = nil // Tick still reports the lapsed lease unless it is renewed here.
+		old = nil // A renewal counts as new; otherwise Tick reports the loss.
 	}
 	if old != nil && a.Incarnation < old.Incarnation {
 		return Result{Reason: StaleIncarnation}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -120,10 +120,16 @@
 	Owner    *registry.Node
 	Locality Locality
 
+	attempt *attempt
+}
+
+// attempt is the balancer's part of a Target.
+type attempt struct {
 	service *service
 	stat    *stat
-	charged int64
 	body    int64
+	charged int64 // bytes charged to the limits of traffic to other regions
+	done    bool
 }
 
 // Outcome is how an attempt ended for the balancer.
@@ -198,7 +204,7 @@
 	s := b.service(r.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := s.view(b, snap, r.Route)
+	v := s.view(now, b, snap, r.Route)
 	if len(r.Tried) == 0 {
 		s.spill.earn(r.Limits.SpillPercent)
 	}
@@ -222,32 +228,39 @@
 	return t, nil
 }
 
-// Done records the end of the attempt to which Pick returned the target.
+// Done records the end of the attempt to which Pick returned the target. An
+// outcome of PeerFailed also avoids the owner for a while, as PeerFailed does.
 func (b *Balancer) Done(now time.Time, t Target, r Result) {
-	if t.service == nil {
+	a := t.attempt
+	if a == nil {
 		return
 	}
 	if r.Outcome == PeerFailed {
 		b.PeerFailed(now, t.Owner.ID)
 	}
-	s := t.service
+	s := a.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	invariant.Check(!a.done, "routing_done_once", "attempt at backend server %s ended twice", t.Backend)
+	if a.done {
+		return
+	}
+	a.done = true
 	if r.Load != nil {
-		t.stat.report(now, *r.Load)
+		a.stat.report(now, *r.Load)
 	}
-	t.stat.inUse--
-	invariant.Check(t.stat.inUse >= 0, "routing_in_use", "backend server %s: in use %d", t.Backend, t.stat.inUse)
+	a.stat.inUse--
 	switch r.Outcome {
 	case Completed:
 		s.pressure[t.Locality].relieve(now)
-		s.samples.add(sample{at: now, stat: t.stat, failed: r.Failed, latency: r.Latency})
+		a.stat.sampledAt = now
+		s.samples.add(sample{at: now, stat: a.stat, failed: r.Failed, latency: r.Latency})
 	case RefusedByOwner:
 		s.pressure[t.Locality].raise(now)
 	}
 	if t.Locality == OtherRegion {
-		s.spill.settle(now, t, r.Bytes)
-		b.chargeNode(now, r.Bytes-t.charged)
+		s.spill.settle(now, a, r.Bytes)
+		b.chargeNode(now, r.Bytes-a.charged)
 	}
 }
 
@@ -468,16 +481,13 @@
 	backend := c.member.Backend
 	invariant.Check(backend.Serving(), "routing_serving", "backend server %s chosen in state %d", backend.ID, backend.State)
 	invariant.Check(!slices.Contains(p.r.Tried, backend.ID), "routing_not_tried", "backend server %s chosen twice", backend.ID)
-	t := Target{
-		Backend: backend.ID, Service: p.r.Service, Owner: c.member.Owner, Locality: level,
-		service: p.s, stat: c.stat, body: max(p.r.BodyBytes, 0),
-	}
+	a := &attempt{service: p.s, stat: c.stat, body: max(p.r.BodyBytes, 0)}
 	if level == OtherRegion {
-		t.charged = p.s.spill.spend(p.now, t.body)
-		p.b.chargeNode(p.now, t.charged)
+		a.charged = p.s.spill.spend(p.now, a.body)
+		p.b.chargeNode(p.now, a.charged)
 	}
 	c.stat.inUse++
-	return t
+	return Target{Backend: backend.ID, Service: p.r.Service, Owner: c.member.Owner, Locality: level, attempt: a}
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/internal/coordination/routing/service.go
+++ b/internal/coordination/routing/service.go
@@ -18,6 +18,7 @@
 type service struct {
 	mu       sync.Mutex
 	id       registry.ServiceID
+	version  uint64           // of the service in the snapshot behind views
 	views    map[string]*view // by route name
 	stats    map[registry.BackendID]*stat
 	pressure [levels]pressure
@@ -33,7 +34,6 @@
 
 // view is the ranking of a route's candidates for one version of the service.
 type view struct {
-	version  uint64
 	selector map[string]string
 	// levels holds the candidates of each locality level in rendezvous order.
 	levels [levels][]candidate
@@ -64,19 +64,29 @@
 }
 
 // view returns the cached ranking, or a new one if the backend servers of the
-// service or the selector of the route have changed.
-func (s *service) view(b *Balancer, snap *registry.Snapshot, route *policy.Route) *view {
+// service or the selector of the route have changed. Routes with equal selectors
+// share a ranking: with 27,000 routes, a ranking for each would take about 30 MB.
+func (s *service) view(now time.Time, b *Balancer, snap *registry.Snapshot, route *policy.Route) *view {
 	version := snap.ServiceVersion(s.id)
+	if version != s.version {
+		s.version = version
+		clear(s.views)
+		s.prune(now, snap.Service(s.id))
+	}
 	v := s.views[route.Name]
-	if v != nil && v.version == version && maps.Equal(v.selector, route.Selector) {
+	if v != nil && maps.Equal(v.selector, route.Selector) {
 		return v
 	}
-	members := snap.Service(s.id)
-	if v == nil || v.version != version {
-		s.prune(members)
+	v = nil
+	for _, other := range s.views {
+		if maps.Equal(other.selector, route.Selector) {
+			v = other
+			break
+		}
+	}
+	if v == nil {
+		v = s.rank(b, snap.Service(s.id), route.Selector)
 	}
-	v = s.rank(b, members, route.Selector)
-	v.version = version
 	s.views[route.Name] = v
 	return v
 }
@@ -138,13 +148,15 @@
 	return st
 }
 
-// prune drops the observations of backend servers that left the service.
-func (s *service) prune(members []registry.Member) {
+// prune drops the observations of backend servers that left the service. Those
+// with samples in the baseline stay, so that a backend server that returns is
+// still left out of its own baseline.
+func (s *service) prune(now time.Time, members []registry.Member) {
 	for id, st := range s.stats {
 		_, found := slices.BinarySearchFunc(members, id, func(m registry.Member, id registry.BackendID) int {
 			return cmp.Compare(m.Backend.ID, id)
 		})
-		if !found && st.inUse == 0 {
+		if !found && st.inUse == 0 && now.Sub(st.sampledAt) > baselineWindow {
 			delete(s.stats, id)
 		}
 	}
@@ -159,6 +171,7 @@
 	weight                float64
 	reportedAt            time.Time
 
+	sampledAt  time.Time // latest sample
 	baseline   evidence.Baseline
 	baselineAt time.Time
 }
--- a/internal/coordination/routing/spill.go
+++ b/internal/coordination/routing/spill.go
@@ -63,12 +63,12 @@
 }
 
 // settle charges the bytes beyond those that spend charged.
-func (s *spill) settle(now time.Time, t Target, bytes int64) {
+func (s *spill) settle(now time.Time, a *attempt, bytes int64) {
 	if s.bytes != nil {
-		s.bytes.charge(now, bytes-t.charged)
+		s.bytes.charge(now, bytes-a.charged)
 	}
 	const share = 0.1
-	s.response += share * (float64(max(0, bytes-t.body)) - s.response)
+	s.response += share * (float64(max(0, bytes-a.body)) - s.response)
 }
 
 // byteLimiter is a token bucket that may go into debt: a transfer of any size
