--- /dev/null
+++ b/internal/coordination/admission/admission_test.go
@@ -0,0 +1,332 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"wigeonspring.example/wigeonspring/internal/proptest"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func at(d time.Duration) time.Time { return t0.Add(d) }
+
+func warm(slots, queue int) *Gate {
+	return NewGate(Options{Slots: slots, QueueLimit: queue, Warm: true}, t0)
+}
+
+// runScript drives a gate with decoded operations and checks after each one that
+// every ticket is decided exactly once and that no slot is idle while a queued
+// request could use it.
+func runScript(g *Gate, script []uint32) error {
+	now, next := t0, uint64(0)
+	decided, inFlight := map[uint64]string{}, map[uint64]Request{}
+	queued := map[uint64]Request{}
+	decide := func(ticket uint64, how string) error {
+		if was, ok := decided[ticket]; ok {
+			return fmt.Errorf("ticket %d: %s after %s", ticket, how, was)
+		}
+		decided[ticket] = how
+		return nil
+	}
+	for step, op := range script {
+		arg := int(op >> 8)
+		now = now.Add(time.Duration(arg%7) * 20 * time.Millisecond)
+		switch op % 16 {
+		default:
+			next++
+			r := Request{Ticket: next, Caller: fmt.Sprint("team-", arg%4), Remote: arg%5 == 0}
+			if arg%11 != 0 {
+				r.Deadline = now.Add(time.Duration(arg%13) * 40 * time.Millisecond)
+			}
+			v, reason := g.Offer(now, r)
+			if (v == Refused) != (reason != None) {
+				return fmt.Errorf("step %d: verdict %s with reason %q", step, v, reason)
+			}
+			if v == Queued {
+				queued[r.Ticket] = r
+				break
+			}
+			if v == Admitted {
+				inFlight[r.Ticket] = r
+			}
+			if err := decide(r.Ticket, v.String()); err != nil {
+				return err
+			}
+		case 8, 9, 10, 11:
+			for ticket := range inFlight {
+				g.Release(now, ticket, time.Duration(1+arg%200)*time.Millisecond)
+				delete(inFlight, ticket)
+				break
+			}
+		case 12:
+			for ticket := range queued {
+				if g.Cancel(now, ticket) {
+					delete(queued, ticket)
+					if err := decide(ticket, "canceled"); err != nil {
+						return err
+					}
+				}
+				break
+			}
+		case 13:
+			g.SetSlots(arg % 6)
+			g.SetLimits(arg%9, arg%3)
+		case 14:
+			g.SetState(registry.BackendState(arg % 4))
+		case 15:
+			g.StartRamp(now)
+		}
+		for _, grant := range g.Ready(now) {
+			r, ok := queued[grant.Ticket]
+			if !ok {
+				return fmt.Errorf("step %d: grant for ticket %d, which is not queued", step, grant.Ticket)
+			}
+			delete(queued, grant.Ticket)
+			if err := decide(grant.Ticket, fmt.Sprintf("granted %t %s", grant.Admitted, grant.Reason)); err != nil {
+				return err
+			}
+			if grant.Admitted {
+				if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+					return fmt.Errorf("step %d: ticket %d started after its deadline", step, grant.Ticket)
+				}
+				inFlight[grant.Ticket] = r
+			}
+		}
+		load := g.Load()
+		if load.InUse != len(inFlight) || load.Queued != len(queued) {
+			return fmt.Errorf("step %d: load %+v, want %d in use and %d queued", step, load, len(inFlight), len(queued))
+		}
+		if load.InUse < load.Slots && load.Queued > 0 && g.opt.CallerInFlight == 0 {
+			return fmt.Errorf("step %d: load %+v leaves a slot idle", step, load)
+		}
+	}
+	g.SetState(registry.Draining)
+	if n := len(g.Ready(now)); n != len(queued) {
+		return fmt.Errorf("drain decided %d of %d queued requests", n, len(queued))
+	}
+	return nil
+}
+
+// Guards against lost or doubled decisions, overcommitted slots and idle slots
+// under any order of calls; the invariants of the gate panic inside the run.
+func TestGateDecidesEveryTicketOnce(t *testing.T) {
+	properties := gopter.NewProperties(proptest.Parameters(t, 300))
+	properties.Property("each ticket is decided once", prop.ForAll(func(script []uint32) string {
+		return proptest.Result(runScript(NewGate(Options{Slots: 4}, t0), script))
+	}, gen.SliceOfN(200, gen.UInt32())))
+	properties.TestingRun(t)
+}
+
+// Shows that each invariant detects the absence of its mechanism.
+func TestInvariantsDetectMissingMechanisms(t *testing.T) {
+	offer := func(g *Gate, n int) {
+		for i := range n {
+			g.Offer(t0, Request{Ticket: uint64(i + 1), Caller: "a"})
+		}
+	}
+	proptest.Violates(t, "admission_slots", func() {
+		g := warm(1, 4)
+		offer(g, 2)
+		g.off.slots = true
+		g.Ready(t0)
+	})
+	proptest.Violates(t, "admission_queue_limit", func() {
+		g := warm(1, 2)
+		g.off.queueLimit = true
+		offer(g, 4)
+	})
+	proptest.Violates(t, "admission_decided_once", func() {
+		g := warm(2, 4)
+		offer(g, 3)
+		g.off.removal = true
+		g.Release(t0, 1, 0)
+		g.Release(t0, 2, 0)
+		g.Ready(t0)
+	})
+	proptest.Violates(t, "admission_release_once", func() {
+		g := warm(1, 2)
+		offer(g, 1)
+		g.Release(t0, 1, 0)
+		g.Release(t0, 1, 0)
+	})
+}
+
+// order returns the tickets in the order in which a single slot admits them.
+func order(g *Gate) (tickets []uint64) {
+	for inUse := uint64(1); ; {
+		g.Release(t0, inUse, 0)
+		grants := g.Ready(t0)
+		if len(grants) == 0 {
+			return tickets
+		}
+		inUse = grants[0].Ticket
+		tickets = append(tickets, inUse)
+	}
+}
+
+// Guards against an admission order other than fairness first, then deadline; with
+// pure deadline order, the caller "short" would keep "long" waiting.
+func TestQueueOrder(t *testing.T) {
+	cases := []struct {
+		name    string
+		callers []string
+		seconds []int
+		want    string
+	}{
+		{"deadline order", []string{"a", "a", "a"}, []int{9, 3, 6}, "[3 4 2]"},
+		{"no deadline goes last", []string{"a", "a", "a"}, []int{0, 8, 7}, "[4 3 2]"},
+		{"arrival order at equal deadlines", []string{"a", "a", "a"}, []int{5, 5, 5}, "[2 3 4]"},
+		{"fair between callers", []string{"short", "short", "short", "long"}, []int{1, 2, 3, 9}, "[2 5 3 4]"},
+	}
+	for _, c := range cases {
+		g := warm(1, 10)
+		g.Offer(t0, Request{Ticket: 1, Caller: "running"})
+		for i, caller := range c.callers {
+			r := Request{Ticket: uint64(i + 2), Caller: caller}
+			if c.seconds[i] > 0 {
+				r.Deadline = at(time.Duration(c.seconds[i]) * time.Second)
+			}
+			g.Offer(t0, r)
+		}
+		if got := fmt.Sprint(order(g)); got != c.want {
+			t.Errorf("%s: admitted %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a queue that one caller fills for all, and against remote
+// requests beyond half of the queue.
+func TestFullQueue(t *testing.T) {
+	g := warm(1, 4)
+	for i := range 5 {
+		g.Offer(t0, Request{Ticket: uint64(i + 1), Caller: "greedy"})
+	}
+	if v, reason := g.Offer(t0, Request{Ticket: 6, Caller: "greedy"}); v != Refused || reason != QueueFull {
+		t.Errorf("newest entry of the largest caller: %s %s", v, reason)
+	}
+	if v, reason := g.Offer(t0, Request{Ticket: 7, Caller: "modest", Remote: true}); v != Refused || reason != RemoteShareFull {
+		t.Errorf("remote request in a full queue: %s %s", v, reason)
+	}
+	if v, _ := g.Offer(t0, Request{Ticket: 8, Caller: "modest"}); v != Queued {
+		t.Errorf("first request of another caller: %s", v)
+	}
+	if got := fmt.Sprint(g.Ready(t0)); got != "[{5 false queue_full}]" {
+		t.Errorf("displaced %s, want ticket 5", got)
+	}
+}
+
+// Guards against work that cannot finish in time, and against a median that
+// refuses everything for ever because nothing runs that could lower it.
+func TestDeadlineAgainstMedian(t *testing.T) {
+	g := warm(1, 4)
+	for i := range uint64(minMedianSamples) {
+		g.Offer(t0, Request{Ticket: i + 1})
+		g.Release(t0, i+1, 300*time.Millisecond)
+	}
+	short := func(ticket uint64, now time.Time) (Verdict, Reason) {
+		return g.Offer(now, Request{Ticket: ticket, Deadline: now.Add(200 * time.Millisecond)})
+	}
+	if v, reason := short(10, t0); v != Refused || reason != DeadlineTooShort {
+		t.Errorf("remaining time below the median: %s %s", v, reason)
+	}
+	g.Offer(t0, Request{Ticket: 11})
+	g.Offer(t0, Request{Ticket: 12, Deadline: at(time.Second)})
+	timer, ok := g.NextTimer()
+	if !ok || timer.Sub(t0) != 700*time.Millisecond+1 {
+		t.Errorf("timer after %s, want just after 700ms", timer.Sub(t0))
+	}
+	if got := fmt.Sprint(g.Ready(timer)); got != "[{12 false deadline_too_short}]" {
+		t.Errorf("at the timer: %s", got)
+	}
+	g.Release(at(time.Second), 11, 0)
+	if v, reason := short(13, at(medianWindow+time.Second)); v != Admitted {
+		t.Errorf("after the window of the median: %s %s", v, reason)
+	}
+}
+
+// Guards against full load on a cold or recovering backend server.
+func TestSlotsInForce(t *testing.T) {
+	g := NewGate(Options{Slots: 5}, t0)
+	for _, c := range []struct {
+		after time.Duration
+		slots int
+	}{{0, 1}, {2499 * time.Millisecond, 1}, {2500 * time.Millisecond, 2}, {5 * time.Second, 3}, {9999 * time.Millisecond, 4}, {10 * time.Second, 5}} {
+		g.Ready(at(c.after))
+		if got := g.Load().Slots; got != c.slots {
+			t.Errorf("slots after %s: %d, want %d", c.after, got, c.slots)
+		}
+	}
+	g.SetState(registry.Probation)
+	if got := g.Load().Slots; got != ProbationSlots {
+		t.Errorf("slots in probation: %d", got)
+	}
+	for _, c := range []struct {
+		state registry.BackendState
+		want  Reason
+	}{{registry.Draining, BackendDraining}, {registry.Ejected, BackendEjected}} {
+		g.SetState(c.state)
+		if v, reason := g.Offer(at(11*time.Second), Request{Ticket: 1}); v != Refused || reason != c.want {
+			t.Errorf("state %d: %s %s", c.state, v, reason)
+		}
+	}
+}
+
+func BenchmarkOfferRelease(b *testing.B) {
+	for _, backends := range []int{36, 2500, 25000} {
+		b.Run(fmt.Sprintf("backends=%d", backends), func(b *testing.B) {
+			gates := make([]*Gate, backends)
+			for i := range gates {
+				gates[i] = warm(5, 10)
+			}
+			rng, now := rand.New(rand.NewPCG(1, 1)), t0
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Microsecond)
+				g, ticket := gates[rng.IntN(backends)], uint64(i)
+				if v, _ := g.Offer(now, Request{Ticket: ticket, Caller: "team", Deadline: now.Add(time.Second)}); v == Admitted {
+					g.Ready(now)
+					g.Release(now, ticket, time.Millisecond)
+					g.Ready(now)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkFullQueue measures an exchange on a gate whose slots and queue are full.
+func BenchmarkFullQueue(b *testing.B) {
+	g, now := warm(32, 64), t0
+	callers := make([]string, 16)
+	for i := range callers {
+		callers[i] = fmt.Sprint("team-", i)
+	}
+	running := []uint64{}
+	offer := func(ticket uint64) {
+		if v, _ := g.Offer(now, Request{Ticket: ticket, Caller: callers[ticket%16], Deadline: now.Add(time.Minute)}); v == Admitted {
+			running = append(running, ticket)
+		}
+	}
+	for i := range uint64(96) {
+		offer(i)
+	}
+	b.ReportAllocs()
+	for i := uint64(96); b.Loop(); i++ {
+		now = now.Add(time.Microsecond)
+		g.Release(now, running[0], time.Millisecond)
+		running = append(running[:0], running[1:]...)
+		for _, grant := range g.Ready(now) {
+			if grant.Admitted {
+				running = append(running, grant.Ticket)
+			}
+		}
+		offer(i)
+	}
+}
--- /dev/null
+++ b/internal/proptest/proptest.go
@@ -0,0 +1,70 @@
+// Package proptest holds the helpers that property tests of all packages share:
+// seeds that can be repeated and the check that an invariant detects a fault. Only
+// tests import it.
+package proptest
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
+)
+
+// SeedVariable is the environment variable that repeats a run with its seed.
+const SeedVariable = "WIGEONSPRING_SEED"
+
+// Seed returns a new seed, or the one in SeedVariable, and prints it.
+func Seed(t testing.TB) int64 {
+	t.Helper()
+	seed := time.Now().UnixNano()
+	if text := os.Getenv(SeedVariable); text != "" {
+		var err error
+		if seed, err = strconv.ParseInt(text, 10, 64); err != nil {
+			t.Fatalf("%s: %v", SeedVariable, err)
+		}
+	}
+	t.Logf("seed %d (repeat with %s=%d)", seed, SeedVariable, seed)
+	return seed
+}
+
+// Rand returns a random source with a printed seed.
+func Rand(t testing.TB) *rand.Rand {
+	t.Helper()
+	return rand.New(rand.NewPCG(uint64(Seed(t)), 0))
+}
+
+// Parameters returns the parameters of a property with a printed seed and at least
+// runs successful runs.
+func Parameters(t testing.TB, runs int) *gopter.TestParameters {
+	t.Helper()
+	p := gopter.DefaultTestParametersWithSeed(Seed(t))
+	p.MinSuccessfulTests = runs
+	return p
+}
+
+// Violates fails the test unless f violates the named invariant. It shows that the
+// invariant detects the absence of its mechanism.
+func Violates(t testing.TB, name string, f func()) {
+	t.Helper()
+	before := invariant.Violations(name)
+	func() {
+		defer func() { _ = recover() }() // The default handler panics.
+		f()
+	}()
+	if invariant.Violations(name) == before {
+		t.Errorf("invariant %s was not violated", name)
+	}
+}
+
+// Result turns an error into the result of a gopter property.
+func Result(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
