--- a/internal/state/registry/directory.go
+++ b/internal/state/registry/directory.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
 )
 
 // The indexes by node and by backend server are split into shards, so that a
@@ -26,6 +28,8 @@
 	// claims lists the nodes whose records contain a backend server. It has more
 	// than one entry only while a backend server moves.
 	claims map[BackendID][]NodeID
+
+	off bool // disables the precedence of records in tests
 }
 
 // Snapshot is an immutable view of a Directory. The records that it returns are
@@ -66,9 +70,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.current.Load().Node(n.ID)
-	if old != nil && !n.Newer(old) {
+	if old != nil && !n.Newer(old) && !d.off {
 		return false
 	}
+	invariant.Check(old == nil || n.Incarnation >= old.Incarnation, "registry_incarnation",
+		"node %s: incarnation %d replaces a higher one", n.ID, n.Incarnation)
 	d.replace(old, &n)
 	return true
 }
--- /dev/null
+++ b/internal/state/registry/directory_test.go
@@ -0,0 +1,240 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"wigeonspring.example/wigeonspring/internal/proptest"
+)
+
+// describe lists the content of a snapshot in a comparable form.
+func describe(s *Snapshot, services []ServiceID) string {
+	text := ""
+	for _, n := range s.Nodes() {
+		text += fmt.Sprintf("node %s %d/%d %d; ", n.ID, n.Incarnation, n.Sequence, n.Status)
+	}
+	for _, id := range services {
+		text += fmt.Sprintf("service %s serving %d:", id, s.Serving(id))
+		for _, m := range s.Service(id) {
+			text += fmt.Sprintf(" %s@%s/%d", m.Backend.ID, m.Owner.ID, m.Owner.Sequence)
+		}
+		text += "; "
+	}
+	return text
+}
+
+// model computes the same description from all records, without an index.
+func model(nodes map[NodeID]Node, services []ServiceID) string {
+	var ids []NodeID
+	for id := range nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	text, owners := "", map[BackendID]Member{}
+	for _, id := range ids {
+		n := nodes[id]
+		text += fmt.Sprintf("node %s %d/%d %d; ", n.ID, n.Incarnation, n.Sequence, n.Status)
+		if n.Status > Suspect {
+			continue
+		}
+		for i, b := range n.Backends {
+			o, ok := owners[b.ID]
+			if !ok || b.Announced > o.Backend.Announced || b.Announced == o.Backend.Announced && n.Incarnation > o.Owner.Incarnation {
+				owners[b.ID] = Member{&n.Backends[i], &n}
+			}
+		}
+	}
+	for _, service := range services {
+		serving, list := 0, ""
+		for i := range 8 {
+			m, ok := owners[BackendID(fmt.Sprint("b", i))]
+			if !ok || m.Backend.Service != service {
+				continue
+			}
+			list += fmt.Sprintf(" %s@%s/%d", m.Backend.ID, m.Owner.ID, m.Owner.Sequence)
+			if m.Backend.Serving() {
+				serving++
+			}
+		}
+		text += fmt.Sprintf("service %s serving %d:%s; ", service, serving, list)
+	}
+	return text
+}
+
+// runDirectory compares a directory with the model after each random change and
+// checks that snapshots taken earlier do not change.
+func runDirectory(script []uint64) error {
+	services := []ServiceID{"s0", "s1", "s2"}
+	d, nodes := NewDirectory(), map[NodeID]Node{}
+	var taken []*Snapshot
+	var texts []string
+	for step, op := range script {
+		arg := func(n uint64) uint64 { v := op % n; op /= n; return v }
+		id := NodeID(fmt.Sprint("n", arg(5)))
+		old, known := nodes[id]
+		var changed, want bool
+		switch arg(8) {
+		case 0:
+			d.Remove(id)
+			delete(nodes, id)
+			changed, want = known, known
+		case 1, 2:
+			incarnation, status := arg(4), MemberStatus(arg(4))
+			changed = d.SetStatus(id, incarnation, status)
+			if want = known && incarnation == old.Incarnation && status > old.Status; want {
+				old.Status = status
+				nodes[id] = old
+			}
+		default:
+			n := Node{ID: id, Incarnation: arg(4), Sequence: arg(4), Status: MemberStatus(arg(4))}
+			for range arg(4) {
+				n.Backends = append(n.Backends, Backend{ID: BackendID(fmt.Sprint("b", arg(8))), Service: services[arg(3)],
+					State: BackendState(arg(4)), Announced: arg(3)})
+			}
+			slices.SortStableFunc(n.Backends, func(a, b Backend) int { return slices.Compare([]byte(a.ID), []byte(b.ID)) })
+			n.Backends = slices.CompactFunc(n.Backends, func(a, b Backend) bool { return a.ID == b.ID })
+			changed = d.Apply(n)
+			if want = !known || n.Newer(&old); want {
+				nodes[id] = n
+			}
+		}
+		s := d.Snapshot()
+		got := describe(s, services)
+		if expect := model(nodes, services); got != expect || changed != want {
+			return fmt.Errorf("step %d: changed %t, want %t\n got %s\nwant %s", step, changed, want, got, expect)
+		}
+		for i := range 8 {
+			m, ok := s.Backend(BackendID(fmt.Sprint("b", i)))
+			if ok && !slices.ContainsFunc(m.Owner.Backends, func(b Backend) bool { return b.ID == m.Backend.ID }) {
+				return fmt.Errorf("step %d: owner %s does not list %s", step, m.Owner.ID, m.Backend.ID)
+			}
+		}
+		taken, texts = append(taken, s), append(texts, got)
+	}
+	for i, s := range taken {
+		s.sorted.Store(nil)
+		if describe(s, services) != texts[i] {
+			return fmt.Errorf("the snapshot of step %d changed later", i)
+		}
+	}
+	return nil
+}
+
+// Guards against an index that differs from the records and against a change of a
+// snapshot in use.
+func TestDirectoryMatchesRecords(t *testing.T) {
+	properties := gopter.NewProperties(proptest.Parameters(t, 300))
+	properties.Property("index equals records", prop.ForAll(func(script []uint64) string {
+		return proptest.Result(runDirectory(script))
+	}, gen.SliceOfN(60, gen.UInt64())))
+	properties.TestingRun(t)
+}
+
+// Guards against a backend server that belongs to the wrong one of two nodes.
+func TestOwnerOfBackendListedTwice(t *testing.T) {
+	record := func(id NodeID, incarnation, announced uint64, status MemberStatus) Node {
+		return Node{ID: id, Incarnation: incarnation, Status: status, Backends: []Backend{{ID: "b", Service: "s", Announced: announced}}}
+	}
+	cases := []struct {
+		name string
+		a, b Node
+		want NodeID
+	}{
+		{"later announcement", record("a", 9, 100, Alive), record("b", 1, 200, Alive), "b"},
+		{"owner that takes work", record("a", 1, 100, Suspect), record("b", 9, 200, Dead), "a"},
+		{"higher incarnation", record("a", 2, 100, Alive), record("b", 3, 100, Alive), "b"},
+		{"lower id", record("a", 2, 100, Alive), record("b", 2, 100, Alive), "a"},
+		{"only owners that take no work", record("a", 2, 100, Dead), record("b", 2, 200, Leaving), "b"},
+	}
+	for _, c := range cases {
+		for _, order := range [][]Node{{c.a, c.b}, {c.b, c.a}} {
+			d := NewDirectory()
+			d.Apply(order[0])
+			d.Apply(order[1])
+			if m, ok := d.Snapshot().Backend("b"); !ok || m.Owner.ID != c.want {
+				t.Errorf("%s, first %s: owner %v, want %s", c.name, order[0].ID, m.Owner, c.want)
+			}
+		}
+	}
+}
+
+// Shows that the invariant detects a missing precedence of records.
+func TestInvariantDetectsMissingPrecedence(t *testing.T) {
+	proptest.Violates(t, "registry_incarnation", func() {
+		d := NewDirectory()
+		d.off = true
+		d.Apply(Node{ID: "a", Incarnation: 2})
+		d.Apply(Node{ID: "a", Incarnation: 1})
+	})
+}
+
+// Guards against a data race and against a service version that stays the same
+// while its members change.
+func TestConcurrentUse(t *testing.T) {
+	d, rng := fleet(360, 9), proptest.Rand(t)
+	seeds := [4]uint64{rng.Uint64(), rng.Uint64(), rng.Uint64(), rng.Uint64()}
+	var wg sync.WaitGroup
+	for _, seed := range seeds {
+		wg.Add(2)
+		go func() {
+			defer wg.Done()
+			rng := rand.New(rand.NewPCG(seed, 0))
+			for range 300 {
+				n := *d.Snapshot().Nodes()[rng.IntN(30)]
+				n.Sequence++
+				n.Status = MemberStatus(rng.IntN(3))
+				d.Apply(n)
+			}
+		}()
+		go func() {
+			defer wg.Done()
+			seen := map[uint64][]Member{}
+			for range 300 {
+				s := d.Snapshot()
+				members, version := s.Service("s1"), s.ServiceVersion("s1")
+				if was, ok := seen[version]; ok && !slices.Equal(was, members) {
+					t.Errorf("two lists of members at version %d", version)
+				}
+				seen[version] = members
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// fleet returns a directory of backend servers with 12 per node.
+func fleet(backends, services int) *Directory {
+	d := NewDirectory()
+	for first := 0; first < backends; first += 12 {
+		node := Node{ID: NodeID(fmt.Sprint("n", first/12)), Incarnation: 1, Sequence: 1}
+		for k := first; k < min(first+12, backends); k++ {
+			node.Backends = append(node.Backends, Backend{ID: BackendID(fmt.Sprint("b", k)), Service: ServiceID(fmt.Sprint("s", k%services)), Slots: 5, Weight: 1})
+		}
+		d.Apply(node)
+	}
+	return d
+}
+
+// BenchmarkApply measures the change of one node record with 12 backend servers.
+func BenchmarkApply(b *testing.B) {
+	for _, size := range []struct{ backends, services int }{{36, 3}, {2500, 65}, {25000, 650}} {
+		b.Run(fmt.Sprintf("backends=%d", size.backends), func(b *testing.B) {
+			d := fleet(size.backends, size.services)
+			nodes := d.Snapshot().Nodes()
+			rng := rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for i := uint64(2); b.Loop(); i++ {
+				n := *nodes[rng.IntN(len(nodes))]
+				n.Sequence = i
+				d.Apply(n)
+			}
+		})
+	}
+}
