Test refusals and faults of backend servers through whole nodes

Each case runs with the owner in process and behind a peer connection. Caller connections get read and write limits at the deadline, so that a caller that stops reading or sending cannot hold a slot. An attempt is no longer started within twice the margin of the deadline, where its answer would come too late.

--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -30,6 +30,8 @@
 	silentAfter = 10 * maxMargin
 )
 
+func margin(left time.Duration) time.Duration { return min(maxMargin, left/10) }
+
 // tried is an attempt that has ended, or whose answer is ready to be read.
 type tried struct {
 	call    *call
@@ -49,7 +51,7 @@
 	in := c.in
 	now := in.opt.Now()
 	left := c.deadline.Sub(now)
-	left -= min(maxMargin, left/10)
+	left -= margin(left)
 	hop := header.Hop{
 		RequestID: c.id, Backend: target.Backend, Service: c.service, Route: c.route.Name,
 		Incarnation: target.Owner.Incarnation, Left: left, Attempt: len(c.tried), Caller: c.caller,
@@ -79,7 +81,8 @@
 		t.state = retry.Sent
 		t.failed = true
 	}
-	if c.request.Context().Err() != nil && t.state != retry.Answered {
+	// A caller that went away or stopped sending is no evidence.
+	if t.state != retry.Answered && (c.request.Context().Err() != nil || c.body.failed.Load()) {
 		t.outcome = routing.Abandoned
 	}
 	return t
@@ -188,15 +191,15 @@
 		}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		t.reply.Timeout = true
-		if t.reply.Outcome == header.Unknown {
-			t.reply.Reason = reasonOwnerSilent
+		t.reply.Timeout, t.reply.Reason = true, reasonOwnerSilent
+		if t.reply.Outcome == header.NotRun {
+			t.reply.Reason = reasonDeadline
 		}
 		if t.call.deadline.Sub(t.begin) < silentAfter {
 			t.outcome = routing.Abandoned
 		}
 	}
-	if t.outcome == routing.PeerFailed && t.call.request.Context().Err() == nil {
+	if t.outcome == routing.PeerFailed && t.call.request.Context().Err() == nil && !t.call.body.failed.Load() {
 		t.call.in.opt.Logger.Warn("request to owner failed", zap.String("request_id", t.call.id),
 			zap.String("owner", string(t.target.Owner.ID)), zap.String("step", fault.Step(err)), zap.Error(err))
 	}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -25,6 +25,7 @@
 type call struct {
 	in       *Ingress
 	w        http.ResponseWriter
+	control  *http.ResponseController
 	id       string
 	start    time.Time
 	deadline time.Time
@@ -52,7 +53,9 @@
 	limits := c.policy.Document.Service.Limits
 	budget := in.budget(c.service, limits.RetryPercent)
 	plan := retry.NewPlan(retry.Options{
-		Idempotent: c.route.Idempotent, MaxAttempts: limits.MaxAttempts, Deadline: c.deadline,
+		Idempotent: c.route.Idempotent, MaxAttempts: limits.MaxAttempts,
+		// An attempt that starts within the margin could not be answered in time.
+		Deadline: c.deadline.Add(-2 * margin(c.deadline.Sub(c.start))),
 	})
 	for {
 		target, err := c.pick(limits)
@@ -69,6 +72,8 @@
 		state := t.state
 		if state == retry.Sent || state == retry.Answered {
 			c.ran++
+			invariant.Check(c.route.Idempotent || c.ran == 1, "at_most_once",
+				"request %s is not idempotent and may have run %d times", c.id, c.ran)
 		}
 		if in.off.sentIsFinal && state == retry.Sent {
 			state = retry.NotSent
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,9 +28,9 @@
 const (
 	// defaultTimeout bounds a request if the policy states no timeout.
 	defaultTimeout = 30 * time.Second
-	// readGrace is how long after the deadline the caller's body may still arrive
-	// before its connection is closed.
-	readGrace = time.Second
+	// grace is how long after the deadline a caller may still send its body or
+	// receive its answer before its connection is closed.
+	grace = time.Second
 )
 
 // Policies finds the policy in force for a host. *policy.Table implements it.
@@ -95,6 +96,9 @@
 // ServeHTTP implements http.Handler.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{in: in, w: w, id: header.NewRequestID(), start: in.opt.Now()}
+	c.control = http.NewResponseController(w)
+	// Replaces the limit of the previous request on the connection.
+	_ = c.control.SetWriteDeadline(c.start.Add(defaultTimeout))
 	if !in.enter() {
 		w.Header().Set("Connection", "close")
 		c.refuse(http.StatusServiceUnavailable, reasonStopping, true)
@@ -165,13 +169,19 @@
 	}
 	if r.Body != nil && r.Body != http.NoBody {
 		// A caller that stops sending must not hold the connection for ever.
-		_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline.Add(readGrace))
+		_ = c.control.SetReadDeadline(c.deadline.Add(grace))
 		if limit > 0 && r.ContentLength < 0 {
 			r.Body = http.MaxBytesReader(c.w, r.Body, limit)
 		}
 	}
+	// A caller that reads slowly must not hold a slot of a backend server for ever.
+	_ = c.control.SetWriteDeadline(c.deadline.Add(grace))
 	body, err := newCallerBody(r, c.route.Idempotent)
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return c.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, false)
+	case err != nil:
 		return c.refuse(http.StatusBadRequest, reasonBodyCut, false)
 	}
 	c.body = body
--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"go.opentelemetry.io/otel/propagation"
 
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 )
 
+// ownerGrace is the time after the deadline in which an owner may still send its
+// verdict.
+const ownerGrace = 100 * time.Millisecond
+
 // ServeHTTP takes the request of another node. A refusal is answered without
 // reading the body, so that the ingress node can try elsewhere.
 func (o *Owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -21,6 +26,8 @@
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	// An ingress node that reads slowly must not hold a slot beyond the deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(ownerGrace))
 	header.StripInternal(r.Header)
 	header.StripHopByHop(r.Header)
 	reply := o.run(ctx, &attempt{Hop: hop, Deadline: deadline, Request: r})
--- a/internal/transport/proxy/proxy_test.go
+++ b/internal/transport/proxy/proxy_test.go
@@ -1,15 +1,61 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"go.uber.org/goleak"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
+	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
+// violated collects the violations of invariants. A panic would end in the
+// HTTP server and pass unnoticed.
+var violated struct {
+	sync.Mutex
+	names []string
+}
+
+// takeViolations returns the invariants that were violated since the last call.
+func takeViolations() []string {
+	violated.Lock()
+	defer violated.Unlock()
+	names := violated.names
+	violated.names = nil
+	return names
+}
+
+func TestMain(m *testing.M) {
+	invariant.SetHandler(func(name, detail string) {
+		violated.Lock()
+		defer violated.Unlock()
+		violated.names = append(violated.names, name)
+	})
+	code := m.Run()
+	if names := takeViolations(); code == 0 && len(names) > 0 {
+		fmt.Fprintln(os.Stderr, "violated invariants:", names)
+		code = 1
+	}
+	if err := goleak.Find(); code == 0 && err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
 // Guards against a request or an answer that is changed on its way, in process
 // and over a peer connection.
 func TestRequestPassesUnchanged(t *testing.T) {
@@ -38,3 +84,177 @@
 		}
 	}
 }
+
+// Guards against a trailer or the absence of a header that gets lost or changed.
+func TestAnswerHeaderPassesUnchanged(t *testing.T) {
+	for _, owner := range []int{0, 1} {
+		f := newFleet(t, 2)
+		f.serve(owner, "b1", func(w http.ResponseWriter, r *http.Request) {
+			w.Header()["Content-Type"] = nil
+			w.Header().Set("Trailer", "X-Sum")
+			_, _ = w.Write([]byte("<html>"))
+			w.Header().Set("X-Sum", "7")
+			if ua := r.Header["User-Agent"]; len(ua) != 0 {
+				t.Errorf("User-Agent %q was added", ua)
+			}
+		})
+		req, _ := http.NewRequest("GET", f.nodes[0].front.URL, nil)
+		req.Host, req.Header["User-Agent"] = "booking.test", []string{""}
+		resp, err := f.nodes[0].front.Client().Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if ct, ok := resp.Header["Content-Type"]; ok || resp.Trailer.Get("X-Sum") != "7" {
+			t.Fatalf("owner %d: Content-Type %q, trailer %v", owner, ct, resp.Trailer)
+		}
+	}
+}
+
+// hijack gives the handler the raw connection, which is closed afterwards.
+func hijack(raw string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, buf, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = buf.WriteString(raw)
+		_ = buf.Flush()
+	}
+}
+
+// Guards against a fault of a backend server that is reported as the wrong
+// outcome, that is retried although the request may have run, or that leaves a
+// truncated answer looking complete.
+func TestBackendFaults(t *testing.T) {
+	late := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	cases := []struct {
+		name    string
+		fault   http.HandlerFunc
+		status  int
+		outcome string
+		kind    evidence.Kind
+		cut     bool // the answer breaks off
+	}{
+		{"closes before the first byte", hijack(""), 502, header.Unknown, evidence.Reset, false},
+		{"answers late", late, 504, header.Unknown, evidence.Timeout, false},
+		{"answers another request", hijack("HTTP/1.1 200 OK\r\n" + header.RequestID + ": x\r\nContent-Length: 0\r\n\r\n"),
+			502, header.Unknown, evidence.Reset, false},
+		{"gives no end", hijack("HTTP/1.1 200 OK\r\n\r\nhello"), 502, header.Unknown, evidence.Truncated, false},
+		{"closes in the body", hijack("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello"), 200, header.Answered, evidence.Truncated, true},
+		{"closes in a chunk", hijack("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"),
+			200, header.Answered, evidence.Truncated, true},
+		{"sheds load", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, 503, header.Answered, evidence.Shed, false},
+	}
+	for _, tc := range cases {
+		for _, owner := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s/owner %d", tc.name, owner), func(t *testing.T) {
+				f := newFleet(t, 2)
+				var faults atomic.Int32
+				f.serve(owner, "b1", func(w http.ResponseWriter, r *http.Request) { faults.Add(1); tc.fault(w, r) })
+				short := func(r *http.Request) { r.Header.Set(header.DeadlineMillis, "200") }
+				res := f.send(0, "POST", "/", strings.NewReader("x"), short)
+				// The reset of the peer's stream may overtake the header of the answer.
+				cut := res.err != nil || res.outcome == header.Unknown
+				if tc.cut && !cut || !tc.cut && (res.err != nil || res.status != tc.status || res.outcome != tc.outcome) {
+					t.Fatalf("got %+v", res)
+				}
+				if n := faults.Load(); n != 1 {
+					t.Fatalf("the request ran %d times", n)
+				}
+				waitFor(t, func() bool { return len(f.nodes[owner].observations()) == 1 })
+				if o := f.nodes[owner].observations()[0]; o.Kind != tc.kind {
+					t.Fatalf("observed kind %d, want %d", o.Kind, tc.kind)
+				}
+				if tc.cut || tc.status == 504 {
+					return
+				}
+				f.serve(1-owner, "b2", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("b2")) })
+				for range 3 { // The retry budget allows 3.
+					if res := f.send(0, "GET", "/", nil, short); res.body != "b2" {
+						t.Fatalf("an idempotent request was not answered by the other backend server: %+v", res)
+					}
+				}
+			})
+		}
+	}
+}
+
+func waitFor(t testing.TB, ok func() bool) {
+	t.Helper()
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatal("condition not met in 2 s")
+}
+
+// Guards against a refusal that is reported wrongly or reaches the backend server.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(f *testFleet, n *testNode)
+		edit    func(*http.Request)
+		status  int
+		reason  string
+	}{
+		{name: "unknown host", edit: func(r *http.Request) { r.Host = "other.test" }, status: 404, reason: reasonUnknownHost},
+		{name: "unknown method", edit: func(r *http.Request) { r.Method = "PATCH" }, status: 404, reason: reasonNoRoute},
+		{name: "invalid deadline", edit: func(r *http.Request) { r.Header.Set(header.DeadlineMillis, "-1") }, status: 400, reason: reasonBadDeadline},
+		{name: "deadline 0", edit: func(r *http.Request) { r.Header.Set(header.DeadlineMillis, "0") }, status: 503, reason: reasonDeadline},
+		{name: "lease lapsed", status: 503, reason: reasonLease,
+			prepare: func(_ *testFleet, n *testNode) { n.leases.ReleaseAll() }},
+		{name: "not owner", status: 503, reason: reasonNotOwner,
+			prepare: func(_ *testFleet, n *testNode) { n.backends.Remove("b1") }},
+		{name: "backend server ejected", status: 503, reason: "backend_ejected",
+			prepare: func(_ *testFleet, n *testNode) { n.backends.SetState("b1", registry.Ejected, 1) }},
+		{name: "backend server drains", status: 503, reason: "backend_draining",
+			prepare: func(_ *testFleet, n *testNode) {
+				a := n.leases.Owned()[0].Announcement
+				a.Draining = true
+				n.backends.Upsert(a, policy.Limits{})
+			}},
+		{name: "node stops", status: 503, reason: reasonStopping,
+			prepare: func(_ *testFleet, n *testNode) { _ = n.owner.Drain(t.Context()) }},
+		{name: "restarted owner", status: 503, reason: reasonIncarnation,
+			prepare: func(_ *testFleet, n *testNode) {
+				n.owner.opt.Incarnations = func() (uint64, uint64) { return 2, 2 }
+			}},
+		{name: "connection refused", status: 503, reason: "backend_dial_failed",
+			prepare: func(f *testFleet, n *testNode) {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = l.Close()
+				n.backends.Upsert(ownership.Announcement{Backend: "b1", Service: "booking", Address: l.Addr().String(), Slots: 1}, policy.Limits{})
+			}},
+	}
+	for _, tc := range cases {
+		for _, owner := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s/owner %d", tc.name, owner), func(t *testing.T) {
+				f := newFleet(t, 2)
+				var ran atomic.Int32
+				f.serve(owner, "b1", func(http.ResponseWriter, *http.Request) { ran.Add(1) })
+				if tc.prepare != nil {
+					tc.prepare(f, f.nodes[owner])
+				}
+				if tc.edit == nil {
+					tc.edit = func(*http.Request) {}
+				}
+				res := f.send(0, "POST", "/", strings.NewReader("x"), tc.edit)
+				if res.status != tc.status || res.outcome != header.NotRun || res.reason != tc.reason || ran.Load() != 0 {
+					t.Fatalf("got %+v, ran %d", res, ran.Load())
+				}
+			})
+		}
+	}
+}
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -98,6 +98,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // Keeps net/http from guessing one.
 	}
+	header.StripInternal(resp.Trailer)
 	for name := range resp.Trailer {
 		h.Add("Trailer", name)
 	}
@@ -105,6 +106,7 @@
 
 // copyTrailer adds the trailer, which is known after the body was read.
 func copyTrailer(h http.Header, resp *http.Response) {
+	header.StripInternal(resp.Trailer)
 	for name, values := range resp.Trailer {
 		h[name] = values
 	}
