Eject only with a permit of the service's ledger

The daemon used the local view alone: two owners could eject at the same moment and go below the floor together. The permit holder is wired to the platform, to peers and to the health duty.

--- a/internal/transport/node/cluster.go
+++ b/internal/transport/node/cluster.go
@@ -8,14 +8,12 @@
 	"go.uber.org/zap"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
-	"wigeonspring.example/wigeonspring/internal/coordination/ejection"
 	"wigeonspring.example/wigeonspring/internal/coordination/membership"
 	"wigeonspring.example/wigeonspring/internal/fault"
 	"wigeonspring.example/wigeonspring/internal/state/evidence"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 	"wigeonspring.example/wigeonspring/internal/transport/gossip"
-	"wigeonspring.example/wigeonspring/internal/transport/health"
 )
 
 // publishDelay collects changes of the own record, so that the announcements of
@@ -158,14 +156,3 @@
 
 func (n *Node) observe(o evidence.Observation) { n.health.Observe(o) }
 
-// newPermits returns the source of ejection permits.
-func (n *Node) newPermits() health.Permits { return unlimitedPermits{} }
-
-// unlimitedPermits grants every ejection that the local view allows.
-type unlimitedPermits struct{}
-
-func (unlimitedPermits) Request(_ registry.ServiceID, id registry.BackendID, done func(health.Answer)) {
-	done(health.Answer{Permit: ejection.Permit("local-" + string(id))})
-}
-
-func (unlimitedPermits) Release(registry.ServiceID, registry.BackendID) {}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -27,6 +27,7 @@
 	"wigeonspring.example/wigeonspring/internal/transport/gossip"
 	"wigeonspring.example/wigeonspring/internal/transport/health"
 	"wigeonspring.example/wigeonspring/internal/transport/peer"
+	"wigeonspring.example/wigeonspring/internal/transport/permits"
 	"wigeonspring.example/wigeonspring/internal/transport/policysync"
 	"wigeonspring.example/wigeonspring/internal/transport/proxy"
 	"wigeonspring.example/wigeonspring/internal/transport/trace"
@@ -63,6 +64,8 @@
 	gossip    *gossip.Transport
 	sync      *policysync.Runner
 	health    *health.Health
+	permits   *permits.Permits
+	nodeViews nodeViews
 	backends  *proxy.Backends
 	owner     *proxy.Owner
 	ingress   *proxy.Ingress
@@ -169,9 +172,10 @@
 	if err := n.assembleGossip(ctx); err != nil {
 		return err
 	}
+	n.permits = n.newPermits()
 	n.health = health.New(health.Options{
-		View:    n.view,
-		Permits: n.newPermits(),
+		View:    n.healthView,
+		Permits: n.permits,
 		Apply:   n.applyVerdict,
 		Sink:    n.bus,
 		Node:    s.Node.ID,
@@ -283,6 +287,7 @@
 // take starts or updates the work of a backend server whose lease was granted.
 func (n *Node) take(a ownership.Announcement, res ownership.Result) {
 	if res.New {
+		n.permits.Track(a.Service)
 		n.records.forget(a.Backend)
 		n.health.Remove(a.Backend)
 		n.publish(event.BackendAnnounced, a.Service, a.Backend, "")
--- a/internal/transport/node/records.go
+++ b/internal/transport/node/records.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"wigeonspring.example/wigeonspring/internal/coordination/ejection"
 	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
@@ -89,43 +88,6 @@
 	return list
 }
 
-// view returns the local view of the services that this node owns a part of.
-// The own records are taken from the leases, because the directory receives
-// them with a delay; the others come from the directory.
-func (n *Node) view() ejection.View {
-	view := make(ejection.View)
-	own := n.records.backends()
-	for _, b := range own {
-		if _, done := view[b.Service]; done {
-			continue
-		}
-		view[b.Service] = n.serviceView(b.Service, own)
-	}
-	return view
-}
-
-func (n *Node) serviceView(service registry.ServiceID, own []registry.Backend) ejection.ServiceView {
-	var v ejection.ServiceView
-	if p := n.policies.Get(string(service)); p != nil {
-		v.Floor = p.Document.Service.Floor
-	}
-	add := func(b *registry.Backend) {
-		if b.Service == service && b.Serving() {
-			v.Serving++
-			v.Capacity += b.Weight
-		}
-	}
-	for i := range own {
-		add(&own[i])
-	}
-	for _, m := range n.directory.Snapshot().Service(service) {
-		if m.Owner.ID != n.ID() && m.Owner.Status == registry.Alive {
-			add(m.Backend)
-		}
-	}
-	return v
-}
-
 // Announce implements control.Node.
 func (n *Node) Announce(now time.Time, a ownership.Announcement) ownership.Result {
 	n.leaseMu.Lock()
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"wigeonspring.example/wigeonspring/internal/fault"
+	"wigeonspring.example/wigeonspring/internal/protocol/floorpb"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 	"wigeonspring.example/wigeonspring/internal/transport/peer"
@@ -39,7 +40,7 @@
 	group, hard := errgroup.WithContext(hard)
 	n.gossip.Start(hard)
 	for _, duty := range []func(context.Context) error{
-		n.bus.Run, n.sync.Run, n.health.Run, n.publishRecords, n.watchLeases, n.registerSeed,
+		n.bus.Run, n.sync.Run, n.health.Run, n.permits.Run, n.publishRecords, n.watchLeases, n.registerSeed,
 	} {
 		group.Go(func() error { return duty(hard) })
 	}
@@ -119,6 +120,7 @@
 	r.Mount(controlHandler.PathPrefix(), controlHandler)
 	r.Mount("/twirp/wigeonspring.cluster.Cluster", n.gossip.Handler())
 	r.Mount("/twirp/wigeonspring.policy.Policies", n.sync.Handler())
+	r.Mount("/twirp/wigeonspring.floor.Floor", floorpb.NewFloorServer(n.permits))
 }
 
 func (n *Node) operatorHandler() http.Handler {
--- /dev/null
+++ b/internal/transport/node/view.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/ejection"
+	"wigeonspring.example/wigeonspring/internal/coordination/floor"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/permits"
+)
+
+func (n *Node) newPermits() *permits.Permits {
+	return permits.New(permits.Options{
+		Node:        n.ID(),
+		Incarnation: n.incarnation,
+		View:        n.floorView,
+		Platform:    n.platform,
+		Peer: func(id registry.NodeID) (string, bool) {
+			addr, err := n.address(id)
+			return addr, err == nil
+		},
+		Client: n.rpcClient,
+		Revoked: func(_ registry.ServiceID, id registry.BackendID) {
+			n.health.Revoke(id)
+		},
+	})
+}
+
+// healthView returns the local view of the services that this node owns a part
+// of. A service without a policy has no known floor and is left out, so that
+// none of its backend servers is ejected.
+func (n *Node) healthView() ejection.View {
+	view := make(ejection.View)
+	own := n.records.backends()
+	for i := range own {
+		service := own[i].Service
+		if _, done := view[service]; done {
+			continue
+		}
+		if v, ok := n.capacity(service, own); ok {
+			view[service] = v
+		}
+	}
+	return view
+}
+
+// capacity counts the backend servers of a service. The own records are taken
+// from the leases, because the directory receives them with a delay; the others
+// come from the directory. Backend servers of a suspected node do not count.
+func (n *Node) capacity(service registry.ServiceID, own []registry.Backend) (ejection.ServiceView, bool) {
+	p := n.policies.Get(string(service))
+	if p == nil {
+		return ejection.ServiceView{}, false
+	}
+	v := ejection.ServiceView{Floor: p.Document.Service.Floor}
+	n.eachAlive(service, own, func(_ registry.NodeID, b *registry.Backend) {
+		switch {
+		case b.Serving():
+			v.Serving++
+			v.Capacity += b.Weight
+		case b.State == registry.Ejected:
+			v.Ejected++
+		}
+	})
+	return v, true
+}
+
+// floorView returns the view of a service that the permit holder works with.
+func (n *Node) floorView(service registry.ServiceID) (floor.View, bool) {
+	p := n.policies.Get(string(service))
+	if p == nil {
+		return floor.View{}, false
+	}
+	v := floor.View{
+		Floor:   p.Document.Service.Floor,
+		Ejected: make(map[registry.BackendID]bool),
+		Own:     make(map[registry.BackendID]bool),
+		Nodes:   n.nodeViews.get(n.directory.Snapshot()),
+	}
+	owners := make(map[registry.NodeID]bool)
+	n.eachAlive(service, n.records.backends(), func(owner registry.NodeID, b *registry.Backend) {
+		if owner == n.ID() {
+			v.Own[b.ID] = true
+		}
+		if !owners[owner] {
+			owners[owner] = true
+			v.Owners = append(v.Owners, owner)
+		}
+		switch {
+		case b.Serving():
+			v.Serving++
+		case b.State == registry.Ejected:
+			v.Ejected[b.ID] = true
+		}
+	})
+	return v, true
+}
+
+// nodeViews keeps the nodes of the last directory version. The permit holder
+// asks for them several times a second for each service, while the directory of
+// 2,100 nodes changes about every 29 s. It is used by one goroutine.
+type nodeViews struct {
+	built   bool
+	version uint64
+	views   map[registry.NodeID]floor.NodeView
+}
+
+// get returns the nodes of a snapshot. The map must not be changed.
+func (c *nodeViews) get(snap *registry.Snapshot) map[registry.NodeID]floor.NodeView {
+	if c.built && c.version == snap.Version() {
+		return c.views
+	}
+	views := make(map[registry.NodeID]floor.NodeView, snap.Len())
+	for _, m := range snap.Nodes() {
+		v := floor.NodeView{
+			Incarnation: m.Incarnation,
+			Domain:      m.FailureDomain,
+			Alive:       m.Status == registry.Alive,
+		}
+		if m.Status == registry.Dead {
+			v.DeadSince = c.deadSince(m.ID)
+		}
+		views[m.ID] = v
+	}
+	c.built, c.version, c.views = true, snap.Version(), views
+	return views
+}
+
+// deadSince returns when a node that is dead now was first seen dead.
+func (c *nodeViews) deadSince(id registry.NodeID) time.Time {
+	if old, ok := c.views[id]; ok && !old.DeadSince.IsZero() {
+		return old.DeadSince
+	}
+	return time.Now()
+}
+
+// eachAlive calls f for the backend servers of a service whose owner is alive.
+func (n *Node) eachAlive(service registry.ServiceID, own []registry.Backend, f func(registry.NodeID, *registry.Backend)) {
+	for i := range own {
+		if own[i].Service == service {
+			f(n.ID(), &own[i])
+		}
+	}
+	for _, m := range n.directory.Snapshot().Service(service) {
+		if m.Owner.ID != n.ID() && m.Owner.Status == registry.Alive {
+			f(m.Owner.ID, m.Backend)
+		}
+	}
+}
