--- a/cmd/wigeon-verify/main.go
+++ b/cmd/wigeon-verify/main.go
@@ -18,7 +18,6 @@
 	"github.com/jessevdk/go-flags"
 
 	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
-	"wigeonspring.example/wigeonspring/internal/state/registry"
 	"wigeonspring.example/wigeonspring/standin/record"
 	"wigeonspring.example/wigeonspring/standin/verify"
 )
@@ -48,23 +47,11 @@
 			if err != nil {
 				continue
 			}
-			out.Write(verify.Capacity{Time: time.Now(), Service: service, Serving: serving(resp.Backends)})
+			out.Write(verify.Capacity{Time: time.Now(), Service: service, Serving: verify.Serving(resp.Backends)})
 		}
 	}
 }
 
-func serving(backends []*controlpb.BackendInfo) int {
-	n := 0
-	for _, b := range backends {
-		state := b.State == registry.Active.String() || b.State == registry.Probation.String()
-		owner := b.OwnerStatus == registry.Alive.String() || b.OwnerStatus == registry.Suspect.String()
-		if state && owner {
-			n++
-		}
-	}
-	return n
-}
-
 type reportCommand struct {
 	Runs     []string         `long:"runs" required:"true" description:"logs of backend servers, a pattern; repeat"`
 	Results  []string         `long:"results" required:"true" description:"logs of callers, a pattern; repeat"`
--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,143 @@
+package e2e
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/standin/backend"
+	platformstandin "wigeonspring.example/wigeonspring/standin/platform"
+	"wigeonspring.example/wigeonspring/standin/relay"
+)
+
+const (
+	bookingHost   = "booking.riemwerk.example"
+	bookingPolicy = "../examples/policies/riemwerk-booking.toml"
+	bookingFloor  = 9
+)
+
+// Guards against a booking that runs twice, a false "not run" or a wrong answer
+// when processes fail in the middle of requests.
+func TestFaultsDuringBookingsAndUploads(t *testing.T) {
+	cases := []struct {
+		name string
+		// fault begins after two seconds of load and may return a repair that is
+		// called four seconds later.
+		fault func(f *fleet) func()
+	}{
+		{"backend server killed", func(f *fleet) func() {
+			f.procs["booking-3"].signal(syscall.SIGKILL)
+			return nil
+		}},
+		{"owner node killed and restarted", func(f *fleet) func() {
+			f.procs["n4"].signal(syscall.SIGKILL)
+			<-f.procs["n4"].exited
+			return func() { f.startNode(4) }
+		}},
+		{"owner node frozen past its leases", func(f *fleet) func() {
+			f.procs["n4"].signal(syscall.SIGSTOP)
+			return func() { f.procs["n4"].signal(syscall.SIGCONT) }
+		}},
+		{"backend server frozen past the timeouts", func(f *fleet) func() {
+			f.procs["booking-5"].signal(syscall.SIGSTOP)
+			return func() { f.procs["booking-5"].signal(syscall.SIGCONT) }
+		}},
+		{"link to a node cut in one direction", func(f *fleet) func() {
+			f.relays[3].Set(relay.Link{CutIn: true})
+			return func() { f.relays[3].Set(relay.Link{}) }
+		}},
+		{"answers from a node cut", func(f *fleet) func() {
+			f.relays[3].Set(relay.Link{CutOut: true})
+			return func() { f.relays[3].Set(relay.Link{}) }
+		}},
+		{"answers cut short and connections reset", func(f *fleet) func() {
+			f.setFaults(2, backend.Faults{TruncatePercent: 30, ResetPercent: 30, LoadReport: -1})
+			return func() { f.setFaults(2, backend.Faults{LoadReport: -1}) }
+		}},
+		{"platform down while an owner is killed", func(f *fleet) func() {
+			f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{Outage: true})
+			f.procs["n6"].signal(syscall.SIGKILL)
+			return func() { f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{}) }
+		}},
+	}
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 22000+200*i, 6)
+			f.addRelay(3)
+			f.start("booking", bookingPolicy, 5, bookingFloor)
+			l := f.startLoad("booking", bookingHost, 150, 9*time.Second, 1, 2, 5)
+			time.Sleep(2 * time.Second)
+			repair := c.fault(f)
+			time.Sleep(4 * time.Second)
+			if repair != nil {
+				repair()
+			}
+			rep := f.report(l, "booking")
+			if answered := rep.Outcomes[header.Answered]; answered < rep.Sent*8/10 {
+				t.Errorf("answered %d of %d; one fault must not take most of the service", answered, rep.Sent)
+			}
+		})
+	}
+}
+
+// Guards against a planned stop that cuts off requests: of a backend server, of
+// an owner node and of an ingress node.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	f := newFleet(t, 24000, 6)
+	f.start("booking", bookingPolicy, 5, bookingFloor)
+	l := f.startLoad("booking", bookingHost, 150, 8*time.Second, 1, 2, 5)
+	time.Sleep(2 * time.Second)
+	f.procs["booking-3"].signal(syscall.SIGTERM)
+	f.procs["n4"].signal(syscall.SIGTERM)
+	f.procs["booking-3"].waitExit(t, 15*time.Second)
+	f.procs["n4"].waitExit(t, 15*time.Second)
+	rep := f.report(l, "booking")
+	for outcome, n := range rep.Outcomes {
+		if outcome != header.Answered && outcome != header.NotRun {
+			t.Errorf("%d requests ended as %q during a planned stop", n, outcome)
+		}
+	}
+}
+
+// Guards against a gray backend server that keeps receiving work, and against an
+// ejection that undercuts the floor, also while the platform is down.
+func TestGrayBackendIsEjectedAboveTheFloor(t *testing.T) {
+	for i, outage := range []bool{false, true} {
+		name := "platform up"
+		if outage {
+			name = "platform down"
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 24400+200*i, 6)
+			f.start("booking", bookingPolicy, 5, bookingFloor)
+			// Owners reserve permits in the platform soon after the policy.
+			time.Sleep(5 * time.Second)
+			if outage {
+				f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{Outage: true})
+			}
+			l := f.startLoad("booking", bookingHost, 150, 20*time.Second, 1, 2, 3, 4, 5, 6)
+			samples := f.watchCapacity(1, "booking", l.done)
+			time.Sleep(2 * time.Second)
+			sick := map[string]int64{}
+			// Five fail gray, but the floor of nine leaves room for three.
+			for _, k := range []int{1, 4, 5, 8, 12} {
+				f.setFaults(k, backend.Faults{Gray: true, LoadReport: -1})
+				sick[backendName(k)] = time.Now().UnixMilli()
+			}
+			rep := f.report(l, "booking")
+			capacity := samples()
+			rep.AddCapacity(capacity, f.floors)
+			lowest := rep.LowestCapacity["booking"]
+			t.Logf("lowest capacity %d, floor %d, %d samples", lowest, bookingFloor, len(capacity))
+			if rep.BelowFloor > 0 {
+				t.Errorf("capacity fell to %d, floor %d", lowest, bookingFloor)
+			}
+			if lowest == 12 {
+				t.Error("no gray backend server was ejected")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,432 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	"wigeonspring.example/wigeonspring/standin/backend"
+	"wigeonspring.example/wigeonspring/standin/caller"
+	"wigeonspring.example/wigeonspring/standin/record"
+	"wigeonspring.example/wigeonspring/standin/relay"
+	"wigeonspring.example/wigeonspring/standin/verify"
+)
+
+var binDir string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "wigeonspring-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	binDir = dir
+	return m.Run()
+}
+
+// lockedBuffer collects the output of a process.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// process is a started program.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	stdout lockedBuffer
+	stderr lockedBuffer
+	exited chan struct{}
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) waitExit(t *testing.T, limit time.Duration) {
+	t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(limit):
+		t.Errorf("%s did not exit within %v", p.name, limit)
+	}
+}
+
+// fleet is a set of processes on loopback.
+type fleet struct {
+	t        *testing.T
+	basePort int
+	nodes    int
+	procs    map[string]*process
+	// backends lists the indexes of the started backend servers by service.
+	backends map[string][]int
+	relays   map[int]*relay.Relay
+	floors   map[string]int
+	cancel   context.CancelFunc
+	ctx      context.Context
+}
+
+func newFleet(t *testing.T, basePort, nodes int) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{
+		t: t, basePort: basePort, nodes: nodes, ctx: ctx, cancel: cancel,
+		procs:    map[string]*process{},
+		backends: map[string][]int{},
+		relays:   map[int]*relay.Relay{},
+		floors:   map[string]int{},
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	for _, p := range f.procs {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+	}
+	for _, p := range f.procs {
+		<-p.exited
+	}
+	if f.t.Failed() {
+		for i := 1; i <= f.nodes; i++ {
+			if p := f.procs[nodeName(i)]; p != nil {
+				f.t.Logf("log of %s:\n%s", p.name, tail(p.stderr.String(), 40))
+			}
+		}
+	}
+}
+
+func tail(s string, lines int) string {
+	all := strings.Split(strings.TrimSpace(s), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
+func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
+
+func (f *fleet) addr(offset, i int) string { return fmt.Sprintf("127.0.0.1:%d", f.basePort+offset+i) }
+func (f *fleet) callerAddr(i int) string   { return f.addr(20, i) }
+func (f *fleet) peerAddr(i int) string     { return f.addr(40, i) }
+func (f *fleet) operatorURL(i int) string  { return "http://" + f.addr(60, i) }
+func (f *fleet) relayAddr(i int) string    { return f.addr(80, i) }
+func (f *fleet) backendAddr(i int) string  { return f.addr(100, i) }
+func (f *fleet) platformURL() string       { return "http://" + f.addr(0, 0) }
+
+func (f *fleet) spawn(name, program string, args ...string) *process {
+	f.t.Helper()
+	p := &process{name: name, exited: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(binDir, program), args...)
+	p.cmd.Stdout = &p.stdout
+	p.cmd.Stderr = &p.stderr
+	if err := p.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	f.procs[name] = p
+	return p
+}
+
+func (f *fleet) startPlatform() {
+	f.spawn("platform", "wigeon-platform", "--listen", f.addr(0, 0))
+	f.eventually(5*time.Second, "platform answers", func() bool { return httpOK(f.platformURL() + "/admin/calls") })
+}
+
+func httpOK(url string) bool {
+	resp, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (f *fleet) post(url string, body any) {
+	f.t.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := http.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		f.t.Fatalf("POST %s: %s", url, resp.Status)
+	}
+}
+
+// addRelay puts a relay in front of the peer address of a node that is started
+// later.
+func (f *fleet) addRelay(i int) *relay.Relay {
+	f.t.Helper()
+	r, err := relay.New(relay.Options{Listen: f.relayAddr(i), Target: f.peerAddr(i)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go func() { _ = r.Run(f.ctx) }()
+	f.relays[i] = r
+	return r
+}
+
+// domainOf puts two nodes in each failure domain and each domain in a region.
+func domainOf(i int) int { return (i-1)/2 + 1 }
+
+func (f *fleet) startNode(i int) *process {
+	f.t.Helper()
+	advertise := ""
+	if f.relays[i] != nil {
+		advertise = f.relayAddr(i)
+	}
+	text := fmt.Sprintf(`
+[node]
+id = %q
+failure_domain = "fd%d"
+region = "region%d"
+
+[listen]
+caller_listen = %q
+peer_listen = %q
+peer_advertise = %q
+operator_listen = %q
+
+[platform]
+address = %q
+
+[membership]
+seeds = [%q, %q]
+
+[drain]
+timeout = "10s"
+`, nodeName(i), domainOf(i), domainOf(i), f.callerAddr(i), f.peerAddr(i), advertise,
+		strings.TrimPrefix(f.operatorURL(i), "http://"), f.platformURL(), f.peerAddr(1), f.peerAddr(2))
+	path := filepath.Join(f.t.TempDir(), nodeName(i)+".toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return f.spawn(nodeName(i), "wigeonspringd", "--config", path)
+}
+
+// startBackend starts a backend server that announces itself to a node and, if
+// that one fails, to its neighbour in the failure domain.
+func (f *fleet) startBackend(service string, index, slots, node int) *process {
+	f.t.Helper()
+	neighbour := (node-1)/2*2 + 1 + node%2
+	f.backends[service] = append(f.backends[service], index)
+	return f.spawn(fmt.Sprintf("%s-%d", service, index), "wigeon-backend",
+		"--id", fmt.Sprintf("%s-%d", service, index), "--service", service,
+		"--slots", fmt.Sprint(slots), "--listen", f.backendAddr(index), "--seed", fmt.Sprint(index),
+		"--node", f.peerAddr(node), "--node", f.peerAddr(neighbour))
+}
+
+// start brings up the platform, all nodes, twelve backend servers of a service
+// spread over the nodes, and the policy, and waits until all is in force.
+func (f *fleet) start(service, policyFile string, slots, floor int) {
+	f.t.Helper()
+	f.startPlatform()
+	for i := 1; i <= f.nodes; i++ {
+		f.startNode(i)
+	}
+	for k := 1; k <= 12; k++ {
+		f.startBackend(service, k, slots, (k-1)%f.nodes+1)
+	}
+	f.floors[service] = floor
+	for i := 1; i <= f.nodes; i++ {
+		f.waitReady(i)
+	}
+	if out, code := f.ctl(1, "policy", "apply", policyFile); code != 0 {
+		f.t.Fatalf("policy apply: %s", out)
+	}
+	f.eventually(10*time.Second, "policy in force and backend servers announced", func() bool {
+		return f.epochEverywhere(service, 1) && f.serving(1, service) == 12
+	})
+}
+
+func (f *fleet) waitReady(i int) {
+	f.t.Helper()
+	f.eventually(20*time.Second, nodeName(i)+" is ready", func() bool { return httpOK(f.operatorURL(i) + "/ready") })
+}
+
+func (f *fleet) ctl(node int, args ...string) (string, int) {
+	cmd := exec.Command(filepath.Join(binDir, "wigeonctl"),
+		append([]string{"--platform", f.platformURL(), "--node", f.operatorURL(node)}, args...)...)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+func (f *fleet) control(node int) controlpb.Control {
+	return controlpb.NewControlProtobufClient(f.operatorURL(node), &http.Client{Timeout: 2 * time.Second})
+}
+
+func (f *fleet) serving(node int, service string) int {
+	resp, err := f.control(node).Backends(f.ctx, &controlpb.BackendsRequest{Service: service})
+	if err != nil {
+		return -1
+	}
+	return verify.Serving(resp.Backends)
+}
+
+// epochEverywhere reports whether all nodes that run have the epoch in force.
+func (f *fleet) epochEverywhere(service string, epoch uint64) bool {
+	for i := 1; i <= f.nodes; i++ {
+		if f.epochOn(i, service) != epoch {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) epochOn(node int, service string) uint64 {
+	resp, err := f.control(node).PolicyStatus(f.ctx, &controlpb.PolicyStatusRequest{Service: service, Local: true})
+	if err != nil || len(resp.Nodes) != 1 || len(resp.Nodes[0].Policies) != 1 {
+		return 0
+	}
+	return resp.Nodes[0].Policies[0].Epoch
+}
+
+func (f *fleet) eventually(limit time.Duration, what string, ok func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(limit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// load is a running caller process inside the test.
+type load struct {
+	done    chan struct{}
+	results *lockedBuffer
+	summary caller.Summary
+}
+
+// startLoad sends a mix of reads, bookings and uploads to some nodes.
+func (f *fleet) startLoad(service, host string, rate float64, duration time.Duration, nodes ...int) *load {
+	var targets []string
+	for _, i := range nodes {
+		targets = append(targets, f.callerAddr(i))
+	}
+	l := &load{done: make(chan struct{}), results: &lockedBuffer{}}
+	run := caller.New(caller.Options{
+		Targets: targets, Service: service, Host: host, Rate: rate, Duration: duration,
+		BookingPercent: 40, UploadPercent: 2, UploadBytes: 500_000, Timeout: 40 * time.Second,
+		Teams: 20, Seed: 1, Prefix: service, Records: record.NewWriter(l.results),
+	})
+	go func() {
+		defer close(l.done)
+		l.summary = run.Run(f.ctx)
+	}()
+	return l
+}
+
+// watchCapacity samples the serving backend servers until the load ends.
+func (f *fleet) watchCapacity(node int, service string, until <-chan struct{}) func() []verify.Capacity {
+	var samples []verify.Capacity
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-until:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			if n := f.serving(node, service); n >= 0 {
+				samples = append(samples, verify.Capacity{Time: time.Now(), Service: service, Serving: n})
+			}
+		}
+	}()
+	return func() []verify.Capacity {
+		<-done
+		return samples
+	}
+}
+
+// report compares the results of a load with the runs of the backend servers.
+func (f *fleet) report(l *load, service string) *verify.Report {
+	f.t.Helper()
+	<-l.done
+	results, err := verify.ReadLines[record.Result](strings.NewReader(l.results.String()))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var runs []record.Run
+	for name, p := range f.procs {
+		if !strings.HasPrefix(name, service+"-") {
+			continue
+		}
+		lines, err := verify.ReadLines[record.Run](strings.NewReader(p.stdout.String()))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		runs = append(runs, lines...)
+	}
+	rep := verify.Compare(runs, results)
+	f.t.Logf("sent %d, outcomes %v, wrong %d, lost %d, run twice %d, false not run %d, p50 %v, p99 %v",
+		rep.Sent, rep.Outcomes, rep.Wrong, rep.Lost, rep.RunTwice, rep.FalseNotRun, rep.LatencyP50, rep.LatencyP99)
+	if rep.Violated() {
+		f.t.Errorf("promise broken: %v", rep.Examples)
+	}
+	f.checkInvariantCounters()
+	return rep
+}
+
+// checkInvariantCounters fails if a running node counted a violation.
+func (f *fleet) checkInvariantCounters() {
+	for i := 1; i <= f.nodes; i++ {
+		resp, err := http.Get(f.operatorURL(i) + "/debug/vars")
+		if err != nil {
+			continue
+		}
+		var vars struct {
+			Violations map[string]int `json:"invariant_violations"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&vars)
+		resp.Body.Close()
+		if err != nil {
+			f.t.Errorf("%s: metrics: %v", nodeName(i), err)
+		}
+		if len(vars.Violations) > 0 {
+			f.t.Errorf("%s: invariants violated: %v", nodeName(i), vars.Violations)
+		}
+	}
+}
+
+func (f *fleet) setFaults(index int, faults backend.Faults) {
+	f.t.Helper()
+	f.post("http://"+f.backendAddr(index)+"/admin/faults", faults)
+}
--- /dev/null
+++ b/e2e/policy_test.go
@@ -0,0 +1,131 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	platformstandin "wigeonspring.example/wigeonspring/standin/platform"
+)
+
+// inForceBound is the time within which an accepted policy must be in force on
+// all nodes.
+const inForceBound = 4 * time.Second
+
+func backendName(index int) string { return fmt.Sprintf("booking-%d", index) }
+
+// writePolicy writes a variant of the booking policy with another timeout.
+func writePolicy(t *testing.T, name, timeout string) string {
+	t.Helper()
+	text, err := os.ReadFile(bookingPolicy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), name)
+	changed := strings.Replace(string(text), `timeout = "2s"`, fmt.Sprintf("timeout = %q", timeout), 1)
+	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against a policy that is not in force on every node in time, also when
+// twenty changes follow each other within about a second.
+func TestPolicyIsInForceEverywhere(t *testing.T) {
+	f := newFleet(t, 25000, 6)
+	f.start("booking", bookingPolicy, 5, bookingFloor)
+	for _, changes := range []int{1, 20} {
+		var epoch uint64
+		for i := range changes {
+			file := writePolicy(t, "p.toml", fmt.Sprintf("%dms", 2000+changes*100+i))
+			if out, code := f.ctl(1, "policy", "apply", file); code != 0 {
+				t.Fatalf("apply: %s", out)
+			}
+			epoch = f.storedEpoch()
+		}
+		start := time.Now()
+		f.eventually(inForceBound, fmt.Sprintf("epoch %d in force on all nodes", epoch), func() bool {
+			return f.epochEverywhere("booking", epoch)
+		})
+		t.Logf("%d changes: epoch %d in force on %d nodes %v after the last was accepted", changes, epoch, f.nodes, time.Since(start))
+	}
+}
+
+// storedEpoch returns the highest epoch that any node has in force once the
+// command-line tool reports it.
+func (f *fleet) storedEpoch() uint64 {
+	f.t.Helper()
+	out, code := f.ctl(1, "policy", "show", "booking", "--output", "json")
+	if code != 0 {
+		f.t.Fatalf("policy show: %s", out)
+	}
+	var epoch uint64
+	for _, line := range strings.Split(out, "\n") {
+		if _, err := fmt.Sscanf(strings.TrimSpace(line), `"epoch": %d`, &epoch); err == nil {
+			return epoch
+		}
+	}
+	f.t.Fatalf("no epoch in %s", out)
+	return 0
+}
+
+// Guards against two operators who both believe that their change was accepted.
+func TestOfTwoOperatorsOneWins(t *testing.T) {
+	f := newFleet(t, 25200, 2)
+	f.start("booking", bookingPolicy, 5, bookingFloor)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	codes := map[int]int{}
+	var loser string
+	for i := range 2 {
+		file := writePolicy(t, "p.toml", fmt.Sprintf("%ds", 3+i))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			out, code := f.ctl(i+1, "policy", "apply", "--base", "1", file)
+			mu.Lock()
+			defer mu.Unlock()
+			codes[code]++
+			if code != 0 {
+				loser = out
+			}
+		}()
+	}
+	wg.Wait()
+	if codes[0] != 1 || codes[1] != 1 {
+		t.Fatalf("exit statuses %v, want one 0 and one 1", codes)
+	}
+	if !strings.Contains(loser, "epoch 2") {
+		t.Errorf("the loser was not told the winning epoch: %s", loser)
+	}
+}
+
+// Guards against a policy that reverts: on a node that restarts while the
+// platform is down, and when the platform answers from the past.
+func TestPolicyNeverReverts(t *testing.T) {
+	f := newFleet(t, 25400, 4)
+	f.start("booking", bookingPolicy, 5, bookingFloor)
+	if out, code := f.ctl(1, "policy", "apply", writePolicy(t, "p.toml", "3s")); code != 0 {
+		t.Fatalf("apply: %s", out)
+	}
+	f.eventually(inForceBound, "epoch 2 on all nodes", func() bool { return f.epochEverywhere("booking", 2) })
+
+	f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{Outage: true})
+	f.procs["n4"].signal(9)
+	<-f.procs["n4"].exited
+	f.startNode(4)
+	f.waitReady(4)
+	if epoch := f.epochOn(4, "booking"); epoch != 2 {
+		t.Errorf("restarted node is ready with epoch %d, want 2", epoch)
+	}
+	// The revision before the second change.
+	f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{StaleReads: 1})
+	time.Sleep(5 * time.Second)
+	if !f.epochEverywhere("booking", 2) {
+		t.Error("a node reverted after the platform answered from the past")
+	}
+}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -68,7 +68,7 @@
 # start_backend INDEX ID SERVICE SLOTS NODE...: starts a backend server that
 # announces itself to the given nodes.
 start_backend() {
-  local index=$1 id=$2 service=$3 slots=$4 args=()
+  local index=$1 id=$2 service=$3 slots=$4 args=() node
   shift 4
   for node in "$@"; do args+=(--node "$(peer_addr "$node")"); done
   spawn "$id" bin/wigeon-backend --id "$id" --service "$service" --slots "$slots" \
--- a/standin/verify/print.go
+++ b/standin/verify/print.go
@@ -8,7 +8,9 @@
 	"text/tabwriter"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
 	"wigeonspring.example/wigeonspring/standin/record"
 )
 
@@ -19,6 +21,20 @@
 	Serving int       `json:"serving"`
 }
 
+// Serving counts the backend servers that are healthy capacity: active or in
+// probation, with an owner that is alive or suspected.
+func Serving(backends []*controlpb.BackendInfo) int {
+	n := 0
+	for _, b := range backends {
+		state := b.State == registry.Active.String() || b.State == registry.Probation.String()
+		owner := b.OwnerStatus == registry.Alive.String() || b.OwnerStatus == registry.Suspect.String()
+		if state && owner {
+			n++
+		}
+	}
+	return n
+}
+
 // idleGap is how long a backend server must receive no new work to count as out.
 // It is shorter than the first backoff of an ejection, 5 s.
 const idleGap = 3 * time.Second
