--- a/internal/transport/proxy/fleet_test.go
+++ b/internal/transport/proxy/fleet_test.go
@@ -157,6 +157,8 @@
 	for _, e := range edit {
 		e(req)
 	}
+	// A connection per request keeps this client from replaying requests itself.
+	req.Close = true
 	resp, err := f.nodes[i].front.Client().Do(req)
 	if err != nil {
 		return result{err: err}
