--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -30,6 +30,9 @@
 		c.ready.Haves = append(c.ready.Haves, PeerHave{Peer: peer, Have: h})
 	}
 	stale := c.checkSender(peer, msg)
+	if msg.Kind != Ping {
+		c.correct(peer)
+	}
 	switch msg.Kind {
 	case Ping:
 		c.receivePing(peer, msg)
@@ -48,10 +51,30 @@
 	}
 }
 
+// correct tells a peer the newer versions of members that it reported as suspect
+// or dead. Without this, a node that missed a refutation would declare the member
+// dead after its suspicion, while all others ignore that report as outdated.
+func (c *Core) correct(peer Peer) {
+	if len(c.outdated) > 0 {
+		c.send(peer, c.message(Gossip), reserveUrgent)
+	}
+}
+
+// noteOutdated remembers that the sender of the current message holds an old
+// version of m.
+func (c *Core) noteOutdated(m *member, v Version) {
+	if v.Status != registry.Alive && len(c.outdated) < maxCorrections {
+		c.outdated = append(c.outdated, m)
+	}
+}
+
 // checkSender compares the incarnation of the sender with what is known. It
 // reports whether the sender is a process that has been replaced.
 func (c *Core) checkSender(peer Peer, msg *Message) bool {
 	m := c.members[peer.ID]
+	if m != nil {
+		c.heardFrom(m, msg.FromIncarnation)
+	}
 	switch {
 	case m == nil || msg.FromIncarnation > m.node.Incarnation:
 		c.wantRecord(peer, peer.ID)
@@ -169,6 +192,7 @@
 		return
 	}
 	if v.Incarnation < m.node.Incarnation && !c.opts.Disable.IncarnationOrder {
+		c.noteOutdated(m, v)
 		return
 	}
 	if v.ContentHash != 0 && supersedes(v.Incarnation, v.Sequence, m) &&
@@ -188,6 +212,7 @@
 		return
 	}
 	if v.Status == registry.Suspect && v.Sequence < m.node.Sequence {
+		c.noteOutdated(m, v)
 		return
 	}
 	c.applyStatus(m, v.Status, v.Incarnation)
@@ -222,19 +247,49 @@
 		c.change(StatusChanged, m)
 		c.event(EventLeaving, m, "announced")
 		c.queue.add(m.node.ID, true)
-	case m.node.Status == registry.Alive && !c.opts.Disable.DeadAsSuspicion:
-		// Usually a death report follows a suspicion that is known here. If it does
-		// not, the member was on our side of a healed partition or answered a moment
-		// ago, and gets the time to refute.
-		c.suspect(m, "reported dead by another member")
 	default:
-		c.declareDead(m, "reported dead by another member")
+		c.reportedDead(m)
+	}
+}
+
+// reportedDead takes a death report. Usually it follows a suspicion that began
+// here at about the same time as at the reporter. If it does not, the member was
+// on our side of a healed partition or answered a moment ago, and gets the whole
+// suspicion timeout to refute.
+func (c *Core) reportedDead(m *member) {
+	const reason = "reported dead by another member"
+	if c.opts.Disable.DeadAsSuspicion || m.node.Status == registry.Leaving {
+		c.declareDead(m, reason)
+		return
 	}
+	if m.node.Status == registry.Alive {
+		c.suspect(m, reason)
+	}
+	end := m.suspectSince.Add(c.opts.SuspicionTimeout)
+	if c.now.Add(suspicionSkew).Before(end) {
+		if end.Before(m.suspectUntil) {
+			m.suspectUntil = end
+		}
+		return
+	}
+	c.declareDead(m, reason)
+}
+
+// suspicionEnd returns when a suspicion that begins now ends. A node that only
+// heard of it leaves the verdict to those whose probes failed and waits twice as
+// long, in case that they die too: it may have missed the refutation.
+func (c *Core) suspicionEnd(m *member) time.Time {
+	if m.nextCheck.IsZero() && !c.opts.Disable.SuspectChecks {
+		return c.now.Add(2 * c.opts.SuspicionTimeout)
+	}
+	return c.now.Add(c.opts.SuspicionTimeout)
 }
 
 func (c *Core) suspect(m *member, reason string) {
 	m.node.Status = registry.Suspect
-	m.suspectUntil = c.now.Add(c.opts.SuspicionTimeout)
+	m.nextCheck, m.reminded = time.Time{}, false
+	m.suspectSince = c.now
+	m.suspectUntil = c.suspicionEnd(m)
 	if !m.listed {
 		m.listed = true
 		c.suspects = append(c.suspects, m)
@@ -265,6 +320,7 @@
 			m.listed = false
 			c.declareDead(m, "suspicion not refuted")
 		default:
+			c.checkSuspect(m)
 			kept = append(kept, m)
 		}
 	}
--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -21,8 +21,15 @@
 	index int
 	// suspectUntil is when a suspect becomes dead.
 	suspectUntil time.Time
+	// suspectSince is when the suspicion began here or the member was last heard.
+	suspectSince time.Time
 	// listed is set while the member is in Core.suspects.
-	listed    bool
+	listed bool
+	// nextCheck is when the local node, whose probe began the suspicion, checks
+	// the member again; zero if another node began it.
+	nextCheck time.Time
+	// reminded is set once the suspicion has been gossiped again before its end.
+	reminded  bool
 	deadSince time.Time
 	// correctedAt is when a stale process of this member was last told the
 	// newer record.
@@ -66,6 +73,9 @@
 
 	joined     bool
 	superseded bool
+	// outdated lists members of whom the sender of the message in hand holds an
+	// old version; the next message to it carries ours.
+	outdated []*member
 	// left is set once the local node has announced that it is leaving.
 	left bool
 
@@ -77,6 +87,7 @@
 	probe        *probe
 	round        []registry.NodeID
 	relays       map[uint64]relay
+	checks       map[uint64]check
 	nextProbe    time.Time
 	nextDead     time.Time
 	nextSync     time.Time
@@ -110,6 +121,7 @@
 		queue:   newQueue(),
 		wants:   make(map[registry.NodeID]*want),
 		relays:  make(map[uint64]relay),
+		checks:  make(map[uint64]check),
 		budget: bucket{
 			rate: float64(opts.RateBytes), burst: float64(opts.BurstBytes), off: opts.Disable.Budget,
 		},
@@ -176,6 +188,7 @@
 		return
 	}
 	c.now = now
+	c.outdated = c.outdated[:0]
 	c.budget.refill(now)
 	if gap <= pauseGap || c.opts.Disable.PauseRule {
 		return
@@ -186,6 +199,7 @@
 	c.nextProbe = now.Add(c.jitter(c.opts.ProbeInterval))
 	for _, m := range c.suspects {
 		m.suspectUntil = m.suspectUntil.Add(gap)
+		m.suspectSince = m.suspectSince.Add(gap)
 	}
 	c.event(EventPaused, c.self, "no input for "+gap.Round(time.Millisecond).String())
 	if gap > refuteGap && !c.left {
--- a/internal/coordination/membership/options.go
+++ b/internal/coordination/membership/options.go
@@ -57,15 +57,18 @@
 // Mechanisms names parts of the protocol that tests and measurements switch
 // off to show what each of them prevents.
 type Mechanisms struct {
-	IndirectProbes   bool
-	PauseRule        bool
-	Refutation       bool
+	IndirectProbes bool
+	PauseRule      bool
+	Refutation     bool
+	// SuspectChecks lets a suspecting node probe again and wait for a suspect
+	// that was heard.
+	SuspectChecks    bool
 	IncarnationOrder bool
 	Budget           bool
 	DeadProbes       bool
 	AntiEntropy      bool
-	// DeadAsSuspicion makes a death report about a member that is alive here
-	// start a suspicion instead of taking effect at once.
+	// DeadAsSuspicion makes a death report about a member that has not been
+	// suspected here start a suspicion instead of taking effect at once.
 	DeadAsSuspicion bool
 	// ShortVersions switches to full records in place of versions and pulls.
 	ShortVersions bool
@@ -112,6 +115,11 @@
 	fillAttempts = 5
 	// mismatchSyncInterval bounds the syncs started by a digest mismatch.
 	mismatchSyncInterval = 10 * time.Second
+	// maxCorrections bounds the newer versions sent in answer to one message.
+	maxCorrections = 16
+	// suspicionSkew is how much earlier than the local suspicion timeout a death
+	// report is believed: a suspicion reaches all members within about a second.
+	suspicionSkew = time.Second
 	// headerBytes is the size of the IPv4 and UDP headers of a datagram.
 	headerBytes = 28
 )
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -34,7 +34,7 @@
 			c.probeFailed(m)
 		case !p.indirect && c.now.Sub(p.sent) >= c.opts.AckTimeout:
 			p.indirect = true
-			c.probeIndirectly(p, m)
+			c.probeIndirectly(p, m, c.opts.IndirectProbes)
 		}
 	}
 	for number, r := range c.relays {
@@ -42,6 +42,11 @@
 			delete(c.relays, number)
 		}
 	}
+	for number, k := range c.checks {
+		if c.now.After(k.expires) {
+			delete(c.checks, number)
+		}
+	}
 	if c.now.Before(c.nextProbe) {
 		return
 	}
@@ -62,6 +67,55 @@
 	}
 }
 
+// ownSuspicion makes the local node one that checks the suspect and declares it
+// dead when the suspicion timeout ends.
+func (c *Core) ownSuspicion(m *member) {
+	m.nextCheck = c.now.Add(c.opts.ProbeInterval)
+	if end := c.now.Add(c.opts.SuspicionTimeout); end.Before(m.suspectUntil) {
+		m.suspectUntil = end
+	}
+}
+
+// check is a probe of a member that the local node suspects.
+type check struct {
+	target  registry.NodeID
+	expires time.Time
+}
+
+// checkSuspect probes a suspect again, directly and through other members. The
+// local node may have missed an earlier refutation, in which case the others
+// ignore its suspicion and nobody refutes it. Only the node whose own probe
+// failed does this, so a dead member causes few of these probes.
+//
+// Every node gossips a suspicion again halfway to its end, for the same reason: a
+// peer that knows of a refutation answers with it.
+func (c *Core) checkSuspect(m *member) {
+	if !m.reminded && m.suspectUntil.Sub(c.now) < c.opts.SuspicionTimeout/2 && !c.opts.Disable.SuspectChecks {
+		m.reminded = true
+		c.queue.remind(m.node.ID, c.opts.Fanout)
+	}
+	if m.nextCheck.IsZero() || c.now.Before(m.nextCheck) || c.opts.Disable.SuspectChecks {
+		return
+	}
+	m.nextCheck = c.now.Add(c.opts.ProbeInterval)
+	c.probeCounter++
+	c.checks[c.probeCounter] = check{target: m.node.ID, expires: c.now.Add(c.opts.ProbeInterval)}
+	c.ping(m.peer(), m, c.probeCounter)
+	// Twice the usual number: this is the last chance to learn better, and few
+	// nodes do it.
+	c.probeIndirectly(&probe{number: c.probeCounter}, m, 2*c.opts.IndirectProbes)
+}
+
+// heardFrom takes an ack or message that shows that a member runs. A suspect
+// gets the whole suspicion timeout again, because it has been reached and will
+// refute.
+func (c *Core) heardFrom(m *member, incarnation uint64) {
+	if m.node.Status == registry.Suspect && incarnation >= m.node.Incarnation && !c.opts.Disable.SuspectChecks {
+		m.suspectSince = c.now
+		m.suspectUntil = c.suspicionEnd(m)
+	}
+}
+
 // nextTarget returns the next member of the shuffled round.
 func (c *Core) nextTarget() *member {
 	for pass := 0; pass < 2; pass++ {
@@ -91,11 +145,11 @@
 	return c.send(to, msg, 0)
 }
 
-func (c *Core) probeIndirectly(p *probe, m *member) {
+func (c *Core) probeIndirectly(p *probe, m *member, k int) {
 	if c.opts.Disable.IndirectProbes {
 		return
 	}
-	for _, via := range c.randomLive(c.opts.IndirectProbes, m.node.ID) {
+	for _, via := range c.randomLive(k, m.node.ID) {
 		msg := c.message(PingRequest)
 		msg.Probe = p.number
 		msg.Target, msg.TargetAddr, msg.TargetIncarnation = m.node.ID, m.node.PeerAddr, m.node.Incarnation
@@ -108,6 +162,11 @@
 	switch m.node.Status {
 	case registry.Alive:
 		c.suspect(m, "no ack, direct or indirect")
+		c.ownSuspicion(m)
+	case registry.Suspect:
+		if m.nextCheck.IsZero() {
+			c.ownSuspicion(m)
+		}
 	case registry.Leaving:
 		// A leaving member has no reason to come back, so no suspicion is needed.
 		c.declareDead(m, "left")
@@ -174,6 +233,11 @@
 	if msg.Target == c.self.node.ID || msg.TargetAddr == "" {
 		return
 	}
+	if m != nil && m.node.Incarnation > msg.TargetIncarnation && msg.TargetIncarnation != 0 {
+		reply := c.message(Gossip)
+		reply.Versions = []Version{m.version()}
+		c.send(from, reply, reserveUrgent)
+	}
 	c.probeCounter++
 	c.relays[c.probeCounter] = relay{
 		origin: from, number: msg.Probe, target: msg.Target, expires: c.now.Add(c.opts.ProbeInterval),
@@ -190,14 +254,24 @@
 		c.send(r.origin, ack, 0)
 		return
 	}
-	p := c.probe
-	if p == nil || p.number != msg.Probe {
-		return
-	}
 	id, incarnation := msg.From, msg.FromIncarnation
 	if msg.Target != "" {
 		id, incarnation = msg.Target, msg.TargetIncarnation
 	}
+	if k, ok := c.checks[msg.Probe]; ok && k.target == id {
+		delete(c.checks, msg.Probe)
+		if m := c.members[id]; m != nil {
+			c.heardFrom(m, incarnation)
+			if incarnation > m.node.Incarnation {
+				c.wantRecord(from, id)
+			}
+		}
+		return
+	}
+	p := c.probe
+	if p == nil || p.number != msg.Probe {
+		return
+	}
 	m := c.members[p.target]
 	if id != p.target || m == nil {
 		return
--- a/internal/coordination/membership/queue.go
+++ b/internal/coordination/membership/queue.go
@@ -9,6 +9,8 @@
 	id     registry.NodeID
 	sent   int
 	urgent bool
+	// limit bounds the transmissions below the general limit; 0 if it does not.
+	limit int
 }
 
 // queue holds the updates that are still to be transmitted, by number of
@@ -37,6 +39,17 @@
 	q.put(u)
 }
 
+// remind queues a change again for a few transmissions, unless it is still queued
+// with fewer transmissions than that.
+func (q *queue) remind(id registry.NodeID, times int) {
+	if old := q.byID[id]; old != nil && old.sent < times {
+		return
+	}
+	u := &update{id: id, urgent: true, limit: times}
+	q.byID[id] = u
+	q.put(u)
+}
+
 func (q *queue) put(u *update) {
 	l := &q.levels[level(u.urgent)]
 	for len(*l) <= u.sent {
@@ -109,7 +122,7 @@
 		}
 	}
 	for _, u := range moved {
-		if u.sent >= limit {
+		if u.sent >= limit || (u.limit > 0 && u.sent >= u.limit) {
 			delete(q.byID, u.id)
 			continue
 		}
--- a/internal/coordination/membership/self.go
+++ b/internal/coordination/membership/self.go
@@ -7,6 +7,7 @@
 	self := &c.self.node
 	switch {
 	case v.Incarnation < self.Incarnation:
+		c.noteOutdated(c.self, v)
 	case v.Incarnation > self.Incarnation && c.joined && v.Status <= registry.Suspect:
 		// Only the full record tells whether a newer process has our id.
 		c.wantRecord(from, self.ID)
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -39,6 +39,12 @@
 		(m.node.Status == registry.Suspect || m.node.Status == registry.Dead) {
 		msg.Versions = append(msg.Versions, m.version())
 	}
+	for _, m := range c.outdated {
+		if m.node.ID != to.ID {
+			msg.Versions = append(msg.Versions, m.version())
+		}
+	}
+	c.outdated = c.outdated[:0]
 	size := msg.Size() + headerBytes
 	if !c.budget.allow(size, reserve) {
 		c.stats.Deferred++
--- a/internal/coordination/membership/simnet/simnet.go
+++ b/internal/coordination/membership/simnet/simnet.go
@@ -95,6 +95,8 @@
 	// Blocked reports whether datagrams and syncs from one node to another are cut.
 	Blocked func(from, to *Node) bool
 	Rand    *rand.Rand
+	// Loss and Duplicate begin with the values of Options.
+	Loss, Duplicate float64
 
 	opts    Options
 	now     time.Time
@@ -112,6 +114,7 @@
 	start := time.UnixMilli(1_700_000_000_000)
 	return &Network{
 		opts: opts, now: start, start: start, byAddr: make(map[string]*Node),
+		Loss: opts.Loss, Duplicate: opts.Duplicate,
 		Rand:    rand.New(rand.NewPCG(opts.Seed, 1)),
 		Blocked: func(*Node, *Node) bool { return false },
 	}
@@ -249,11 +252,11 @@
 	size += HeaderBytes
 	n.count(from, size, false)
 	from.Datagrams++
-	if to == nil || n.Rand.Float64() < n.opts.Loss || n.Blocked(from, to) {
+	if to == nil || n.Rand.Float64() < n.Loss || n.Blocked(from, to) {
 		return
 	}
 	copies := 1
-	if n.Rand.Float64() < n.opts.Duplicate {
+	if n.Rand.Float64() < n.Duplicate {
 		copies = 2
 	}
 	for range copies {
