--- /dev/null
+++ b/cmd/wigeon-slopes/heap.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"runtime"
+
+	"google.golang.org/protobuf/proto"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/membership"
+	"wigeonspring.example/wigeonspring/internal/coordination/membership/simnet"
+	"wigeonspring.example/wigeonspring/internal/protocol/cluster"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+func sizeOf(m proto.Message) int { return proto.Size(m) }
+
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// heapOf returns the heap bytes of one node's state: its core and its
+// directory, filled from encoded records as they arrive from the network.
+func heapOf(nodes, backends int) float64 {
+	resp := &membership.SyncResponse{From: "fill"}
+	for i := 1; i < nodes; i++ {
+		n := record(i, i*backends, backends)
+		n.Incarnation, n.Sequence = startMillis, 1
+		resp.Records = append(resp.Records, n)
+	}
+	data, err := proto.Marshal(cluster.EncodeSyncResponse(resp))
+	if err != nil {
+		panic(err)
+	}
+	resp = nil
+	before := heapBytes()
+	net := simnet.New(simnet.Options{})
+	self := net.Add(membership.Options{Self: record(0, 0, backends), Seeds: []string{"10.0.0.1:1"}})
+	dir := registry.NewDirectory()
+	var p syncResponse
+	if err := proto.Unmarshal(data, &p); err != nil {
+		panic(err)
+	}
+	fill := membership.Sync{Fill: true}
+	self.Core.SyncContinue(net.Now(), fill, cluster.NewDecoder().SyncResponse(&p))
+	self.Core.SyncDone(net.Now(), fill, nil)
+	p.Reset()
+	for _, ch := range self.Core.Ready().Changes {
+		dir.Apply(ch.Node)
+	}
+	after := heapBytes()
+	runtime.KeepAlive(self)
+	runtime.KeepAlive(dir)
+	runtime.KeepAlive(data)
+	return after - before
+}
+
+// measureHeap reports the heap of one node and its slopes by node record and by
+// backend server.
+func measureHeap(r *report, nodes, backends int) {
+	empty := heapOf(1, 0)
+	without := heapOf(nodes, 0)
+	with := heapOf(nodes, backends)
+	r.atMost("heap_per_node", with, "bytes", targetHeap)
+	r.atMost("heap_per_node_record", (without-empty)/float64(nodes-1), "bytes", targetNodeEntry)
+	r.atMost("heap_per_backend_server", (with-without)/float64((nodes-1)*backends), "bytes", targetBackend)
+	var size int
+	n := record(1, 0, backends)
+	n.Incarnation, n.Sequence = startMillis, 1
+	size = proto.Size(cluster.EncodeSyncResponse(&membership.SyncResponse{Records: []registry.Node{n}}))
+	r.add("encoded_record", float64(size), "bytes")
+}
--- a/internal/coordination/membership/simnet/simnet.go
+++ b/internal/coordination/membership/simnet/simnet.go
@@ -15,6 +15,8 @@
 	Seed uint64
 	// MinDelay and MaxDelay bound the one-way delay of a message.
 	MinDelay, MaxDelay time.Duration
+	// Delay replaces MinDelay and MaxDelay by a delay for each pair of nodes.
+	Delay func(from, to *Node) time.Duration
 	// Loss and Duplicate are the probabilities that a datagram is lost or
 	// delivered twice.
 	Loss, Duplicate float64
@@ -222,7 +224,10 @@
 	}
 }
 
-func (n *Network) delay() time.Duration {
+func (n *Network) delay(from, to *Node) time.Duration {
+	if n.opts.Delay != nil {
+		return n.opts.Delay(from, to)
+	}
 	d := n.opts.MinDelay
 	if span := n.opts.MaxDelay - n.opts.MinDelay; span > 0 {
 		d += time.Duration(n.Rand.Int64N(int64(span)))
@@ -260,7 +265,7 @@
 		copies = 2
 	}
 	for range copies {
-		n.At(n.delay(), func() { n.arrive(from, to, msg, size) })
+		n.At(n.delay(from, to), func() { n.arrive(from, to, msg, size) })
 	}
 }
 
@@ -303,7 +308,7 @@
 	}
 	n.count(from, size, s.Fill)
 	from.Core.Debit(size)
-	n.At(2*n.delay(), func() {
+	n.At(2*n.delay(from, to), func() {
 		if to.Down {
 			done(errUnreachable)
 			return
@@ -320,7 +325,7 @@
 		if !s.Fill {
 			to.Core.Debit(size)
 		}
-		n.At(n.delay(), func() {
+		n.At(n.delay(to, from), func() {
 			if from.Down || from.generation != generation {
 				return
 			}
