Send large node records in parts

A node that takes over the backend servers of a neighbour publishes a record above the size of a datagram.

IP fragmentation was ruled out, because a datagram is lost with any of its fragments.

--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -23,6 +23,9 @@
 	for i := range msg.Records {
 		c.applyRecord(peer, &msg.Records[i])
 	}
+	for i := range msg.Parts {
+		c.applyPart(peer, &msg.Parts[i])
+	}
 	for _, v := range msg.Versions {
 		c.applyVersion(peer, v)
 	}
@@ -40,8 +43,6 @@
 		c.receiveAck(peer, msg)
 	case PingRequest:
 		c.receivePingRequest(peer, msg)
-	case SyncHint:
-		c.startSync(peer, false)
 	}
 	if len(msg.Want) > 0 {
 		c.receiveWant(peer, msg)
--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -79,6 +79,8 @@
 	// left is set once the local node has announced that it is leaving.
 	left bool
 
+	assemblies map[registry.NodeID]*assembly
+
 	queue  *queue
 	budget bucket
 	wants  map[registry.NodeID]*want
@@ -113,15 +115,16 @@
 func New(now time.Time, opts Options) *Core {
 	opts.setDefaults()
 	c := &Core{
-		opts:    opts,
-		rand:    opts.Rand,
-		now:     now,
-		members: make(map[registry.NodeID]*member),
-		dead:    make(map[registry.NodeID]*member),
-		queue:   newQueue(),
-		wants:   make(map[registry.NodeID]*want),
-		relays:  make(map[uint64]relay),
-		checks:  make(map[uint64]check),
+		opts:       opts,
+		rand:       opts.Rand,
+		now:        now,
+		members:    make(map[registry.NodeID]*member),
+		dead:       make(map[registry.NodeID]*member),
+		queue:      newQueue(),
+		wants:      make(map[registry.NodeID]*want),
+		assemblies: make(map[registry.NodeID]*assembly),
+		relays:     make(map[uint64]relay),
+		checks:     make(map[uint64]check),
 		budget: bucket{
 			rate: float64(opts.RateBytes), burst: float64(opts.BurstBytes), off: opts.Disable.Budget,
 		},
@@ -173,6 +176,7 @@
 	c.tickProbe()
 	c.tickDeadProbe()
 	c.tickWants()
+	c.tickAssemblies()
 	c.tickSync()
 	c.gossipFresh()
 }
--- a/internal/coordination/membership/message.go
+++ b/internal/coordination/membership/message.go
@@ -13,8 +13,6 @@
 	PingRequest
 	// Gossip carries updates only.
 	Gossip
-	// SyncHint tells the receiver that a wanted record needs a directory sync.
-	SyncHint
 )
 
 // Version is the short record of a member.
@@ -35,6 +33,19 @@
 	Hash    string
 }
 
+// RecordPart is a piece of a full record that does not fit one datagram.
+type RecordPart struct {
+	// Node is the record with a part of its backend servers.
+	Node registry.Node
+	// Index counts from 0.
+	Index, Count int
+	// ContentHash is that of the whole record.
+	ContentHash uint64
+}
+
+// MaxParts bounds the parts of a record.
+const MaxParts = 64
+
 // Message is one datagram between two nodes.
 type Message struct {
 	Kind            Kind
@@ -50,6 +61,7 @@
 	PolicyDigest    uint64
 	DirectoryDigest uint64
 	Records         []registry.Node
+	Parts           []RecordPart
 	Versions        []Version
 	Have            []Have
 	// Want lists members whose full records the sender asks for.
@@ -131,6 +143,9 @@
 	for i := range m.Records {
 		n += RecordBytes(&m.Records[i])
 	}
+	for i := range m.Parts {
+		n += RecordBytes(&m.Parts[i].Node) + 4 + 2*varintBytes + fixed64Bytes
+	}
 	for i := range m.Versions {
 		n += versionBytes(&m.Versions[i])
 	}
--- a/internal/coordination/membership/options.go
+++ b/internal/coordination/membership/options.go
@@ -46,8 +46,9 @@
 	RateBytes int
 	// BurstBytes is the depth of the token bucket.
 	BurstBytes int
-	// MaxRecordBytes is the largest full record sent by datagram; larger ones
-	// are fetched by directory sync.
+	// MaxRecordBytes is the largest full record sent in one datagram; larger ones
+	// are sent in parts. A datagram above the usual MTU would be lost as a whole
+	// with any of its fragments.
 	MaxRecordBytes int
 
 	// Disable switches mechanisms off. It exists for tests and measurements.
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -161,15 +161,7 @@
 		if m == nil || m.node.Status == registry.Dead {
 			continue
 		}
-		if RecordBytes(&m.node) > c.opts.MaxRecordBytes {
-			c.send(from, c.message(SyncHint), reserveUrgent)
-			continue
-		}
-		reply := c.message(Gossip)
-		reply.Records = []registry.Node{m.node}
-		if c.send(from, reply, reserveRecord) {
-			c.stats.RecordsSent++
-		}
+		c.sendRecord(from, m)
 	}
 }
 
--- a/internal/coordination/membership/sim_test.go
+++ b/internal/coordination/membership/sim_test.go
@@ -83,6 +83,22 @@
 	net.Run(3 * time.Second)
 	requireConverged(t, net)
 
+	// A record of about 6 KB travels in parts.
+	large := record(7)
+	for b := range 100 {
+		large.Backends = append(large.Backends, registry.Backend{
+			ID: registry.BackendID(fmt.Sprintf("backend-of-another-node-%03d", b)), Service: "booking", Weight: 1,
+		})
+	}
+	net.Do(n, func(c *membership.Core) { c.UpdateSelf(net.Now(), large) })
+	net.Run(10 * time.Second)
+	requireConverged(t, net)
+	for _, other := range net.Nodes {
+		if got, _ := other.Core.Lookup(n.ID); len(got.Backends) != 102 {
+			t.Fatalf("%s holds %d backend servers, want 102", other.ID, len(got.Backends))
+		}
+	}
+
 	net.Kill(net.Nodes[3])
 	net.Run(12 * time.Second)
 	requireConverged(t, net)
--- a/internal/coordination/membership/simnet/simnet.go
+++ b/internal/coordination/membership/simnet/simnet.go
@@ -97,6 +97,8 @@
 	// Blocked reports whether datagrams and syncs from one node to another are cut.
 	Blocked func(from, to *Node) bool
 	Rand    *rand.Rand
+	// Syncs counts the rounds of directory syncs.
+	Syncs int
 	// Loss and Duplicate begin with the values of Options.
 	Loss, Duplicate float64
 
@@ -289,6 +291,7 @@
 }
 
 func (n *Network) syncRound(from *Node, s membership.Sync, req *membership.SyncRequest, rounds int) {
+	n.Syncs++
 	generation := from.generation
 	done := func(err error) {
 		if from.generation == generation {
--- a/internal/protocol/cluster/codec.go
+++ b/internal/protocol/cluster/codec.go
@@ -28,6 +28,13 @@
 	for _, h := range m.Have {
 		d.Have = append(d.Have, PolicyVersion(h))
 	}
+	for i := range m.Parts {
+		part := &m.Parts[i]
+		d.Parts = append(d.Parts, &clusterpb.RecordPart{
+			Record: records([]registry.Node{part.Node})[0],
+			Index:  uint32(part.Index), Count: uint32(part.Count), ContentHash: part.ContentHash,
+		})
+	}
 	data, err := proto.Marshal(d)
 	return data, fault.New("encode datagram", "", err)
 }
@@ -46,7 +53,7 @@
 	if err := proto.Unmarshal(data, &p); err != nil {
 		return nil, fault.New("decode datagram", "", err)
 	}
-	if p.Kind <= clusterpb.Datagram_KIND_UNSPECIFIED || p.Kind > clusterpb.Datagram_SYNC_HINT {
+	if p.Kind <= clusterpb.Datagram_KIND_UNSPECIFIED || p.Kind > clusterpb.Datagram_GOSSIP {
 		return nil, fault.Newf("decode datagram", p.From, "unknown kind %d", p.Kind)
 	}
 	m := &membership.Message{
@@ -63,6 +70,16 @@
 		Versions:          d.versions(p.Versions),
 		Want:              nodeIDs(p.Want),
 	}
+	for _, part := range p.Parts {
+		if part.Record == nil {
+			continue
+		}
+		for _, n := range d.records([]*clusterpb.NodeRecord{part.Record}) {
+			m.Parts = append(m.Parts, membership.RecordPart{
+				Node: n, Index: int(part.Index), Count: int(part.Count), ContentHash: part.ContentHash,
+			})
+		}
+	}
 	for _, h := range p.Have {
 		m.Have = append(m.Have, Have(h))
 	}
--- a/internal/protocol/cluster/codec_test.go
+++ b/internal/protocol/cluster/codec_test.go
@@ -32,6 +32,7 @@
 		})
 	}
 	m.Records = []registry.Node{node}
+	m.Parts = []membership.RecordPart{{Node: node, Index: 1, Count: 3, ContentHash: n}}
 	return m
 }
 
--- a/internal/transport/gossip/observe.go
+++ b/internal/transport/gossip/observe.go
@@ -28,8 +28,6 @@
 		return "ping_request"
 	case membership.Gossip:
 		return "gossip"
-	case membership.SyncHint:
-		return "sync_hint"
 	}
 	return "unknown"
 }
