--- a/internal/coordination/membership/simnet/simnet.go
+++ b/internal/coordination/membership/simnet/simnet.go
@@ -15,6 +15,8 @@
 	Seed uint64
 	// MinDelay and MaxDelay bound the one-way delay of a message.
 	MinDelay, MaxDelay time.Duration
+	// Delay replaces MinDelay and MaxDelay by a delay for each pair of nodes.
+	Delay func(from, to *Node) time.Duration
 	// Loss and Duplicate are the probabilities that a datagram is lost or
 	// delivered twice.
 	Loss, Duplicate float64
@@ -95,6 +97,10 @@
 	// Blocked reports whether datagrams and syncs from one node to another are cut.
 	Blocked func(from, to *Node) bool
 	Rand    *rand.Rand
+	// Syncs counts the rounds of directory syncs.
+	Syncs int
+	// Loss and Duplicate begin with the values of Options.
+	Loss, Duplicate float64
 
 	opts    Options
 	now     time.Time
@@ -112,6 +118,7 @@
 	start := time.UnixMilli(1_700_000_000_000)
 	return &Network{
 		opts: opts, now: start, start: start, byAddr: make(map[string]*Node),
+		Loss: opts.Loss, Duplicate: opts.Duplicate,
 		Rand:    rand.New(rand.NewPCG(opts.Seed, 1)),
 		Blocked: func(*Node, *Node) bool { return false },
 	}
@@ -219,7 +226,10 @@
 	}
 }
 
-func (n *Network) delay() time.Duration {
+func (n *Network) delay(from, to *Node) time.Duration {
+	if n.opts.Delay != nil {
+		return n.opts.Delay(from, to)
+	}
 	d := n.opts.MinDelay
 	if span := n.opts.MaxDelay - n.opts.MinDelay; span > 0 {
 		d += time.Duration(n.Rand.Int64N(int64(span)))
@@ -249,15 +259,15 @@
 	size += HeaderBytes
 	n.count(from, size, false)
 	from.Datagrams++
-	if to == nil || n.Rand.Float64() < n.opts.Loss || n.Blocked(from, to) {
+	if to == nil || n.Rand.Float64() < n.Loss || n.Blocked(from, to) {
 		return
 	}
 	copies := 1
-	if n.Rand.Float64() < n.opts.Duplicate {
+	if n.Rand.Float64() < n.Duplicate {
 		copies = 2
 	}
 	for range copies {
-		n.At(n.delay(), func() { n.arrive(from, to, msg, size) })
+		n.At(n.delay(from, to), func() { n.arrive(from, to, msg, size) })
 	}
 }
 
@@ -281,6 +291,7 @@
 }
 
 func (n *Network) syncRound(from *Node, s membership.Sync, req *membership.SyncRequest, rounds int) {
+	n.Syncs++
 	generation := from.generation
 	done := func(err error) {
 		if from.generation == generation {
@@ -300,7 +311,7 @@
 	}
 	n.count(from, size, s.Fill)
 	from.Core.Debit(size)
-	n.At(2*n.delay(), func() {
+	n.At(2*n.delay(from, to), func() {
 		if to.Down {
 			done(errUnreachable)
 			return
@@ -317,7 +328,7 @@
 		if !s.Fill {
 			to.Core.Debit(size)
 		}
-		n.At(n.delay(), func() {
+		n.At(n.delay(to, from), func() {
 			if from.Down || from.generation != generation {
 				return
 			}
