Place the e2e faults in the failure domain that callers use

Nodes prefer their own failure domain, so that most faults of the first version lay outside the path of the load (all answered). The outage case failed once because permits are first reserved up to 10 s after start; the test waits for the reservation in the ledger.

--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/floor"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
 	"wigeonspring.example/wigeonspring/standin/backend"
 	platformstandin "wigeonspring.example/wigeonspring/standin/platform"
 	"wigeonspring.example/wigeonspring/standin/relay"
@@ -22,40 +24,43 @@
 func TestFaultsDuringBookingsAndUploads(t *testing.T) {
 	cases := []struct {
 		name string
+		// ingress lists the nodes that callers use. Each fault lies in the failure
+		// domain of one of them, because a node prefers its own domain.
+		ingress []int
 		// fault begins after two seconds of load and may return a repair that is
 		// called four seconds later.
 		fault func(f *fleet) func()
 	}{
-		{"backend server killed", func(f *fleet) func() {
+		{"backend server killed", []int{1, 3, 5}, func(f *fleet) func() {
 			f.procs["booking-3"].signal(syscall.SIGKILL)
 			return nil
 		}},
-		{"owner node killed and restarted", func(f *fleet) func() {
+		{"owner node killed and restarted", []int{1, 3, 5}, func(f *fleet) func() {
 			f.procs["n4"].signal(syscall.SIGKILL)
 			<-f.procs["n4"].exited
 			return func() { f.startNode(4) }
 		}},
-		{"owner node frozen past its leases", func(f *fleet) func() {
+		{"owner node frozen past its leases", []int{1, 3, 5}, func(f *fleet) func() {
 			f.procs["n4"].signal(syscall.SIGSTOP)
 			return func() { f.procs["n4"].signal(syscall.SIGCONT) }
 		}},
-		{"backend server frozen past the timeouts", func(f *fleet) func() {
+		{"backend server frozen past the timeouts", []int{1, 3, 5}, func(f *fleet) func() {
 			f.procs["booking-5"].signal(syscall.SIGSTOP)
 			return func() { f.procs["booking-5"].signal(syscall.SIGCONT) }
 		}},
-		{"link to a node cut in one direction", func(f *fleet) func() {
+		{"link to a node cut in one direction", []int{1, 4, 5}, func(f *fleet) func() {
 			f.relays[3].Set(relay.Link{CutIn: true})
 			return func() { f.relays[3].Set(relay.Link{}) }
 		}},
-		{"answers from a node cut", func(f *fleet) func() {
+		{"answers from a node cut", []int{1, 4, 5}, func(f *fleet) func() {
 			f.relays[3].Set(relay.Link{CutOut: true})
 			return func() { f.relays[3].Set(relay.Link{}) }
 		}},
-		{"answers cut short and connections reset", func(f *fleet) func() {
+		{"answers cut short and connections reset", []int{1, 3, 5}, func(f *fleet) func() {
 			f.setFaults(2, backend.Faults{TruncatePercent: 30, ResetPercent: 30, LoadReport: -1})
 			return func() { f.setFaults(2, backend.Faults{LoadReport: -1}) }
 		}},
-		{"platform down while an owner is killed", func(f *fleet) func() {
+		{"platform down while an owner is killed", []int{1, 3, 5}, func(f *fleet) func() {
 			f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{Outage: true})
 			f.procs["n6"].signal(syscall.SIGKILL)
 			return func() { f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{}) }
@@ -67,7 +72,7 @@
 			f := newFleet(t, 22000+200*i, 6)
 			f.addRelay(3)
 			f.start("booking", bookingPolicy, 5, bookingFloor)
-			l := f.startLoad("booking", bookingHost, 150, 9*time.Second, 1, 2, 5)
+			l := f.startLoad("booking", bookingHost, 150, 9*time.Second, c.ingress...)
 			time.Sleep(2 * time.Second)
 			repair := c.fault(f)
 			time.Sleep(4 * time.Second)
@@ -87,7 +92,7 @@
 func TestPlannedStopCutsOffNothing(t *testing.T) {
 	f := newFleet(t, 24000, 6)
 	f.start("booking", bookingPolicy, 5, bookingFloor)
-	l := f.startLoad("booking", bookingHost, 150, 8*time.Second, 1, 2, 5)
+	l := f.startLoad("booking", bookingHost, 150, 8*time.Second, 1, 3, 5)
 	time.Sleep(2 * time.Second)
 	f.procs["booking-3"].signal(syscall.SIGTERM)
 	f.procs["n4"].signal(syscall.SIGTERM)
@@ -101,6 +106,27 @@
 	}
 }
 
+// reservedPermits returns the number of permits reserved in the ledger.
+func (f *fleet) reservedPermits(service string) int {
+	client := platform.NewHTTP(platform.Options{URL: f.platformURL()})
+	defer client.Close()
+	object, err := client.Get(f.ctx, "ledger/"+service)
+	if err != nil {
+		return 0
+	}
+	ledger, err := floor.Parse(object.Value)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	reserved := 0
+	for _, e := range ledger.Entries {
+		if e.State == floor.Reserved {
+			reserved++
+		}
+	}
+	return reserved
+}
+
 // Guards against a gray backend server that keeps receiving work, and against an
 // ejection that undercuts the floor, also while the platform is down.
 func TestGrayBackendIsEjectedAboveTheFloor(t *testing.T) {
@@ -113,8 +139,7 @@
 			t.Parallel()
 			f := newFleet(t, 24400+200*i, 6)
 			f.start("booking", bookingPolicy, 5, bookingFloor)
-			// Owners reserve permits in the platform soon after the policy.
-			time.Sleep(5 * time.Second)
+			f.eventually(20*time.Second, "owners have reserved permits", func() bool { return f.reservedPermits("booking") > 0 })
 			if outage {
 				f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{Outage: true})
 			}
