--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -358,16 +358,11 @@
 			continue
 		}
 		spare := p.withSpare(cands)
-		if level == OtherRegion {
-			if nearest < levels && len(spare) == 0 {
-				break // No better than waiting nearby.
-			}
-			if !p.spillAllowed() {
-				if nearest < levels {
-					break
-				}
-				return Target{}, SpillLimited
+		if level == OtherRegion && !p.spillAllowed() {
+			if nearest < levels {
+				break
 			}
+			return Target{}, SpillLimited
 		}
 		if len(spare) > 0 {
 			return p.take(level, p.twoChoices(spare)), ""
@@ -380,6 +375,7 @@
 	if nearest == levels {
 		return Target{}, AllTried
 	}
+	// All levels that may be used are full, so the request waits nearby.
 	cands, _ := p.candidates(nearest)
 	return p.take(nearest, p.twoChoices(cands)), ""
 }
