--- a/cmd/wigeon-detect/cases.go
+++ b/cmd/wigeon-detect/cases.go
@@ -98,6 +98,13 @@
 	return w
 }
 
+func serviceTimeouts(rng *rand.Rand, age time.Duration) work {
+	if disturbed(age) {
+		return timeout()
+	}
+	return healthy(rng)
+}
+
 var cases = []testCase{
 	{name: "gray timeouts on all work", fails: true,
 		answer: func(*rand.Rand, int, time.Duration) work { return timeout() }},
@@ -129,6 +136,8 @@
 		answer: func(rng *rand.Rand, _ int, age time.Duration) work { return serviceSlow(rng, age) }},
 	{name: "whole service fails half at once", others: serviceFailing,
 		answer: func(rng *rand.Rand, _ int, age time.Duration) work { return serviceFailing(rng, age) }},
+	{name: "whole service times out at once", others: serviceTimeouts,
+		answer: func(rng *rand.Rand, _ int, age time.Duration) work { return serviceTimeouts(rng, age) }},
 	{name: "1% random noise", others: func(rng *rand.Rand, _ time.Duration) work { return noisy(rng) },
 		answer: func(rng *rand.Rand, _ int, _ time.Duration) work { return noisy(rng) }},
 	{name: "faulty link, 10 s gaps", others: func(rng *rand.Rand, _ time.Duration) work { return noisy(rng) },
--- a/cmd/wigeon-detect/main.go
+++ b/cmd/wigeon-detect/main.go
@@ -23,6 +23,10 @@
 	Rates          []float64     `long:"rate" default:"12.8" default:"2" description:"Requests per second of a backend server; may be repeated"`
 	Weights        []float64     `long:"weight" default:"0.8" default:"0.2" description:"Detection weight; may be repeated"`
 	BaselineWindow time.Duration `long:"baseline-window" default:"30s" description:"Window of the ingress nodes' view of the service"`
+	Recent         time.Duration `long:"recent" description:"Also report the worse behaviour of this shorter window"`
+	ConfirmShort   time.Duration `long:"confirm-short" description:"Confirmation time at detection weight 1"`
+	ConfirmLong    time.Duration `long:"confirm-long" description:"Confirmation time at detection weight 0"`
+	ConfirmSamples int           `long:"confirm-samples" description:"Samples within the confirmation time"`
 	Workers        int           `long:"workers" default:"3" description:"Cases that run at once"`
 	SlowFactor     float64       `long:"slow-factor" description:"Multiple of the median that counts as slow"`
 	MaxRoutes      int           `long:"max-routes" description:"Routes with statistics of their own"`
--- a/cmd/wigeon-detect/simulation.go
+++ b/cmd/wigeon-detect/simulation.go
@@ -15,6 +15,8 @@
 	warmUp = time.Minute
 	giveUp = time.Minute
 	tick   = 100 * time.Millisecond
+	// slice is the resolution of the ingress nodes' view.
+	slice = 500 * time.Millisecond
 	// ingressNodes share the requests of the service evenly.
 	ingressNodes   = 6
 	backendServers = 12
@@ -53,7 +55,7 @@
 	next      time.Time
 	free      [slots]time.Time
 	exchanges pendingHeap
-	views     [ingressNodes]*window
+	views     [ingressNodes]*view
 	cores     []*ejection.Core
 	ejections []int
 	detected  []time.Time
@@ -68,13 +70,15 @@
 	}
 	s.begin, s.next = s.now, s.now
 	for i := range s.views {
-		s.views[i] = newWindow(int(o.BaselineWindow / time.Second))
+		s.views[i] = newView(o.BaselineWindow, o.Recent)
 	}
 	for i := range s.routes {
 		s.routes[i] = "route-" + strconv.Itoa(i)
 	}
 	for _, c := range contenders {
-		core := ejection.New(ejection.Options{NewDetector: c.build})
+		core := ejection.New(ejection.Options{
+			NewDetector: c.build, ConfirmShort: o.ConfirmShort, ConfirmLong: o.ConfirmLong, ConfirmSamples: o.ConfirmSamples,
+		})
 		core.SetWeight("service", c.weight)
 		s.cores = append(s.cores, core)
 	}
@@ -89,14 +93,13 @@
 func (s *simulation) run(d time.Duration) {
 	end := s.now.Add(d)
 	for i := 0; s.now.Before(end); i++ {
-		if i%int(time.Second/tick) == 0 {
+		if i%int(slice/tick) == 0 {
 			s.baselines()
 		}
 		s.now = s.now.Add(tick)
 		s.arrivals()
 		for len(s.exchanges) > 0 && s.exchanges[0].end.Before(s.now) {
 			p := heap.Pop(&s.exchanges).(pending)
-			p.o.Baseline = s.views[s.rng.Intn(ingressNodes)].baseline()
 			for _, core := range s.cores {
 				core.Observe(p.o)
 			}
@@ -147,15 +150,17 @@
 		if w.lost {
 			continue
 		}
+		// The view travels with the request, so it is as old as the exchange.
 		heap.Push(&s.exchanges, pending{end: end, o: evidence.Observation{
-			Backend: "judged", Service: "service", Route: s.routes[route], Kind: w.kind, Latency: end.Sub(start), At: end,
+			Baseline: s.views[s.rng.Intn(ingressNodes)].baseline(),
+			Backend:  "judged", Service: "service", Route: s.routes[route], Kind: w.kind, Latency: end.Sub(start), At: end,
 		}})
 	}
 }
 
-// baselines adds one second of the other servers' work to the views.
+// baselines adds one slice of the other servers' work to the views.
 func (s *simulation) baselines() {
-	mean := s.rate * (backendServers - 1) / ingressNodes
+	mean := s.rate * (backendServers - 1) / ingressNodes * slice.Seconds()
 	for _, v := range s.views {
 		v.advance()
 		for range poisson(s.rng, mean) {
--- a/cmd/wigeon-detect/window.go
+++ b/cmd/wigeon-detect/window.go
@@ -14,38 +14,80 @@
 	buckets    = 160
 )
 
-type second struct {
+type interval struct {
 	counts      [buckets]uint16
 	n, failures int
 }
 
-// window is the view that one ingress node has of the service.
+// window holds the recent work of a service at one ingress node.
 type window struct {
-	seconds []second
-	at      int
-	sum     second
-	last    evidence.Baseline
+	slices []interval
+	at     int
+	sum    interval
+	last   evidence.Baseline
 }
 
-func newWindow(seconds int) *window { return &window{seconds: make([]second, max(1, seconds))} }
+func newWindow(d time.Duration) *window {
+	return &window{slices: make([]interval, max(1, int(d/slice)))}
+}
+
+// view is what one ingress node reports: the behaviour in a window and, if
+// asked for, the worse behaviour of a shorter window with enough samples.
+type view struct{ long, recent *window }
+
+// minRecent is the number of samples from which the shorter window counts.
+const minRecent = 10
+
+func newView(long, recent time.Duration) *view {
+	v := &view{long: newWindow(long)}
+	if recent > 0 {
+		v.recent = newWindow(recent)
+	}
+	return v
+}
+
+func (v *view) advance() {
+	v.long.advance()
+	if v.recent != nil {
+		v.recent.advance()
+	}
+}
 
-// advance drops the oldest second.
+func (v *view) add(x work) {
+	v.long.add(x)
+	if v.recent != nil {
+		v.recent.add(x)
+	}
+}
+
+// baseline returns the view as of the last whole slice.
+func (v *view) baseline() evidence.Baseline {
+	b := v.long.last
+	if v.recent != nil && v.recent.last.Samples >= minRecent {
+		b.FailureRate = max(b.FailureRate, v.recent.last.FailureRate)
+		b.Median = max(b.Median, v.recent.last.Median)
+	}
+	return b
+}
+
+// advance drops the oldest slice.
 func (w *window) advance() {
+	w.last = evidence.Baseline{}
 	if w.sum.n > 0 {
 		w.last = w.compute()
 	}
-	w.at = (w.at + 1) % len(w.seconds)
-	old := &w.seconds[w.at]
+	w.at = (w.at + 1) % len(w.slices)
+	old := &w.slices[w.at]
 	for i, n := range old.counts {
 		w.sum.counts[i] -= n
 	}
 	w.sum.n -= old.n
 	w.sum.failures -= old.failures
-	*old = second{}
+	*old = interval{}
 }
 
 func (w *window) add(x work) {
-	s := &w.seconds[w.at]
+	s := &w.slices[w.at]
 	s.n++
 	w.sum.n++
 	if x.kind != evidence.Success {
@@ -59,9 +101,6 @@
 	w.sum.counts[i]++
 }
 
-// baseline returns the view as of the last whole second.
-func (w *window) baseline() evidence.Baseline { return w.last }
-
 func (w *window) compute() evidence.Baseline {
 	b := evidence.Baseline{Samples: w.sum.n, FailureRate: float64(w.sum.failures) / float64(w.sum.n)}
 	left := (w.sum.n - w.sum.failures + 1) / 2
--- a/internal/coordination/ejection/baseline.go
+++ b/internal/coordination/ejection/baseline.go
@@ -9,7 +9,7 @@
 const (
 	// baselineStep is the share by which one report of an ingress node with many
 	// samples moves the merged baseline.
-	baselineStep = 0.2
+	baselineStep = 0.4
 	// baselinePrior is the number of samples at which a report has half of its
 	// full influence.
 	baselinePrior = 30
@@ -21,6 +21,39 @@
 	median      float64
 	samples     int
 	known       bool
+	// referenceRate and referenceMedian follow the merged values slowly, and
+	// referenceAt is the time of their last step.
+	referenceRate, referenceMedian float64
+	referenceAt                    time.Time
+}
+
+const (
+	// referenceTime is the time constant of the reference.
+	referenceTime = 10 * time.Second
+	// jumpFactor and jumpRate say when the failure rate of the service has left
+	// its reference; slowJump is the factor for the median latency.
+	jumpFactor = 2
+	jumpRate   = 0.03
+	slowJump   = 1.5
+)
+
+// jumped reports whether the behaviour of the whole service became worse at
+// once. The reference then starts from the new behaviour.
+func (b *baseline) jumped(now time.Time) bool {
+	if !b.known {
+		return false
+	}
+	if b.referenceAt.IsZero() || b.failureRate > jumpFactor*b.referenceRate+jumpRate ||
+		b.median > slowJump*b.referenceMedian && b.referenceMedian > 0 {
+		first := b.referenceAt.IsZero()
+		b.referenceRate, b.referenceMedian, b.referenceAt = b.failureRate, b.median, now
+		return !first
+	}
+	step := min(1, float64(now.Sub(b.referenceAt))/float64(referenceTime))
+	b.referenceRate += step * (b.failureRate - b.referenceRate)
+	b.referenceMedian += step * (b.median - b.referenceMedian)
+	b.referenceAt = now
+	return false
 }
 
 // merge takes one report and returns the baseline to judge by. A report that
--- a/internal/coordination/ejection/core.go
+++ b/internal/coordination/ejection/core.go
@@ -31,6 +31,10 @@
 	askWait   time.Duration
 	successes int
 	failures  int
+	// failingSince is the time since which the detector reports a failure, and
+	// confirming the number of exchanges that began since then.
+	failingSince time.Time
+	confirming   int
 
 	// level is the backoff exponent at the time of returned.
 	level    float64
@@ -111,6 +115,9 @@
 	}
 	failure := isFailure(o.Kind)
 	s.dirty = true
+	if o.At.Add(-o.Latency).After(s.failingSince) {
+		s.confirming++
+	}
 	s.detector.Observe(Sample{At: o.At, Route: o.Route, Failure: failure, Latency: o.Latency, Baseline: base})
 	if failure {
 		s.successes = 0
--- a/internal/coordination/ejection/cusum.go
+++ b/internal/coordination/ejection/cusum.go
@@ -37,6 +37,9 @@
 	// shape 1.1 exceeds four times its median.
 	normalSlowShare  = 0.15
 	failingSlowShare = 0.60
+	// mostlyFailing is the failure rate of the service from which failures are no
+	// evidence against one server.
+	mostlyFailing = 0.5
 	// scoreCap bounds a statistic to a multiple of its threshold, so that the
 	// detector can follow a recovery.
 	scoreCap = 1.5
@@ -108,7 +111,9 @@
 	p1 := p0 + (1-p0)*failureShift
 	slow := false
 	if s.Failure {
-		failureStep = math.Log(p1 / p0)
+		if p0 < mostlyFailing {
+			failureStep = math.Log(p1 / p0)
+		}
 	} else {
 		failureStep = math.Log((1 - p1) / (1 - p0))
 		if s.Baseline.Samples >= d.opts.MinBaselineSamples && s.Baseline.Median > 0 {
--- a/internal/coordination/ejection/options.go
+++ b/internal/coordination/ejection/options.go
@@ -39,6 +39,12 @@
 	// PermitTimeout is the time after which an unanswered request for a permit
 	// counts as refused. The default is 10 s.
 	PermitTimeout time.Duration
+	// ConfirmShort and ConfirmLong are the times for which a failure must be
+	// reported before a permit is asked for, at detection weights 1 and 0, and
+	// ConfirmSamples the number of samples within that time. A negative value
+	// means none.
+	ConfirmShort, ConfirmLong time.Duration
+	ConfirmSamples            int
 	// IgnorePosition switches the check of the permit's position off; for tests
 	// only.
 	IgnorePosition bool
@@ -53,7 +59,7 @@
 		o.NewDetector = func() Detector { return NewCUSUM(CUSUMOptions{}) }
 	}
 	def := func(d *time.Duration, v time.Duration) {
-		if *d <= 0 {
+		if *d == 0 {
 			*d = v
 		}
 	}
@@ -63,6 +69,11 @@
 	def(&o.PermitRetry, 5*time.Second)
 	def(&o.PermitRetryMax, time.Minute)
 	def(&o.PermitTimeout, 10*time.Second)
+	def(&o.ConfirmShort, 500*time.Millisecond)
+	def(&o.ConfirmLong, 1500*time.Millisecond)
+	if o.ConfirmSamples == 0 {
+		o.ConfirmSamples = 2
+	}
 	if o.ProbationSuccesses <= 0 {
 		o.ProbationSuccesses = 10
 	}
--- a/internal/coordination/ejection/outlier.go
+++ b/internal/coordination/ejection/outlier.go
@@ -87,8 +87,10 @@
 
 // scores returns the strength of the two criteria relative to their thresholds.
 func (d *Outlier) scores(now time.Time) (consecutive, rate float64, n, failures int) {
-	consecutive = float64(d.consecutive) /
-		math.Round(interpolate(d.weight, d.opts.HighConsecutive, d.opts.LowConsecutive))
+	if d.baseline < mostlyFailing {
+		consecutive = float64(d.consecutive) /
+			math.Round(interpolate(d.weight, d.opts.HighConsecutive, d.opts.LowConsecutive))
+	}
 	oldest := now.Unix() - outlierWindow
 	for i := range d.window {
 		if d.window[i].second > oldest {
--- a/internal/coordination/ejection/tick.go
+++ b/internal/coordination/ejection/tick.go
@@ -38,6 +38,7 @@
 			out = c.returnEarly(now, s.service, left, out)
 		}
 	}
+	c.forgetOnJump(now)
 	for _, s := range c.order {
 		switch s.state {
 		case Ejected:
@@ -68,7 +69,7 @@
 		return out
 	}
 	if !s.detector.Failing(now) {
-		s.refused = ""
+		s.refused, s.failingSince = "", time.Time{}
 		if s.permit.ID != "" {
 			out = append(out, c.release(s, ReasonNotUsed))
 		}
@@ -99,6 +100,8 @@
 		return out
 	case now.Before(s.askAgain):
 		return out
+	case !c.confirmed(now, s):
+		return out
 	case !c.mayRemove(s, left):
 		// No permit can help, so the platform is not asked.
 		c.delayRequest(now, s)
@@ -112,6 +115,39 @@
 	return append(out, c.decision(Suspect, s, left, v.Reason, v))
 }
 
+// forgetOnJump drops the evidence about the servers of a service that became
+// worse as a whole: it was gathered against a baseline that no longer holds.
+func (c *Core) forgetOnJump(now time.Time) {
+	for id, svc := range c.services {
+		if !svc.baseline.jumped(now) {
+			continue
+		}
+		for _, s := range c.order {
+			if s.service == id && s.state != Ejected {
+				s.detector.Reset()
+				s.failures, s.failingSince = 0, time.Time{}
+			}
+		}
+	}
+}
+
+// confirmed reports whether the detector has reported a failure for long enough.
+// The ingress nodes' view of the service arrives with the exchanges, so a
+// failure of the whole service is seen only a little later than that of one
+// server.
+func (c *Core) confirmed(now time.Time, s *server) bool {
+	if s.failingSince.IsZero() {
+		s.failingSince, s.confirming = now, 0
+	}
+	wait := interpolate(c.service(s.service).weight, float64(c.opts.ConfirmLong), float64(c.opts.ConfirmShort))
+	return float64(now.Sub(s.failingSince)) >= wait && s.confirming >= c.opts.ConfirmSamples
+}
+
+// commonFailures is the failure rate of the service from which a few failures
+// say nothing about a server in probation. The detector, which compares with
+// the service, still judges it.
+const commonFailures = 0.1
+
 // judgeProbation decides about a server in probation. It still holds the permit
 // of its ejection, so that a relapse is answered at once, also in an outage of
 // the platform.
@@ -121,7 +157,7 @@
 	}
 	failing := s.detector.Failing(now)
 	switch {
-	case failing || s.failures >= c.opts.ProbationFailures:
+	case failing || s.failures >= c.opts.ProbationFailures && c.service(s.service).baseline.failureRate < commonFailures:
 		reason := ""
 		if !failing {
 			reason = ReasonProbationFail
