Keep the permit that a receiver recorded after its giver forgot it

A giver that could not read the ledger for 10 min took the permit out again although the receiver had recorded its use. The giver now leaves an entry alone that another node uses.

--- a/internal/coordination/floor/reconcile.go
+++ b/internal/coordination/floor/reconcile.go
@@ -171,7 +171,9 @@
 		p.position = l.Position(p.permit) + extra
 	}
 	for id := range b.released {
-		if l.Position(id) == 0 {
+		e, ok := l.Find(id)
+		if !ok || e.State == Used && e.Holder.Node != h.self.Node {
+			// Gone, or recorded by the node that it was given to.
 			delete(b.released, id)
 		} else {
 			b.dirty = true
