Keep working while the health test waits for a decision

A suspicion is confirmed by exchanges that begin after it, so a single burst of failures before the first tick no longer leads to an ejection.

--- a/internal/transport/health/health_test.go
+++ b/internal/transport/health/health_test.go
@@ -48,16 +48,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- h.Run(ctx) }()
-	for range 20 {
-		h.Observe(evidence.Observation{Backend: "b1", Service: "s", Kind: evidence.Timeout, At: time.Now()})
-	}
-	select {
-	case s := <-applied:
-		if s != registry.Ejected {
-			t.Errorf("state %d, want ejected", s)
+	// A suspicion is confirmed by exchanges that begin after it.
+	work := time.NewTicker(10 * time.Millisecond)
+	defer work.Stop()
+	limit := time.After(5 * time.Second)
+	for decided := false; !decided; {
+		select {
+		case <-work.C:
+			h.Observe(evidence.Observation{Backend: "b1", Service: "s", Kind: evidence.Timeout, At: time.Now()})
+		case s := <-applied:
+			decided = true
+			if s != registry.Ejected {
+				t.Errorf("state %d, want ejected", s)
+			}
+		case <-limit:
+			t.Fatal("no decision within 5 s")
 		}
-	case <-time.After(5 * time.Second):
-		t.Error("no decision within 5 s")
 	}
 	cancel()
 	if err := <-done; err != nil {
