Limit the time in which an idempotent attempt must begin to be answered

Each attempt but the last now has the larger of an eighth of the time left and 20 times the service's median to begin its answer; the body of the answer keeps the whole deadline. A fixed half of the time left was ruled out where the median is known: it detects later. No limit applies when the service is slow as a whole.

--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/invariant"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
 )
 
 // State is how far an attempt got.
@@ -144,6 +145,36 @@
 // Attempts returns the number of attempts that have ended.
 func (p *Plan) Attempts() int { return p.attempts }
 
+// Limits of the time in which an attempt must begin to be answered.
+const (
+	// typicalFactor times the median latency is far beyond the 99th percentile of
+	// a healthy service.
+	typicalFactor = 20
+	// minSamples is the number of samples from which the median is trusted.
+	minSamples = 20
+	// minShare keeps the limit from falling below an eighth of the time left.
+	minShare = 8
+)
+
+// AnswerBy returns the time by which the next attempt must begin to be answered,
+// so that time is left for another attempt on another backend server. It is zero
+// if the attempt may take all the time: the last one, one that cannot be repeated,
+// or one of a service that is slow as a whole.
+func (p *Plan) AnswerBy(now time.Time, typical evidence.Baseline) time.Time {
+	if !p.opt.Idempotent || p.attempts+1 >= p.opt.MaxAttempts || p.opt.Deadline.IsZero() {
+		return time.Time{}
+	}
+	left := p.opt.Deadline.Sub(now)
+	limit := left / 2
+	if typical.Samples >= minSamples {
+		limit = max(left/minShare, typicalFactor*typical.Median)
+	}
+	if limit >= left {
+		return time.Time{}
+	}
+	return now.Add(limit)
+}
+
 // Next records the end of an attempt and decides what follows. The first call
 // counts the request in the budget and each Retry takes one retry from it, also
 // after a refusal, so that overload is not amplified. After a final decision Next
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -14,6 +14,9 @@
 	Caller = "Wigeonspring-Caller"
 	// DeadlineMillis is the time left for the request in milliseconds.
 	DeadlineMillis = "Wigeonspring-Deadline-Ms"
+	// AnswerWithinMillis is the time in milliseconds within which the answer of an
+	// attempt must begin, so that another attempt can follow.
+	AnswerWithinMillis = "Wigeonspring-Answer-Within-Ms"
 	// Attempt is the number of the attempt, starting at 1.
 	Attempt = "Wigeonspring-Attempt"
 	// Backend is the backend server that an ingress node chose.
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -19,7 +19,9 @@
 	Incarnation uint64
 	// Left is the time left for the request.
 	Left    time.Duration
-	Attempt int
+	// AnswerWithin is the time within which the answer must begin; 0 means Left.
+	AnswerWithin time.Duration
+	Attempt      int
 	Caller  string
 	// Region is the region of the ingress node.
 	Region   string
@@ -34,6 +36,9 @@
 	h[Route] = []string{p.Route}
 	h[OwnerIncarnation] = []string{strconv.FormatUint(p.Incarnation, 10)}
 	h[DeadlineMillis] = []string{FormatDeadline(p.Left)}
+	if p.AnswerWithin > 0 {
+		h[AnswerWithinMillis] = []string{FormatDeadline(p.AnswerWithin)}
+	}
 	h[Attempt] = []string{FormatAttempt(p.Attempt)}
 	h[Region] = []string{p.Region}
 	h[Baseline] = []string{FormatBaseline(p.Baseline)}
@@ -65,6 +70,11 @@
 	if p.Left, err = ParseDeadline(h.Get(DeadlineMillis)); err != nil {
 		return p, err
 	}
+	if s := h.Get(AnswerWithinMillis); s != "" {
+		if p.AnswerWithin, err = ParseDeadline(s); err != nil {
+			return p, err
+		}
+	}
 	if p.Attempt, err = ParseAttempt(h.Get(Attempt)); err != nil {
 		return p, err
 	}
--- a/internal/transport/backend/exchange.go
+++ b/internal/transport/backend/exchange.go
@@ -112,7 +112,7 @@
 
 func dialError(ctx context.Context, err error) *Error {
 	e := &Error{Kind: evidence.Reset, NotSent: true, Reason: ReasonDial, Err: err}
-	switch cause := ctx.Err(); {
+	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, context.DeadlineExceeded):
 		e.Kind, e.Reason = evidence.Timeout, ReasonTimeout
 	case cause != nil:
@@ -153,7 +153,7 @@
 	switch {
 	case x.upload != nil && x.upload.failed.Load():
 		kind, reason = evidence.Canceled, ReasonBodyCut
-	case errors.Is(x.ctx.Err(), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(context.Cause(x.ctx), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
 		kind, reason = evidence.Timeout, ReasonTimeout
 		if x.upload != nil && x.upload.waiting.Load() {
 			kind = evidence.Canceled // The caller was too slow, not the backend server.
@@ -211,7 +211,7 @@
 	}
 	kind, reason := evidence.Truncated, ReasonTruncated
 	switch {
-	case errors.Is(b.ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(b.ctx), context.DeadlineExceeded):
 		kind, reason = evidence.Timeout, ReasonTimeout
 	case b.ctx.Err() != nil:
 		kind, reason = evidence.Canceled, ReasonCanceled
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -38,6 +38,8 @@
 	target  routing.Target
 	begin   time.Time
 	latency time.Duration
+	// limit is the time that the owner had for its response.
+	limit   time.Duration
 	reply   *reply
 	state   retry.State
 	outcome routing.Outcome
@@ -47,15 +49,20 @@
 }
 
 // attempt sends the request to the owner of the target.
-func (c *call) attempt(ctx context.Context, target routing.Target) *tried {
+func (c *call) attempt(ctx context.Context, plan *retry.Plan, target routing.Target) *tried {
 	in := c.in
 	now := in.opt.Now()
 	left := c.deadline.Sub(now)
 	left -= margin(left)
+	baseline := in.opt.Balancer.Baseline(now, c.service, target.Backend)
+	var answerWithin time.Duration
+	if by := plan.AnswerBy(now, baseline); c.body.repeatable() && !by.IsZero() {
+		answerWithin = by.Sub(now)
+	}
 	hop := header.Hop{
 		RequestID: c.id, Backend: target.Backend, Service: c.service, Route: c.route.Name,
-		Incarnation: target.Owner.Incarnation, Left: left, Attempt: len(c.tried), Caller: c.caller,
-		Region: in.opt.Region, Baseline: in.opt.Balancer.Baseline(now, c.service, target.Backend),
+		Incarnation: target.Owner.Incarnation, Left: left, AnswerWithin: answerWithin,
+		Attempt: len(c.tried), Caller: c.caller, Region: in.opt.Region, Baseline: baseline,
 	}
 	if target.Locality == routing.OtherRegion {
 		c.publish(event.RequestSpilled, target.Locality.String())
@@ -94,7 +101,11 @@
 	r.Body, r.ContentLength = t.body, t.call.body.length
 	deadline := t.begin.Add(hop.Left)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	t.reply = t.call.in.opt.Owner.run(ctx, &attempt{Hop: hop, Deadline: deadline, Request: r})
+	a := &attempt{Hop: hop, Deadline: deadline, Request: r}
+	if hop.AnswerWithin > 0 {
+		a.AnswerBy = t.begin.Add(hop.AnswerWithin)
+	}
+	t.reply = t.call.in.opt.Owner.run(ctx, a)
 	if t.reply.Response == nil {
 		cancel()
 		return
@@ -107,6 +118,15 @@
 	c := t.call
 	ctx, span := c.in.tracer.Start(ctx, "peer hop", trace.WithSpanKind(trace.SpanKindClient))
 	addr := t.target.Owner.PeerAddr
+	// The owner enforces the limit; the margin leaves it time to say so.
+	var silentAt time.Time
+	t.limit = c.deadline.Sub(t.begin)
+	if hop.AnswerWithin > 0 {
+		t.limit = hop.AnswerWithin + maxMargin
+		silentAt = t.begin.Add(t.limit)
+	}
+	ctx, answerBegan := limitAnswer(ctx, silentAt)
+	defer answerBegan()
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("wigeonspring.request_id", c.id),
 			attribute.String("wigeonspring.owner", string(t.target.Owner.ID)),
@@ -190,12 +210,12 @@
 			t.outcome = routing.RefusedByOwner
 		}
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		t.reply.Timeout, t.reply.Reason = true, reasonOwnerSilent
 		if t.reply.Outcome == header.NotRun {
 			t.reply.Reason = reasonDeadline
 		}
-		if t.call.deadline.Sub(t.begin) < silentAfter {
+		if t.limit < silentAfter {
 			t.outcome = routing.Abandoned
 		}
 	}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -68,7 +68,7 @@
 			return
 		}
 		c.tried = append(c.tried, target.Backend)
-		t := c.attempt(ctx, target)
+		t := c.attempt(ctx, plan, target)
 		state := t.state
 		if state == retry.Sent || state == retry.Answered {
 			c.ran++
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -90,10 +90,20 @@
 type attempt struct {
 	header.Hop
 	Deadline time.Time
+	// AnswerBy is the time by which the answer must begin; zero means Deadline.
+	AnswerBy time.Time
 	// Request is the caller's request without hop-by-hop and internal headers.
 	Request *http.Request
 }
 
+// answerBy returns the time by which the answer must begin.
+func (a *attempt) answerBy() time.Time {
+	if a.AnswerBy.IsZero() {
+		return a.Deadline
+	}
+	return a.AnswerBy
+}
+
 // run executes an attempt. A refusal is returned before the body of the request
 // is read. ctx ends at the deadline or when the caller goes away.
 func (o *Owner) run(ctx context.Context, a *attempt) *reply {
@@ -141,7 +151,7 @@
 		return notRun(reasonLease, nil)
 	}
 	remote := a.Region != o.opt.Region
-	ticket, reason := b.keeper.admit(ctx, a.Caller, a.Deadline, remote)
+	ticket, reason := b.keeper.admit(ctx, a.Caller, a.answerBy(), remote)
 	load := b.keeper.gate.Load()
 	if reason != "" {
 		return notRun(reason, &load)
@@ -155,6 +165,8 @@
 	ctx, x.span = o.tracer.Start(ctx, "backend exchange", trace.WithSpanKind(trace.SpanKindClient))
 	leased, sent := true, false
 	x.start = o.opt.Now()
+	ctx, answerBegan := limitAnswer(ctx, a.AnswerBy)
+	defer answerBegan()
 	resp, err := b.pool.Do(ctx, o.outgoing(ctx, a, b.address), a.RequestID, func() bool {
 		// The lease may have lapsed in the queue or while connecting.
 		now := o.opt.Now()
--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -30,7 +30,11 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(ownerGrace))
 	header.StripInternal(r.Header)
 	header.StripHopByHop(r.Header)
-	reply := o.run(ctx, &attempt{Hop: hop, Deadline: deadline, Request: r})
+	a := &attempt{Hop: hop, Deadline: deadline, Request: r}
+	if hop.AnswerWithin > 0 {
+		a.AnswerBy = o.opt.Now().Add(hop.AnswerWithin)
+	}
+	reply := o.run(ctx, a)
 	defer reply.close()
 	o.write(w, hop.RequestID, reply)
 }
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/evidence"
@@ -44,6 +46,18 @@
 	Response *http.Response
 }
 
+// limitAnswer cancels the context with context.DeadlineExceeded as its cause at
+// the given time, unless the answer began before. A zero time sets no limit. The
+// context stays in use for the body of the answer.
+func limitAnswer(ctx context.Context, by time.Time) (limited context.Context, began func()) {
+	if by.IsZero() {
+		return ctx, func() {}
+	}
+	limited, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(time.Until(by), func() { cancel(context.DeadlineExceeded) })
+	return limited, func() { timer.Stop() }
+}
+
 func notRun(reason string, load *evidence.Load) *reply {
 	return &reply{Outcome: header.NotRun, Reason: reason, Load: load}
 }
