Keep tokens for new updates; learn seeds late; test restarts

Repeated transmissions of an update leave half of the token bucket to updates that are new to the node.

Seeds from the platform arrive after the start, so they can be added later. Members that a starting node receives in its fill are no longer reported as joined one by one.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PROTOS := $(wildcard internal/protocol/*/*.proto)
 
-.PHONY: all build test race demo lint generate
+.PHONY: all build test race demo lint generate slopes
 
 all: lint test
 
@@ -17,6 +17,10 @@
 lint:
 	bash scripts/lint.sh
 
+# Measures the cost of membership by fleet size; takes a few minutes.
+slopes: build
+	bin/wigeon-slopes --output docs/slopes.csv
+
 # Needs protoc, protoc-gen-go and protoc-gen-twirp (see CONTRIBUTING.md).
 generate:
 	for f in $(PROTOS); do \
--- a/cmd/wigeon-slopes/measure.go
+++ b/cmd/wigeon-slopes/measure.go
@@ -234,6 +234,7 @@
 	}
 	up := f.up()
 	left := make(map[int]int, up)
+	pairs := f.newSpread()
 	falseDeaths := 0
 	f.onEvent = func(node *simnet.Node, e membership.Event) {
 		if e.Kind != membership.EventDead {
@@ -243,6 +244,7 @@
 			falseDeaths++
 			return
 		}
+		pairs.times = append(pairs.times, f.net.Elapsed()-pairs.start)
 		if left[node.Index]++; left[node.Index] == victims {
 			s.learn(node, f.net.Elapsed())
 		}
@@ -252,6 +254,9 @@
 	after := f.traffic()
 	f.onEvent = nil
 	r.add("domain_loss_nodes", float64(victims), "nodes")
+	// A view is what one node holds of one lost node.
+	r.add("domain_loss_views_50_percent", pairs.quantile(0.5, up*victims), "ms")
+	r.add("domain_loss_views_99_percent", pairs.quantile(0.99, up*victims), "ms")
 	addSpread(r, "domain_loss_all_dead", []*spread{s}, up)
 	r.atMost("domain_loss_bytes_sent", float64(after.sent-before.sent)/float64(up)/60, "bytes/s", targetBytes)
 	r.atMost("domain_loss_false_deaths", float64(falseDeaths), "verdicts", 0)
--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -135,8 +135,9 @@
 		delete(c.wants, n.ID)
 		c.reindex(m)
 		c.change(Stored, m)
-		c.event(EventJoined, m, "record received")
 		if c.joined {
+			// The members of a fill are no news to anybody else.
+			c.event(EventJoined, m, "record received")
 			c.queue.add(n.ID, true)
 		}
 		c.applyStatus(m, n.Status, n.Incarnation)
--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -255,6 +255,21 @@
 	c.gossipFresh()
 }
 
+// AddSeeds adds addresses that were learned after the start, such as those
+// listed in the platform. A node that knows no other member tries to fill its
+// directory from them.
+func (c *Core) AddSeeds(now time.Time, seeds []string) {
+	c.observe(now)
+	for _, s := range seeds {
+		if s != c.self.node.PeerAddr && !slices.Contains(c.opts.Seeds, s) {
+			c.opts.Seeds = append(c.opts.Seeds, s)
+		}
+	}
+	if len(c.live) == 0 && len(c.opts.Seeds) > 0 {
+		c.joined, c.fillTries, c.nextFill = false, 0, now
+	}
+}
+
 // SetPolicyDigest sets the digest of the policy table that probes carry.
 func (c *Core) SetPolicyDigest(d uint64) { c.policyDigest = d }
 
--- /dev/null
+++ b/internal/coordination/membership/lifecycle_test.go
@@ -0,0 +1,105 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/membership"
+	"wigeonspring.example/wigeonspring/internal/coordination/membership/simnet"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// afterLongPause pauses node 5 for most of an hour, in which node 6 dies, and
+// reports how many members took node 6 for alive again.
+func afterLongPause(retention time.Duration) int {
+	revived, dead := 0, false
+	net := simnet.New(simnet.Options{
+		Seed: 3, MinDelay: time.Millisecond, MaxDelay: 10 * time.Millisecond,
+		OnChange: func(n *simnet.Node, ch membership.Change) {
+			if dead && n.Index != 5 && ch.Kind == membership.Stored && ch.Node.ID == "node-006" {
+				revived++
+			}
+		},
+	})
+	fleet(net, 10, func(o *membership.Options) { o.DeadRetention = retention })
+	net.Pause(net.Nodes[5], 50*time.Minute)
+	net.Kill(net.Nodes[6])
+	net.Run(30 * time.Second)
+	dead = true
+	net.Run(50 * time.Minute)
+	return revived
+}
+
+// Guards against a dead member that comes back because a node that did not run
+// for an hour still holds it alive. A short retention shows that the check can fail.
+func TestDeadMemberStaysDead(t *testing.T) {
+	if n := afterLongPause(time.Minute); n == 0 {
+		t.Error("no resurrection with a retention of a minute, so the check proves nothing")
+	}
+	if n := afterLongPause(0); n != 0 {
+		t.Errorf("dead member revived %d times", n)
+	}
+}
+
+// Guards against a restarted node whose clock is behind and whose new record
+// would be ignored as older than the one of its earlier life.
+func TestRestartWithClockBehind(t *testing.T) {
+	net := simnet.New(simnet.Options{Seed: 4, MinDelay: time.Millisecond, MaxDelay: 10 * time.Millisecond})
+	fleet(net, 10, nil)
+	self := record(6)
+	self.Incarnation = 1000
+	self.Backends = nil
+	net.Kill(net.Nodes[6])
+	net.Run(2 * time.Second)
+	net.Restart(net.Nodes[6], membership.Options{Self: self, Seeds: []string{record(0).PeerAddr}})
+	net.Run(20 * time.Second)
+	requireConverged(t, net)
+	if got, _ := net.Nodes[1].Core.Lookup("node-006"); len(got.Backends) != 0 {
+		t.Errorf("record of the earlier life is still in place: %+v", got)
+	}
+}
+
+// Guards against an old process that, on resuming, outbids the process that has
+// replaced it.
+func TestOldProcessGivesWay(t *testing.T) {
+	superseded := 0
+	net := simnet.New(simnet.Options{
+		Seed: 5, MinDelay: time.Millisecond, MaxDelay: 10 * time.Millisecond,
+		OnEvent: func(n *simnet.Node, e membership.Event) {
+			if e.Kind == membership.EventSuperseded && n.Index == 6 {
+				superseded++
+			}
+		},
+	})
+	fleet(net, 10, nil)
+	net.Pause(net.Nodes[6], 30*time.Second)
+	net.Run(10 * time.Second)
+	self := record(6)
+	self.PeerAddr = "10.1.0.6:7946"
+	replacement := net.Add(membership.Options{Self: self, Seeds: []string{record(0).PeerAddr}})
+	net.Run(60 * time.Second)
+	if superseded != 1 {
+		t.Errorf("old process gave way %d times, want once", superseded)
+	}
+	for _, n := range net.Nodes {
+		if n.Index == 6 {
+			continue
+		}
+		got, _ := n.Core.Lookup("node-006")
+		if got.PeerAddr != replacement.Addr || got.Status != registry.Alive {
+			t.Errorf("%s holds the old process: %+v", n.ID, got)
+		}
+	}
+}
+
+// Guards against seeds that are learned after the start, from the platform, and
+// are not used.
+func TestSeedsLearnedLater(t *testing.T) {
+	net := simnet.New(simnet.Options{Seed: 6, MinDelay: time.Millisecond, MaxDelay: 10 * time.Millisecond})
+	fleet(net, 5, nil)
+	late := net.Add(membership.Options{Self: record(5)})
+	net.Run(5 * time.Second)
+	net.Do(late, func(c *membership.Core) { c.AddSeeds(net.Now(), []string{record(2).PeerAddr}) })
+	net.Run(5 * time.Second)
+	requireConverged(t, net)
+}
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -90,7 +90,7 @@
 // Every node gossips a suspicion again halfway to its end, for the same reason: a
 // peer that knows of a refutation answers with it.
 func (c *Core) checkSuspect(m *member) {
-	if !m.reminded && m.suspectUntil.Sub(c.now) < c.opts.SuspicionTimeout/2 && !c.opts.Disable.SuspectChecks {
+	if !m.reminded && c.budget.available(c.opts.BurstBytes/2) > 0 && m.suspectUntil.Sub(c.now) < c.opts.SuspicionTimeout/2 && !c.opts.Disable.SuspectChecks {
 		m.reminded = true
 		c.queue.remind(m.node.ID, c.opts.Fanout)
 	}
--- a/internal/coordination/membership/queue.go
+++ b/internal/coordination/membership/queue.go
@@ -92,7 +92,7 @@
 // take hands out updates, urgent and least transmitted first, to fit, which
 // reports whether the update was used. It stops after a few updates that did
 // not fit. An update that reaches limit transmissions is dropped.
-func (q *queue) take(limit int, fit func(id registry.NodeID, urgent bool) bool) {
+func (q *queue) take(limit int, fit func(id registry.NodeID, urgent bool, sent int) bool) {
 	var moved []*update
 	misses := 0
 	for i := range q.levels {
@@ -109,7 +109,7 @@
 				}
 				switch {
 				case q.byID[u.id] != u:
-				case fit(u.id, u.urgent):
+				case fit(u.id, u.urgent, u.sent):
 					u.sent++
 					moved = append(moved, u)
 				default:
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -9,7 +9,9 @@
 
 // Reserves of the token bucket by class of traffic. Probes and acks may use the
 // last byte, because a node that cannot answer is suspected; full records wait
-// first, because they can be asked for again.
+// first, because they can be asked for again. Repeated transmissions of an update
+// leave half of the bucket to newer updates: without that, the loss of a failure
+// domain uses up the bucket with repetitions.
 const (
 	reserveUrgent = 300
 	reserveNormal = 1000
@@ -63,7 +65,7 @@
 	}
 	room := min(c.opts.PiggybackBytes, DefaultMaxRecordBytes+headerBytes-size)
 	used := 0
-	c.queue.take(c.transmitLimit(), func(id registry.NodeID, urgent bool) bool {
+	c.queue.take(c.transmitLimit(), func(id registry.NodeID, urgent bool, sent int) bool {
 		m := c.members[id]
 		if m == nil {
 			return true
@@ -73,7 +75,10 @@
 			return false
 		}
 		reserve := reserveNormal
-		if urgent {
+		switch {
+		case sent >= c.opts.Fanout:
+			reserve = c.opts.BurstBytes / 2
+		case urgent:
 			reserve = reserveUrgent
 		}
 		v := m.version()
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -119,6 +119,12 @@
 	return t.calls.Offer(func() { t.core.UpdateSelf(time.Now(), n) })
 }
 
+// AddSeeds adds seed addresses that were learned after the start. It does not
+// block; false means that the ring was full.
+func (t *Transport) AddSeeds(seeds []string) bool {
+	return t.calls.Offer(func() { t.core.AddSeeds(time.Now(), seeds) })
+}
+
 // SendHave sends a policy notice to k random peers of the same failure domain.
 // It does not block; false means that the ring was full.
 func (t *Transport) SendHave(have membership.Have, k int) bool {
