--- a/cmd/wigeon-slopes/main.go
+++ b/cmd/wigeon-slopes/main.go
@@ -25,6 +25,9 @@
 	Repeat   int           `long:"repeat" default:"5" description:"number of record changes and of kills"`
 	Output   string        `long:"output" description:"file to write instead of standard output"`
 
+	Sockets    int           `long:"sockets" default:"100" description:"nodes with real sockets on loopback; 0 skips that part"`
+	SocketTime time.Duration `long:"socket-time" default:"30s" description:"real time for these nodes to settle, and again to be measured"`
+
 	FullRecords bool `long:"full-records" description:"gossip full records instead of versions that are pulled"`
 	ProbesOnly  bool `long:"probes-only" description:"let updates ride on probes only, without eager gossip"`
 }
@@ -75,6 +78,12 @@
 		f.kills(r, opts.Repeat)
 		f.domainLoss(r)
 	}
+	if opts.Sockets > 0 {
+		r.nodes = opts.Sockets
+		if err := measureSockets(r, opts.Sockets, opts.Backends, opts.SocketTime); err != nil {
+			return err
+		}
+	}
 	return r.out.Error()
 }
 
