--- a/internal/transport/node/cluster.go
+++ b/internal/transport/node/cluster.go
@@ -20,14 +20,12 @@
 // a dozen backend servers at start lead to few gossip updates.
 const publishDelay = 100 * time.Millisecond
 
-func (n *Node) assembleGossip(ctx context.Context) error {
+func (n *Node) assembleGossip() error {
 	s := n.opts.Settings
-	seeds := append([]string(nil), s.Membership.Seeds...)
-	seeds = append(seeds, findSeeds(ctx, n.platform, n.log)...)
 	var err error
 	n.gossip, err = gossip.New(gossip.Options{
 		Self:      n.selfRecord(),
-		Seeds:     seeds,
+		Seeds:     s.Membership.Seeds,
 		Listen:    n.listeners.peer.Addr().String(),
 		Directory: n.directory,
 		Membership: membership.Options{
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -169,7 +169,7 @@
 	n.platform = platform.NewHTTP(platform.Options{URL: s.Platform.Address, Timeout: time.Duration(s.Platform.Timeout)})
 	n.assemblePolicies()
 	n.assembleProxy()
-	if err := n.assembleGossip(ctx); err != nil {
+	if err := n.assembleGossip(); err != nil {
 		return err
 	}
 	n.permits = n.newPermits()
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -40,7 +40,7 @@
 	group, hard := errgroup.WithContext(hard)
 	n.gossip.Start(hard)
 	for _, duty := range []func(context.Context) error{
-		n.bus.Run, n.sync.Run, n.health.Run, n.permits.Run, n.publishRecords, n.watchLeases, n.registerSeed,
+		n.bus.Run, n.sync.Run, n.health.Run, n.permits.Run, n.publishRecords, n.watchLeases, n.learnSeeds, n.registerSeed,
 	} {
 		group.Go(func() error { return duty(hard) })
 	}
--- a/internal/transport/node/seeds.go
+++ b/internal/transport/node/seeds.go
@@ -26,6 +26,7 @@
 	seedsPerDomain = 3
 	seedTimeout    = 2 * time.Second
 	seedAttempts   = 4
+	maxSeedRetry   = 30 * time.Second
 	// seedDelay is the longest wait before a node registers itself, so that a
 	// fleet that starts as a whole spreads its writes.
 	seedDelay = 10 * time.Second
@@ -36,22 +37,35 @@
 	Addr string          `json:"addr"`
 }
 
-// findSeeds reads the seed addresses of all failure domains in one call. It
-// returns nil if the platform does not answer; seeds from the settings are used
-// then.
-func findSeeds(ctx context.Context, client platform.Client, log *zap.Logger) []string {
+// learnSeeds gives the seed addresses of the platform to the membership. It
+// repeats a failed read with a growing delay; the seeds of the settings serve
+// until then.
+func (n *Node) learnSeeds(ctx context.Context) error {
+	for delay := seedTimeout; ; delay = min(2*delay, maxSeedRetry) {
+		addrs, err := n.readSeeds(ctx)
+		if err == nil && n.gossip.AddSeeds(addrs) {
+			return nil
+		}
+		n.log.Warn("cannot read seeds from the platform", zap.Error(err))
+		if !sleep(ctx, delay/2+rand.N(delay)) {
+			return nil
+		}
+	}
+}
+
+// readSeeds reads the seed addresses of all failure domains in one call.
+func (n *Node) readSeeds(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
 	defer cancel()
-	objects, _, err := client.List(ctx, seedPrefix)
+	objects, _, err := n.platform.List(ctx, seedPrefix)
 	if err != nil {
-		log.Warn("cannot read seeds from the platform", zap.Error(err))
-		return nil
+		return nil, err
 	}
 	var addrs []string
 	for _, o := range objects {
 		list, err := decodeSeeds(o)
 		if err != nil {
-			log.Warn("malformed seeds in the platform", zap.Error(err))
+			n.log.Warn("malformed seeds in the platform", zap.Error(err))
 			continue
 		}
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
@@ -59,7 +73,7 @@
 			addrs = append(addrs, s.Addr)
 		}
 	}
-	return addrs
+	return addrs, nil
 }
 
 func decodeSeeds(o platform.Object) ([]seed, error) {
