--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/prop"
 
 	"wigeonspring.example/wigeonspring/internal/invariant"
 )
@@ -47,6 +48,15 @@
 	return p
 }
 
+// Check tests a property with the helper's parameters. The condition takes one
+// argument per generator and returns Result.
+func Check(t *testing.T, runs int, name string, condition any, gens ...gopter.Gen) {
+	t.Helper()
+	properties := gopter.NewProperties(Parameters(t, runs))
+	properties.Property(name, prop.ForAll(condition, gens...))
+	properties.TestingRun(t)
+}
+
 // Violates fails the test unless f violates the named invariant. It shows that the
 // invariant detects the absence of its mechanism.
 func Violates(t testing.TB, name string, f func()) {
