Bound the bytes in flight to other regions before sizes are known

Responses were charged with an average that began at zero, so the first round trip let 20 requests of 31 KB leave a region at once; with 8 KB assumed at first at most 8 do (test of 20 s with round trips of 200 ms). Charging only at the end was ruled out for the same reason.

--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -254,7 +254,7 @@
 	case Completed:
 		s.pressure[t.Locality].relieve(now)
 		a.stat.sampledAt = now
-		s.samples.add(sample{at: now, stat: a.stat, failed: r.Failed, latency: r.Latency})
+		s.samples.add(now, a.stat, r.Failed, r.Latency)
 	case RefusedByOwner:
 		s.pressure[t.Locality].raise(now)
 	}
--- a/internal/coordination/routing/samples.go
+++ b/internal/coordination/routing/samples.go
@@ -13,25 +13,34 @@
 	// baselineRefresh is the age up to which a computed baseline is reused. The
 	// baseline moves slowly, and computing it costs a pass over the samples.
 	baselineRefresh = 500 * time.Millisecond
-	// maxSamples bounds the memory per service (32 KB). A busy service fills it in
+	// maxSamples bounds the memory per service (24 KB). A busy service fills it in
 	// less than the window, which makes its baseline more recent.
 	maxSamples = 1024
 )
 
+// sample is a completed attempt. Every busy service holds maxSamples of them, so
+// it is kept small: the time is relative and a failure has a negative latency.
 type sample struct {
-	at      time.Time
-	stat    *stat
-	failed  bool
+	at      time.Duration // since the start of the ring
 	latency time.Duration
+	stat    *stat
 }
 
 // samples is a ring of the latest completed attempts of a service.
 type samples struct {
-	ring []sample
-	next int
+	start time.Time
+	ring  []sample
+	next  int
 }
 
-func (r *samples) add(s sample) {
+func (r *samples) add(now time.Time, st *stat, failed bool, latency time.Duration) {
+	if r.start.IsZero() {
+		r.start = now
+	}
+	s := sample{at: now.Sub(r.start), latency: max(latency, 0), stat: st}
+	if failed {
+		s.latency = -1
+	}
 	if len(r.ring) < maxSamples {
 		r.ring = append(r.ring, s)
 		return
@@ -47,11 +56,11 @@
 	latencies := make([]time.Duration, 0, len(r.ring))
 	for i := range r.ring {
 		s := &r.ring[i]
-		if now.Sub(s.at) > baselineWindow || s.stat == exclude {
+		if now.Sub(r.start)-s.at > baselineWindow || s.stat == exclude {
 			continue
 		}
 		base.Samples++
-		if s.failed {
+		if s.latency < 0 {
 			failed++
 			continue
 		}
--- a/internal/coordination/routing/spill.go
+++ b/internal/coordination/routing/spill.go
@@ -13,6 +13,10 @@
 // at once. It lets a service with few requests spill at all.
 const spillBurst = 3
 
+// firstResponse is the size that responses are taken to have before any was seen.
+// Without it, all requests of the first round trip would leave the region at once.
+const firstResponse = 8 << 10
+
 // spill limits the traffic of one service to other regions, in requests and bytes.
 type spill struct {
 	// credit is the number of requests that may leave the region now. Each request
@@ -32,6 +36,7 @@
 	if !s.started {
 		s.started = true
 		s.credit = spillBurst
+		s.response = firstResponse
 	}
 	s.earned += percent / 100
 	s.credit = min(spillBurst, s.credit+percent/100)
@@ -62,7 +67,8 @@
 	return bytes
 }
 
-// settle charges the bytes beyond those that spend charged.
+// settle charges the bytes beyond those that spend charged. A charge that was too
+// high stays, so that the limit errs on the low side.
 func (s *spill) settle(now time.Time, a *attempt, bytes int64) {
 	if s.bytes != nil {
 		s.bytes.charge(now, bytes-a.charged)
