Add the decision core of policy distribution

Cause: an accepted policy must be in force on every node within 4 s and must never revert, and a starting node must not serve an old one. Core takes time, messages, members and platform answers in and returns datagrams, calls, a platform request and events.

Ruled out: pushing before the text is in force, because the receiver pulls it from the sender; counting any peer as evidence of a start, because two starting nodes with empty tables agree with each other; trusting a listing of the platform alone, because it may be stale and a starting node cannot notice; listing the policies on every start, because a fleet that starts as a whole would read them 2,100 times at once.

--- /dev/null
+++ b/internal/coordination/distribution/distribution_test.go
@@ -0,0 +1,304 @@
+package distribution
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// bound is the time in which an accepted policy must be in force everywhere.
+const bound = 4 * time.Second
+
+// chaos runs 20 s of faults, heals the platform, waits for the longest backoff
+// and then accepts new epochs under a network that still loses messages and has
+// one-way cuts.
+func chaos(seed int64, disabled Disabled) {
+	setup := rand.New(rand.NewPCG(uint64(seed), 3))
+	s := newSim(seed, 2+setup.IntN(3), 3+setup.IntN(5), disabled)
+	s.loss, s.duplicate = 0.2*setup.Float64(), 0.1*setup.Float64()
+	s.maxDelay = time.Duration(5+setup.IntN(200)) * time.Millisecond
+	services := make([]string, 3+setup.IntN(6))
+	for i := range services {
+		services[i] = fmt.Sprintf("s%d", i)
+		s.write(services[i])
+	}
+	for _, n := range s.nodes {
+		s.after(time.Duration(setup.Int64N(int64(time.Second))), func() { s.boot(n) })
+	}
+	cuts := func(share float64) {
+		clear(s.cut)
+		for a := range s.nodes {
+			for b := range s.nodes {
+				if setup.Float64() < share {
+					s.cut[[2]int{a, b}] = true
+				}
+			}
+		}
+	}
+	for range 40 {
+		s.after(time.Duration(setup.Int64N(int64(20*time.Second))), func() {
+			switch setup.IntN(8) {
+			case 0, 1, 2:
+				// Several epochs at once put a stale listing behind.
+				for range 1 + setup.IntN(3) {
+					s.write(services[setup.IntN(len(services))])
+				}
+			case 3, 4:
+				n := s.nodes[setup.IntN(len(s.nodes))]
+				n.up = false
+				s.after(time.Duration(setup.Int64N(int64(3*time.Second))), func() { s.boot(n) })
+			case 5:
+				cuts(0.3 * setup.Float64())
+			case 6:
+				s.platformOut = !s.platformOut
+				s.wakeWatches()
+			case 7:
+				s.platformLag = uint64(setup.IntN(6))
+			}
+		})
+	}
+	s.runUntil(24 * time.Second)
+	s.platformOut, s.platformLag = false, 0
+	cuts(0.1)
+	s.loss = min(s.loss, 0.1)
+	s.wakeWatches()
+	s.runUntil(60 * time.Second)
+	for _, service := range services[:2] {
+		s.write(service)
+	}
+	s.runUntil(60*time.Second + bound)
+	for _, n := range s.nodes {
+		for service, epoch := range s.epochs {
+			p := n.core.Table().Get(service)
+			if p == nil {
+				p = &policy.InForce{}
+			}
+			invariant.Check(p.Epoch == epoch, "converges", "node %s has %s at epoch %d, accepted is %d", n.member.ID, service, p.Epoch, epoch)
+		}
+		invariant.Check(n.ready, "becomes_ready", "node %s is not ready", n.member.ID)
+	}
+}
+
+// violations runs chaos and returns the names of the violated invariants.
+func violations(seed int64, disabled Disabled) map[string]string {
+	found := map[string]string{}
+	invariant.SetHandler(func(name, detail string) { found[name] = detail })
+	// The tests that expect no violation stop at the first one.
+	defer invariant.SetHandler(func(name, detail string) { panic("invariant " + name + " violated: " + detail) })
+	chaos(seed, disabled)
+	return found
+}
+
+// Guards against an epoch that falls, a starting node that serves an old epoch,
+// and a policy that is not in force everywhere within the bound.
+func TestInvariantsHoldUnderFaults(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20)
+	parameters.MinSuccessfulTests = 100
+	if testing.Short() {
+		parameters.MinSuccessfulTests = 30
+	}
+	properties := gopter.NewProperties(parameters)
+	properties.Property("no invariant is violated", prop.ForAllNoShrink(func(seed int64) (bool, error) {
+		if found := violations(seed, Disabled{}); len(found) > 0 {
+			return false, fmt.Errorf("seed %d: %v", seed, found)
+		}
+		return true, nil
+	}, gen.Int64()))
+	properties.TestingRun(t)
+}
+
+// Guards against invariants that hold whether or not their mechanism works, and
+// so say nothing about it.
+func TestInvariantsDependOnTheirMechanism(t *testing.T) {
+	for name, d := range map[string]Disabled{
+		"node_epoch_rises":   {EpochCheck: true},
+		"policy_epoch_rises": {EpochCheck: true},
+		"start_not_behind":   {StartCheck: true},
+		"converges":          {AntiEntropy: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range int64(40) {
+				if detail := violations(seed, d)[name]; detail != "" {
+					t.Logf("seed %d: %s", seed, detail)
+					return
+				}
+			}
+			t.Fatal("no violation with the mechanism switched off")
+		})
+	}
+}
+
+// Guards against a spread that meets the bound only in small fleets. The fleet
+// has the design size: 12 failure domains of 175 nodes.
+func TestDesignScaleMeetsBound(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs 2,100 cores")
+	}
+	s := newSim(1, 12, 175, Disabled{})
+	s.loss = 0.01
+	for _, n := range s.nodes {
+		s.boot(n)
+		// The fleet is running: every node has been confirmed before.
+		n.core.confirmed.Store(true)
+		n.core.ready, n.ready = true, true
+	}
+	s.runUntil(3 * time.Second)
+	s.write("booking")
+	accepted := s.now
+	pushes, calls, reads := s.pushes, s.calls, s.reads
+	missing := len(s.nodes)
+	for missing > 0 && s.now.Sub(accepted) < bound {
+		s.runUntil(s.now.Sub(s.start) + 10*time.Millisecond)
+		missing = 0
+		for _, n := range s.nodes {
+			if n.core.Table().Get("booking") == nil {
+				missing++
+			}
+		}
+	}
+	t.Logf("in force on %d of %d nodes after %s; %d datagrams, %d calls between nodes, %d platform requests",
+		len(s.nodes)-missing, len(s.nodes), s.now.Sub(accepted), s.pushes-pushes, s.calls-calls, s.reads-reads)
+	if missing > 0 {
+		t.Fatalf("%d nodes lack the policy after %s", missing, bound)
+	}
+}
+
+// testCore returns the core of n0 in domain a with peers p0.. in domain b.
+func testCore(peers int) (*Core, time.Time) {
+	start := time.Unix(0, 0)
+	c := New(Options{Self: "n0", FailureDomain: "a", Start: start, Rand: rand.New(rand.NewPCG(1, 1))})
+	members := []Member{{"n0", "a"}}
+	for i := range peers {
+		members = append(members, Member{registry.NodeID(fmt.Sprintf("p%d", i)), "b"})
+	}
+	c.Step(Input{Now: start, Members: members})
+	return c, start
+}
+
+// Guards against a refused lower epoch that nobody hears of, or hears of with
+// every answer of a stale platform.
+func TestStalePlatformIsReportedOnce(t *testing.T) {
+	c, now := testCore(0)
+	object := func(epoch uint64) platform.Object {
+		return platform.Object{Key: policy.Key("s"), Value: fmt.Appendf(nil, `{"epoch":%d,"text":%q}`, epoch, document("s", epoch))}
+	}
+	var refused []event.Event
+	for i, epoch := range []uint64{5, 4, 4} {
+		now = now.Add(2 * time.Second)
+		out := c.Step(Input{Now: now})
+		if out.Platform == nil {
+			t.Fatalf("request %d is missing", i)
+		}
+		out = c.Step(Input{Now: now, Platform: &PlatformReply{ID: out.Platform.ID, Objects: []platform.Object{object(epoch)}}})
+		if out.Platform == nil {
+			t.Fatal("the watch does not go on")
+		}
+		c.source.request = nil
+		for _, e := range out.Events {
+			if e.Kind == event.PolicyRefused {
+				refused = append(refused, e)
+			}
+		}
+	}
+	if len(refused) != 1 || !strings.Contains(refused[0].Reason, "epoch 4 refused, epoch 5 is known") {
+		t.Fatalf("refusals: %+v", refused)
+	}
+	if p := c.Table().Get("s"); p.Epoch != 5 {
+		t.Fatalf("epoch %d is in force", p.Epoch)
+	}
+}
+
+// Guards against waits outside 0.5 s to 30 s, waits in step, and a watch that
+// does not list again after a compaction.
+func TestPlatformBackoff(t *testing.T) {
+	c, now := testCore(0)
+	waits := map[time.Duration]bool{}
+	next := func(err error) *PlatformRequest {
+		sent := now
+		for {
+			now = now.Add(5 * time.Millisecond)
+			if out := c.Step(Input{Now: now}); out.Platform != nil {
+				waits[now.Sub(sent)] = true
+				r := out.Platform
+				c.Step(Input{Now: now, Platform: &PlatformReply{ID: r.ID, Err: err}})
+				return r
+			}
+		}
+	}
+	next(platform.ErrUnavailable)
+	clear(waits)
+	for range 60 {
+		next(platform.ErrUnavailable)
+	}
+	list := make([]time.Duration, 0, len(waits))
+	for w := range waits {
+		list = append(list, w)
+	}
+	if low, high := slices.Min(list), slices.Max(list); low < backoffLow || high > backoffHigh+5*time.Millisecond || high < 20*time.Second || len(list) < 50 {
+		t.Fatalf("%d different waits from %s to %s", len(list), low, high)
+	}
+	if r := next(nil); r.Watch {
+		t.Fatal("watch before the first listing")
+	}
+	c.source.request = nil
+	if r := next(platform.ErrCompacted); !r.Watch {
+		t.Fatal("no watch after a listing")
+	}
+	if r := next(nil); r.Watch {
+		t.Fatal("no listing after a compaction")
+	}
+}
+
+// Guards against a failure domain without a watcher, or with more than two.
+func TestWatchers(t *testing.T) {
+	var members []Member
+	for i := range 20 {
+		members = append(members, Member{registry.NodeID(fmt.Sprint(i)), fmt.Sprint("fd", i%3)})
+	}
+	first := Watchers(members, "fd1")
+	if len(first) != 2 {
+		t.Fatalf("watchers: %v", first)
+	}
+	rest := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.ID == first[0] })
+	if second := Watchers(rest, "fd1"); len(second) != 2 || second[0] != first[1] {
+		t.Fatalf("watchers after the loss of %s: %v, before %v", first[0], second, first)
+	}
+}
+
+// Guards against starting nodes with empty tables that confirm each other, and
+// against a start that a fleet without any confirmed node never ends.
+func TestStartWithoutConfirmedPeers(t *testing.T) {
+	c, now := testCore(3)
+	var status Status
+	for end := now.Add(40 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		out := c.Step(Input{Now: now})
+		var replies []Reply
+		for _, cl := range out.Calls {
+			if cl.Sync != nil {
+				replies = append(replies, Reply{ID: cl.ID, Sync: &SyncReply{Have: []Have{{"s", 3, policy.Hash(document("s", 3))}}}})
+			} else {
+				replies = append(replies, Reply{ID: cl.ID, Pull: &PullReply{Policies: []policy.Versioned{{Service: "s", Epoch: 3, Text: document("s", 3)}}}})
+			}
+		}
+		status = c.Step(Input{Now: now, Replies: replies}).Status
+		if early := now.Sub(time.Unix(0, 0)) < startPatience; early && status.Ready {
+			t.Fatalf("ready after %s without a confirmed source", now.Sub(time.Unix(0, 0)))
+		}
+	}
+	if !status.Ready || status.Confirmed || c.Table().Get("s").Epoch != 3 {
+		t.Fatalf("status after the patience: %+v", status)
+	}
+}
--- /dev/null
+++ b/internal/coordination/distribution/messages.go
@@ -0,0 +1,222 @@
+package distribution
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Buckets is the number of parts of a table that a sync compares.
+const Buckets = 64
+
+// maxPullBytes bounds the texts in one answer to a Pull.
+const maxPullBytes = 1 << 20
+
+// Member is a member that is alive in the view of this node.
+type Member struct {
+	ID            registry.NodeID
+	FailureDomain string
+}
+
+// Have is the datagram that tells a peer which epoch of a service its sender
+// has in force.
+type Have struct {
+	Service string
+	Epoch   uint64
+	Hash    uint64
+}
+
+// Pull asks a peer for the policies of some services.
+type Pull struct{ Services []string }
+
+// PullReply is the answer to a Pull.
+type PullReply struct {
+	Policies []policy.Versioned
+	// More says that policies were left out to bound the answer.
+	More bool
+}
+
+// Sync asks a peer for what differs between the tables.
+type Sync struct {
+	// Digests are the digests of the parts of the table.
+	Digests [Buckets]uint64
+}
+
+// SyncReply is the answer to a Sync.
+type SyncReply struct {
+	// Differs marks the parts with another digest.
+	Differs [Buckets]bool
+	// Have lists the policies in force in these parts.
+	Have []Have
+	// Confirmed says that the answering node knows that it is not behind. Only
+	// such a node is evidence for a starting node: two starting nodes with empty
+	// tables agree with each other.
+	Confirmed bool
+}
+
+// Call is a request to a peer. Either Pull or Sync is set.
+type Call struct {
+	ID   uint64
+	To   registry.NodeID
+	Pull *Pull
+	Sync *Sync
+}
+
+// Reply is the answer to a Call, or the error instead of it.
+type Reply struct {
+	ID   uint64
+	Err  error
+	Pull *PullReply
+	Sync *SyncReply
+}
+
+// Datagram is a Have on its way to a peer.
+type Datagram struct {
+	To   registry.NodeID
+	Have Have
+}
+
+// Heard is a Have from a peer.
+type Heard struct {
+	From registry.NodeID
+	Have Have
+}
+
+// HeardDigest is the digest of a peer's table, from a probe or its answer.
+type HeardDigest struct {
+	From   registry.NodeID
+	Digest uint64
+}
+
+// PlatformRequest asks the platform for the policies. A request replaces the
+// one before, which may be canceled.
+type PlatformRequest struct {
+	ID uint64
+	// Watch selects a watch from revision Since for at most Wait; it is a listing
+	// otherwise.
+	Watch bool
+	Since uint64
+	Wait  time.Duration
+}
+
+// PlatformReply is the platform's answer to a request, or the error instead of it.
+type PlatformReply struct {
+	ID       uint64
+	Objects  []platform.Object
+	Revision uint64
+	Err      error
+}
+
+// Input is what happened since the last step.
+type Input struct {
+	Now time.Time
+	// Members are the members alive, this node included; nil means no change.
+	Members  []Member
+	Heard    []Heard
+	Digests  []HeardDigest
+	Replies  []Reply
+	Platform *PlatformReply
+}
+
+// Output is what the step decided.
+type Output struct {
+	Datagrams []Datagram
+	Calls     []Call
+	// Platform is a new request to the platform.
+	Platform *PlatformRequest
+	// CancelPlatform says that the answer to the waiting request is not needed.
+	CancelPlatform bool
+	// InForce are the policies that the step put in force.
+	InForce []*policy.InForce
+	Events  []event.Event
+	Status  Status
+	// Wake is the time of the next step if nothing happens before.
+	Wake time.Time
+}
+
+// Status describes the node's knowledge of the policies.
+type Status struct {
+	// Ready says that the node may serve.
+	Ready bool
+	// Confirmed says that the node knows that it is not behind. A ready node that
+	// is not confirmed serves the highest epochs that it reached.
+	Confirmed bool
+	// Watcher says that the node watches the platform for its failure domain.
+	Watcher bool
+	// PlatformSeen is when the platform last answered this node.
+	PlatformSeen time.Time
+}
+
+// Watchers returns the members that watch the platform for a failure domain:
+// the first two by rendezvous hash of the domain and the member.
+func Watchers(members []Member, domain string) []registry.NodeID {
+	type scored struct {
+		id    registry.NodeID
+		score uint64
+	}
+	var list []scored
+	for _, m := range members {
+		if m.FailureDomain == domain {
+			list = append(list, scored{m.ID, xxhash.Sum64String(domain + "\x00" + string(m.ID))})
+		}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	var ids []registry.NodeID
+	for _, s := range list[:min(len(list), 2)] {
+		ids = append(ids, s.id)
+	}
+	return ids
+}
+
+func bucket(service string) int { return int(xxhash.Sum64String(service) % Buckets) }
+
+func digests(table *policy.Table) (d [Buckets]uint64) {
+	for _, p := range table.All() {
+		d[bucket(p.Service)] += policy.EntryDigest(p.Service, p.Epoch, p.Hash)
+	}
+	return d
+}
+
+// ServeSync answers a peer's Sync. It is safe for concurrent use.
+func (c *Core) ServeSync(s Sync) SyncReply {
+	// The flag is read before the table: a node that is confirmed stays so, and
+	// its table only rises.
+	r := SyncReply{Confirmed: c.confirmed.Load()}
+	for i, d := range digests(c.table) {
+		r.Differs[i] = d != s.Digests[i]
+	}
+	for _, p := range c.table.All() {
+		if r.Differs[bucket(p.Service)] {
+			r.Have = append(r.Have, Have{p.Service, p.Epoch, p.Hash})
+		}
+	}
+	return r
+}
+
+// ServePull answers a peer's Pull. It is safe for concurrent use.
+func (c *Core) ServePull(p Pull) PullReply {
+	var r PullReply
+	size := 0
+	for _, service := range p.Services {
+		in := c.table.Get(service)
+		if in == nil {
+			continue
+		}
+		size += len(in.Text)
+		if size > maxPullBytes && len(r.Policies) > 0 {
+			r.More = true
+			break
+		}
+		r.Policies = append(r.Policies, policy.Versioned{Service: in.Service, Epoch: in.Epoch, Text: in.Text})
+	}
+	return r
+}
--- a/internal/state/policy/table.go
+++ b/internal/state/policy/table.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
 )
 
 // Versioned is the text of a service's policy at an epoch.
@@ -97,6 +99,9 @@
 type TableOptions struct {
 	// Now returns the time recorded in InForce.Since; nil means time.Now.
 	Now func() time.Time
+	// AcceptLowerEpochs switches the epoch check off. It is for tests that show
+	// that the invariant of rising epochs depends on the check.
+	AcceptLowerEpochs bool
 }
 
 // Table holds the policies in force on a node. Reads take no lock, so that
@@ -108,8 +113,9 @@
 // force as soon as the hosts are free, so that the final state does not depend
 // on the order of arrival.
 type Table struct {
-	now      func() time.Time
-	snapshot atomic.Pointer[snapshot]
+	now         func() time.Time
+	acceptLower bool
+	snapshot    atomic.Pointer[snapshot]
 
 	mu sync.Mutex
 	// held are the newest policies that wait for a host.
@@ -127,7 +133,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	t := &Table{now: o.Now, held: map[string]*InForce{}}
+	t := &Table{now: o.Now, acceptLower: o.AcceptLowerEpochs, held: map[string]*InForce{}}
 	t.snapshot.Store(&snapshot{byService: map[string]*InForce{}, byHost: map[string]*InForce{}})
 	return t
 }
@@ -144,7 +150,7 @@
 	if !isHeld {
 		known = cur.byService[v.Service]
 	}
-	if known != nil {
+	if known != nil && !(t.acceptLower && v.Epoch < known.Epoch) {
 		switch {
 		case v.Epoch < known.Epoch:
 			return SetResult{}, &EpochError{Service: v.Service, Known: known.Epoch, Offered: v.Epoch}
@@ -243,6 +249,8 @@
 	}
 	for service := range group {
 		if old := next.byService[service]; old != nil {
+			invariant.Check(group[service].Epoch > old.Epoch, "policy_epoch_rises",
+				"service %s: epoch %d replaces epoch %d", service, group[service].Epoch, old.Epoch)
 			next.digest -= EntryDigest(old.Service, old.Epoch, old.Hash)
 			for _, h := range old.Document.Service.Hosts {
 				delete(next.byHost, h)
@@ -264,6 +272,20 @@
 // Get returns the policy in force of a service, or nil.
 func (t *Table) Get(service string) *InForce { return t.snapshot.Load().byService[service] }
 
+// Known returns the highest epoch that the table has of a service: in force or
+// held back. It is 0 if there is none.
+func (t *Table) Known(service string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.held[service]; p != nil {
+		return p.Epoch
+	}
+	if p := t.Get(service); p != nil {
+		return p.Epoch
+	}
+	return 0
+}
+
 // ByHost returns the policy in force that claims the host, or nil.
 func (t *Table) ByHost(host string) *InForce { return t.snapshot.Load().byHost[host] }
 
