--- a/internal/coordination/distribution/core.go
+++ b/internal/coordination/distribution/core.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -18,21 +19,33 @@
 
 const (
 	// pushFanout peers of the failure domain hear of a new epoch from each node.
-	// With 175 nodes, four rounds reach about 98%; a sync reaches the rest.
 	pushFanout = 4
 	// syncTimeout and pullTimeout bound the calls to a peer. They leave room for a
 	// second try within the 4 s in which a policy must be in force. An answer to a
 	// pull that comes later is still used, so that a slow link makes progress.
 	syncTimeout = 500 * time.Millisecond
 	pullTimeout = time.Second
-	// maxSources are the peers that are remembered as holders of a wanted epoch.
-	maxSources = 3
+	// pullHedge is the time after which a wanted epoch is also asked of another
+	// peer, or another peer is looked for by a sync. An unanswered pull alone would
+	// take a quarter of the 4 s.
+	pullHedge = 300 * time.Millisecond
+	// maxSources are the peers that are remembered as holders of a wanted epoch,
+	// and maxTries the pulls for it from each of them.
+	maxSources = 4
+	maxTries   = 2
+	// pushRepeat is the time after which a node pushes a new epoch a second time,
+	// to other peers. Four datagrams miss about 2% of the nodes even without loss.
+	pushRepeat = time.Second
 	// maxPullServices bounds the services in one Pull, and maxPulls the calls at once.
 	maxPullServices = 64
-	maxPulls        = 4
+	maxPulls        = 8
 	// syncDelay is the longest wait between a foreign digest and the sync. Most
 	// differences during a change end by a push in this time.
 	syncDelay = 100 * time.Millisecond
+	// syncRetries is the number of other peers that are asked after a call failed.
+	// Waiting for the next foreign digest instead costs up to a second, and two
+	// failures in a row then exceed the 4 s.
+	syncRetries = 3
 	// maxSyncs bounds the syncs at once that foreign digests caused.
 	maxSyncs = 2
 	// syncMemory and idleSyncMemory are how long a sync is not repeated while both
@@ -92,6 +105,7 @@
 	calls    map[uint64]*call
 	lastCall uint64
 	wants    map[string]*want
+	repeats  []repeat
 	// refused are the documents that did not validate, by service.
 	refused map[string]Have
 	// mismatches are the peers with another digest that wait for a sync.
@@ -114,13 +128,43 @@
 	starting bool
 	// theirs and mine are the digests that caused a sync.
 	theirs, mine uint64
+	// retries is the number of other peers to ask if the call fails.
+	retries int
 }
 
 // want is an epoch that a peer is known to have.
 type want struct {
 	Have
-	sources []registry.NodeID
-	call    uint64
+	sources []source
+	// call is the newest pull for the epoch, 0 if none is waiting.
+	call  uint64
+	asked time.Time
+	// retries is the number of syncs with other peers that may look for a source.
+	retries int
+}
+
+// source is a peer that reported a wanted epoch.
+type source struct {
+	id    registry.NodeID
+	tries int
+}
+
+// next returns the source with the fewest tries, or nil if none is left.
+func (w *want) next() *source {
+	var best *source
+	for i := range w.sources {
+		if s := &w.sources[i]; s.tries < maxTries && (best == nil || s.tries < best.tries) {
+			best = s
+		}
+	}
+	return best
+}
+
+// repeat is a push that is due a second time.
+type repeat struct {
+	Have
+	due  time.Time
+	told []registry.NodeID
 }
 
 type mismatch struct {
@@ -170,7 +214,7 @@
 		c.reply(&in.Replies[i])
 	}
 	for _, h := range in.Heard {
-		c.want(h.Have, h.From)
+		c.want(h.Have, h.From, syncRetries)
 	}
 	for _, d := range in.Digests {
 		c.heardDigest(d)
@@ -184,6 +228,7 @@
 	c.startStep()
 	c.syncMismatches()
 	c.pullWanted()
+	c.repeatPushes()
 	c.out.Status = Status{
 		Ready: c.ready, Confirmed: c.confirmed.Load(), Watcher: c.source.watcher, PlatformSeen: c.source.seen,
 	}
@@ -210,6 +255,15 @@
 	for _, m := range c.mismatches {
 		earlier(m.due)
 	}
+	for _, w := range c.wants {
+		// A hedge that is due and was not sent waits for a call to end.
+		if due := w.asked.Add(pullHedge); w.call != 0 && due.After(c.now) {
+			earlier(due)
+		}
+	}
+	if len(c.repeats) > 0 {
+		earlier(c.repeats[0].due)
+	}
 	earlier(c.platformWake())
 	if !c.confirmed.Load() {
 		earlier(c.now.Add(startInterval))
@@ -273,26 +327,45 @@
 			event.Field{Key: "epoch", Value: fmt.Sprint(p.Epoch)},
 			event.Field{Key: "hash", Value: policy.FormatHash(p.Hash)},
 			event.Field{Key: "source", Value: source})
-		c.push(Have{p.Service, p.Epoch, p.Hash})
+		if !c.ready {
+			// A starting node takes in what its peers have had for long.
+			continue
+		}
+		h := Have{p.Service, p.Epoch, p.Hash}
+		c.repeats = append(c.repeats, repeat{Have: h, due: c.now.Add(pushRepeat), told: c.push(h, nil)})
 	}
 	if w := c.wants[v.Service]; w != nil && !c.missing(w.Have) {
 		delete(c.wants, v.Service)
 	}
 }
 
-// push tells peers of the failure domain. A node pushes only what it has in
-// force, because the peer pulls the text from it.
-func (c *Core) push(h Have) {
+// push tells peers of the failure domain, apart from those that were told
+// before, and returns them. A node pushes only what it has in force, because the
+// peer pulls the text from it.
+func (c *Core) push(h Have, told []registry.NodeID) []registry.NodeID {
 	var peers []registry.NodeID
 	for _, m := range c.members {
-		if m.FailureDomain == c.o.FailureDomain && m.ID != c.o.Self {
+		if m.FailureDomain == c.o.FailureDomain && m.ID != c.o.Self && !slices.Contains(told, m.ID) {
 			peers = append(peers, m.ID)
 		}
 	}
 	c.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, id := range peers[:min(len(peers), pushFanout)] {
+	peers = peers[:min(len(peers), pushFanout)]
+	for _, id := range peers {
 		c.out.Datagrams = append(c.out.Datagrams, Datagram{To: id, Have: h})
 	}
+	return peers
+}
+
+// repeatPushes pushes the epochs that are still in force a second time.
+func (c *Core) repeatPushes() {
+	for len(c.repeats) > 0 && !c.now.Before(c.repeats[0].due) {
+		r := c.repeats[0]
+		c.repeats = c.repeats[1:]
+		if p := c.table.Get(r.Service); p.Epoch == r.Epoch {
+			c.push(r.Have, r.told)
+		}
+	}
 }
 
 // missing reports whether the node lacks an epoch and would take it.
@@ -301,18 +374,27 @@
 }
 
 // want notes that a peer has an epoch that this node lacks.
-func (c *Core) want(h Have, from registry.NodeID) {
+func (c *Core) want(h Have, from registry.NodeID, retries int) {
 	if !c.missing(h) {
 		return
 	}
 	w := c.wants[h.Service]
 	if w == nil || h.Epoch > w.Epoch {
-		c.wants[h.Service] = &want{Have: h, sources: []registry.NodeID{from}}
+		c.wants[h.Service] = &want{Have: h, sources: []source{{id: from}}, retries: retries}
+		return
+	}
+	if h.Epoch < w.Epoch || slices.ContainsFunc(w.sources, func(s source) bool { return s.id == from }) {
 		return
 	}
-	if h.Epoch == w.Epoch && len(w.sources) < maxSources && !slices.Contains(w.sources, from) {
-		w.sources = append(w.sources, from)
+	if len(w.sources) >= maxSources {
+		// The source that was asked most often makes room.
+		worst := slices.MaxFunc(w.sources, func(a, b source) int { return cmp.Compare(a.tries, b.tries) })
+		if worst.tries == 0 {
+			return
+		}
+		w.sources = slices.DeleteFunc(w.sources, func(s source) bool { return s.id == worst.id })
 	}
+	w.sources = append(w.sources, source{id: from})
 }
 
 func (c *Core) call(to registry.NodeID, cl *call) {
@@ -336,17 +418,26 @@
 	pulls := map[registry.NodeID]*call{}
 	for _, service := range slices.Sorted(maps.Keys(c.wants)) {
 		w := c.wants[service]
-		if w.call != 0 {
+		if w.call != 0 && c.now.Sub(w.asked) < pullHedge {
+			continue
+		}
+		next := w.next()
+		if w.call != 0 && (next == nil || next.tries > 0) {
+			if w.retries > 0 {
+				w.retries--
+				w.asked = c.now
+				c.retrySync(w.sources[0].id, 1)
+			}
 			continue
 		}
-		p := pulls[w.sources[0]]
+		p := pulls[next.id]
 		if p == nil {
 			if active >= maxPulls {
 				continue
 			}
 			active++
 			p = &call{Call: Call{Pull: &Pull{}}}
-			pulls[w.sources[0]] = p
+			pulls[next.id] = p
 		}
 		if len(p.Pull.Services) < maxPullServices {
 			p.Pull.Services = append(p.Pull.Services, service)
@@ -356,7 +447,9 @@
 		p := pulls[to]
 		c.call(to, p)
 		for _, service := range p.Pull.Services {
-			c.wants[service].call = p.ID
+			w := c.wants[service]
+			w.call, w.asked = p.ID, c.now
+			w.next().tries++
 		}
 	}
 }
@@ -382,24 +475,34 @@
 				c.offer(v, "peer "+string(cl.To))
 			}
 		}
+		retries := 0
 		for _, service := range cl.Pull.Services {
 			w := c.wants[service]
 			if w == nil || w.call != cl.ID {
 				continue
 			}
 			w.call = 0
-			if !more {
-				w.sources = w.sources[1:]
+			for i := range w.sources {
+				if more && w.sources[i].id == cl.To {
+					w.sources[i].tries = 0
+				}
+			}
+			if r.Err == nil && !more {
+				// The peer no longer has what it reported.
+				w.sources = slices.DeleteFunc(w.sources, func(s source) bool { return s.id == cl.To })
 			}
-			if len(w.sources) == 0 {
-				// The next foreign digest leads to another source.
+			if w.next() == nil {
+				retries = max(retries, w.retries)
 				delete(c.wants, service)
 			}
 		}
+		c.retrySync(cl.To, retries)
 	case r.Err != nil || r.Sync == nil:
 		if cl.starting {
 			c.startReply(cl.To, nil)
+			return
 		}
+		c.retrySync(cl.To, cl.retries)
 	default:
 		c.synced(cl, r.Sync)
 	}
@@ -447,7 +550,25 @@
 		}
 		active++
 		delete(c.mismatches, id)
-		c.call(id, &call{Call: Call{Sync: &Sync{Digests: digests(c.table)}}, theirs: m.digest, mine: mine})
+		c.call(id, &call{Call: Call{Sync: &Sync{Digests: digests(c.table)}}, theirs: m.digest, mine: mine, retries: syncRetries})
+	}
+}
+
+// retrySync asks another peer after a call failed. The failed peer showed that
+// there is something to learn, but any other peer may know it too.
+func (c *Core) retrySync(failed registry.NodeID, retries int) {
+	if retries == 0 || c.o.Disabled.AntiEntropy {
+		return
+	}
+	var peers []registry.NodeID
+	for _, m := range c.members {
+		if m.ID != c.o.Self && m.ID != failed {
+			peers = append(peers, m.ID)
+		}
+	}
+	if len(peers) > 0 {
+		to := peers[c.rand.IntN(len(peers))]
+		c.call(to, &call{Call: Call{Sync: &Sync{Digests: digests(c.table)}}, mine: c.table.Digest(), retries: retries - 1})
 	}
 }
 
@@ -460,7 +581,7 @@
 		theirs[h.Service] = h
 		if c.missing(h) {
 			wanted++
-			c.want(h, cl.To)
+			c.want(h, cl.To, cl.retries)
 		} else if p := c.table.Get(h.Service); p != nil && p.Epoch == h.Epoch && p.Hash != h.Hash {
 			c.refusal(h.Service, h.Epoch, h.Hash, "another text has the same epoch", "peer "+string(cl.To))
 		}
--- a/internal/coordination/distribution/start.go
+++ b/internal/coordination/distribution/start.go
@@ -110,7 +110,7 @@
 		}
 		for _, h := range e.have {
 			complete = false
-			c.want(h, id)
+			c.want(h, id, 0)
 		}
 	}
 	if complete {
