Refuse a released backend server for the duration of a lease

An announcement sent before a release and handled after it granted a new lease while the next owner already held one. A sequence number in the announcement was ruled out for now because the message has no field for it.

--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -27,7 +27,7 @@
 	Stale Reason = "stale_announcement"
 	// Invalid: the announcement names no backend server or no service.
 	Invalid Reason = "invalid_announcement"
-	// Released: the backend server released its lease.
+	// Released: the backend server released its lease, a lease duration ago at most.
 	Released Reason = "released"
 	// Lapsed: the lease was not renewed in time.
 	Lapsed Reason = "lease_lapsed"
@@ -107,6 +107,7 @@
 
 	mu       sync.Mutex
 	leases   map[registry.BackendID]*lease
+	released map[registry.BackendID]release
 	stopping bool
 	// last is the latest time of any call; beforeGap and resumed are the ends of
 	// the last gap.
@@ -117,7 +118,7 @@
 
 // mechanismsOff disables mechanisms in tests, to show that the invariants
 // detect their absence.
-type mechanismsOff struct{ expiry, gap bool }
+type mechanismsOff struct{ expiry, gap, released bool }
 
 type lease struct {
 	Owned
@@ -125,16 +126,25 @@
 	from time.Time
 }
 
+// release remembers a released lease. The backend server may have a new owner at
+// once, and an announcement that it sent before the release may still arrive.
+type release struct {
+	incarnation uint64
+	at          time.Time
+}
+
 // New returns an empty table. The caller runs Tick once before the node accepts
 // announcements, because a pause is noticed only after a first call.
 func New(opt Options) *Table {
 	opt.Lease = cmp.Or(opt.Lease, registry.LeaseDuration)
 	opt.MaxGap = cmp.Or(opt.MaxGap, 500*time.Millisecond)
 	opt.Settle = cmp.Or(opt.Settle, 500*time.Millisecond)
-	return &Table{opt: opt, leases: make(map[registry.BackendID]*lease)}
+	return &Table{opt: opt, leases: make(map[registry.BackendID]*lease), released: make(map[registry.BackendID]release)}
 }
 
-// Announce grants, renews or releases the lease of a backend server.
+// Announce grants, renews or releases the lease of a backend server. After a
+// release, this node refuses the same start of the backend server for the duration
+// of a lease.
 func (t *Table) Announce(now time.Time, a Announcement) Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -151,11 +161,15 @@
 	}
 	if a.Released {
 		delete(t.leases, a.Backend)
+		t.released[a.Backend] = release{a.Incarnation, now}
 		return Result{Accepted: true, Changed: old != nil, Expires: now}
 	}
 	if t.stopping {
 		return Result{Reason: Stopping}
 	}
+	if r, ok := t.released[a.Backend]; ok && a.Incarnation <= r.incarnation && elapsed(now, r.at) < t.opt.Lease && !t.off.released {
+		return Result{Reason: Released}
+	}
 	from := t.leaseFrom(now, a)
 	l := &lease{Owned: Owned{Announcement: a, Since: now, Expires: from.Add(t.opt.Lease)}, from: from}
 	if t.lapsed(now, l) {
@@ -244,6 +258,11 @@
 			lost = append(lost, Lost{Backend: id, Service: l.Service, Reason: Lapsed})
 		}
 	}
+	for id, r := range t.released {
+		if elapsed(now, r.at) >= t.opt.Lease {
+			delete(t.released, id)
+		}
+	}
 	slices.SortFunc(lost, func(a, b Lost) int { return cmp.Compare(a.Backend, b.Backend) })
 	return lost
 }
--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,8 +27,13 @@
 // meanwhile waits in its receive buffer.
 type owner struct {
 	table  *Table
-	inbox  []time.Time // arrival times of announcements
-	paused time.Time   // end of the pause
+	inbox  []message
+	paused time.Time // end of the pause
+}
+
+type message struct {
+	arrival time.Time
+	release int // number of the move that the release belongs to, or 0
 }
 
 // simulate moves one backend server between two owners and returns an error if
@@ -38,18 +44,22 @@
 		o.table.off = off
 		o.table.Tick(t0)
 	}
-	current, now, lastSent, nextSend := 0, t0, t0, t0
+	current, moves, now, lastSent, nextSend := 0, 0, t0, t0, t0
 	for i, op := range script {
 		now = now.Add(step)
 		switch {
 		case op < 8: // Pause an owner for up to 8 s.
 			owners[op%2].paused = now.Add(time.Duration(script[(i+1)%len(script)]) * 32 * time.Millisecond)
-		case op < 12 && current >= 0: // The backend server turns to the other owner.
+		case op < 16: // The backend server turns to the other owner, with or without a release.
+			moves++
+			if op < 12 {
+				owners[current].inbox = append(owners[current].inbox, message{now.Add(time.Duration(op%4) * step), moves})
+			}
 			current = 1 - current
 			nextSend = lastSent.Add(registry.LeaseDuration + maxDelay + 600*time.Millisecond)
 		}
 		if !now.Before(nextSend) {
-			owners[current].inbox = append(owners[current].inbox, now.Add(time.Duration(op%4)*step))
+			owners[current].inbox = append(owners[current].inbox, message{now.Add(time.Duration(op%4) * step), 0})
 			lastSent, nextSend = now, now.Add(time.Second)
 		}
 		holders := 0
@@ -60,10 +70,17 @@
 			if op%3 == 0 { // Tick may run before or after the receive buffer is read.
 				o.table.Tick(now)
 			}
-			for len(o.inbox) > 0 && !o.inbox[0].After(now) {
-				o.inbox = o.inbox[1:]
-				o.table.Announce(now, announcement())
-			}
+			o.inbox = slices.DeleteFunc(o.inbox, func(m message) bool {
+				if m.arrival.After(now) {
+					return false
+				}
+				a := announcement()
+				a.Released = m.release > 0
+				if o.table.Announce(now, a).Accepted && m.release == moves && nextSend.After(now) {
+					nextSend = now
+				}
+				return true
+			})
 			o.table.Tick(now)
 			if o.table.Holds(now, "b1") {
 				holders++
@@ -84,7 +101,7 @@
 	}, gen.SliceOfN(800, gen.UInt8()))
 }
 
-// Shows that the checks detect a missing expiry and a missing gap rule.
+// Shows that the checks detect the absence of each mechanism.
 func TestChecksDetectMissingMechanisms(t *testing.T) {
 	proptest.Violates(t, "ownership_lease_current", func() {
 		table := New(Options{})
@@ -94,15 +111,18 @@
 	})
 	rng := proptest.Rand(t)
 	script := make([]uint8, 1200)
-	for range 1000 {
-		for i := range script {
-			script[i] = uint8(rng.UintN(256))
+	for _, off := range []mechanismsOff{{gap: true}, {released: true}} {
+		runs := 0
+		for ; runs < 1000 && simulate(script, off) == nil; runs++ {
+			for i := range script {
+				script[i] = uint8(rng.UintN(256))
+			}
 		}
-		if simulate(script, mechanismsOff{gap: true}) != nil {
-			return
+		if runs == 1000 {
+			t.Errorf("without a mechanism (%+v), no run led to two owners", off)
 		}
+		clear(script)
 	}
-	t.Error("without the gap rule, no run led to two owners")
 }
 
 // Guards against a lease that outlives its duration or a release.
@@ -157,6 +177,11 @@
 		}
 	}
 	table := New(Options{})
+	table.Announce(t0, with(func(a *Announcement) { a.Released = true }))
+	if res := table.Announce(t0.Add(registry.LeaseDuration-1), announcement()); res.Reason != Released {
+		t.Errorf("announcement from before the release: %+v", res)
+	}
+	table = New(Options{})
 	first := table.Announce(t0, announcement())
 	delayed := with(func(a *Announcement) { a.LeaseFrom = t0.Add(-time.Second) })
 	if res := table.Announce(t0, delayed); res.Expires != first.Expires {
