--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,11 +29,21 @@
 	now, next := t0, uint64(0)
 	decided, inFlight := map[uint64]string{}, map[uint64]Request{}
 	queued := map[uint64]Request{}
-	decide := func(ticket uint64, how string) error {
-		if was, ok := decided[ticket]; ok {
-			return fmt.Errorf("ticket %d: %s after %s", ticket, how, was)
+	decide := func(r Request, how string, admitted bool) error {
+		if was, ok := decided[r.Ticket]; ok {
+			return fmt.Errorf("ticket %d: %s after %s", r.Ticket, how, was)
+		}
+		decided[r.Ticket] = how
+		if !admitted {
+			return nil
+		}
+		inFlight[r.Ticket] = r
+		if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+			return fmt.Errorf("ticket %d started after its deadline", r.Ticket)
+		}
+		if n := g.callers[r.Caller].inFlight; g.opt.CallerInFlight > 0 && n > g.opt.CallerInFlight {
+			return fmt.Errorf("%d requests of one caller in flight", n)
 		}
-		decided[ticket] = how
 		return nil
 	}
 	for step, op := range script {
@@ -52,33 +64,29 @@
 				queued[r.Ticket] = r
 				break
 			}
-			if v == Admitted {
-				inFlight[r.Ticket] = r
-			}
-			if err := decide(r.Ticket, v.String()); err != nil {
+			if err := decide(r, v.String(), v == Admitted); err != nil {
 				return err
 			}
 		case 8, 9, 10, 11:
-			for ticket := range inFlight {
+			if tickets := slices.Sorted(maps.Keys(inFlight)); len(tickets) > 0 {
+				ticket := tickets[arg%len(tickets)]
 				g.Release(now, ticket, time.Duration(1+arg%200)*time.Millisecond)
 				delete(inFlight, ticket)
-				break
 			}
 		case 12:
-			for ticket := range queued {
-				if g.Cancel(now, ticket) {
-					delete(queued, ticket)
-					if err := decide(ticket, "canceled"); err != nil {
-						return err
-					}
+			tickets := slices.Sorted(maps.Keys(queued))
+			if len(tickets) > 0 && g.Cancel(now, tickets[arg%len(tickets)]) {
+				r := queued[tickets[arg%len(tickets)]]
+				delete(queued, r.Ticket)
+				if err := decide(r, "canceled", false); err != nil {
+					return err
 				}
-				break
 			}
 		case 13:
 			g.SetSlots(arg % 6)
 			g.SetLimits(arg%9, arg%3)
 		case 14:
-			g.SetState(registry.BackendState(arg % 4))
+			g.SetState(registry.BackendState(max(0, arg%12-8))) // Mostly active.
 		case 15:
 			g.StartRamp(now)
 		}
@@ -88,18 +96,9 @@
 				return fmt.Errorf("step %d: grant for ticket %d, which is not queued", step, grant.Ticket)
 			}
 			delete(queued, grant.Ticket)
-			if err := decide(grant.Ticket, fmt.Sprintf("granted %t %s", grant.Admitted, grant.Reason)); err != nil {
+			if err := decide(r, fmt.Sprintf("granted %t %s", grant.Admitted, grant.Reason), grant.Admitted); err != nil {
 				return err
 			}
-			if grant.Admitted {
-				if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
-					return fmt.Errorf("step %d: ticket %d started after its deadline", step, grant.Ticket)
-				}
-				inFlight[grant.Ticket] = r
-				if n := g.callers[r.Caller].inFlight; g.opt.CallerInFlight > 0 && n > g.opt.CallerInFlight {
-					return fmt.Errorf("step %d: %d requests of one caller in flight", step, n)
-				}
-			}
 		}
 		load := g.Load()
 		if load.InUse != len(inFlight) || load.Queued != len(queued) {
@@ -120,7 +119,7 @@
 // under any order of calls; the invariants of the gate panic inside the run.
 func TestGateDecidesEveryTicketOnce(t *testing.T) {
 	proptest.Check(t, 300, "each ticket is decided once", func(script []uint32) string {
-		return proptest.Result(runScript(NewGate(Options{Slots: 4}, t0), script))
+		return proptest.Result(runScript(NewGate(Options{Slots: 4, Ramp: time.Second}, t0), script))
 	}, gen.SliceOfN(200, gen.UInt32()))
 }
 
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -338,10 +339,7 @@
 	rng, d, b := proptest.Rand(t), registry.NewDirectory(), balancer()
 	addNode(d, 0, "r0a", 0, 200, func(int) int { return 0 })
 	_, before := sample1000(t, b, rng, t0, d.Snapshot())
-	var gone registry.BackendID
-	for gone = range before {
-		break
-	}
+	gone := slices.Min(slices.Collect(maps.Keys(before)))
 	change(d, "n0", func(n *registry.Node) {
 		n.Backends = slices.DeleteFunc(n.Backends, func(x registry.Backend) bool { return x.ID == gone })
 	})
