--- /dev/null
+++ b/internal/protocol/header/header_test.go
@@ -0,0 +1,92 @@
+package header
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Guards against a header of a hop that is read differently than it was written.
+func TestHopSurvivesTheWire(t *testing.T) {
+	seed := time.Now().UnixNano()
+	t.Logf("seed %d", seed)
+	params := gopter.DefaultTestParametersWithSeed(seed)
+	properties := gopter.NewProperties(params)
+	properties.Property("ReadHop inverts Write", prop.ForAll(
+		func(incarnation uint64, ms int64, attempt, samples int, rate float64, name string) bool {
+			in := Hop{
+				RequestID: NewRequestID(), Backend: "b", Service: "s", Route: name, Incarnation: incarnation,
+				Left: time.Duration(ms) * time.Millisecond, Attempt: attempt, Caller: CallerName(name), Region: "r",
+				Baseline: evidence.Baseline{FailureRate: float64(int(rate*1000)) / 1000, Median: time.Duration(samples) * time.Microsecond, Samples: samples},
+			}
+			h := http.Header{}
+			in.Write(h)
+			out, err := ReadHop(h)
+			load := evidence.Load{Slots: samples, InUse: attempt, Queued: 2, Weight: 0.25}
+			back, loadErr := ParseLoad(FormatLoad(load))
+			return err == nil && out == in && loadErr == nil && back == load
+		},
+		gen.UInt64(), gen.Int64Range(0, maxDeadline.Milliseconds()), gen.IntRange(1, maxAttempt), gen.IntRange(0, maxCount),
+		gen.Float64Range(0, 1), gen.AlphaString()))
+	properties.TestingRun(t)
+}
+
+// Guards against a malformed header that is accepted.
+func TestMalformedHeadersAreRefused(t *testing.T) {
+	for _, s := range []string{"", "-1", "+5", "1.5", "5s", " 5"} {
+		if v, err := ParseDeadline(s); err == nil {
+			t.Errorf("deadline %q read as %v", s, v)
+		}
+	}
+	if v, err := ParseDeadline(strings.Repeat("9", 40)); err != nil || v != maxDeadline {
+		t.Errorf("huge deadline: %v, %v", v, err)
+	}
+	for _, s := range []string{"", "slots=1", "slots=1 in_use=0 queued=0 weight=2", "slots=-1 in_use=0 queued=0 weight=1",
+		"slots=1 in_use=0 queued=0 weight=NaN", "slots=1 in_use=0 queued=0 weight=1 x=1", "in_use=0 slots=1 queued=0 weight=1"} {
+		if v, err := ParseLoad(s); err == nil {
+			t.Errorf("load %q read as %+v", s, v)
+		}
+	}
+	for _, name := range []string{RequestID, Backend, Service, OwnerIncarnation, DeadlineMillis, Attempt, Baseline} {
+		h := http.Header{}
+		(&Hop{RequestID: NewRequestID(), Backend: "b", Service: "s", Attempt: 1}).Write(h)
+		h.Set(name, "")
+		if hop, err := ReadHop(h); err == nil {
+			t.Errorf("without %s read as %+v", name, hop)
+		}
+	}
+	for _, s := range []string{"a b", "a\nb", "a,b", strings.Repeat("a", maxCaller+1)} {
+		if v := CallerName(s); v != "" {
+			t.Errorf("caller %q read as %q", s, v)
+		}
+	}
+}
+
+// Guards against a header of a caller that reaches another hop although it must
+// not, and against the loss of one that must.
+func TestStrip(t *testing.T) {
+	h := http.Header{
+		"Connection": {"close, X-Named"}, "X-Named": {"1"}, "Te": {"trailers"}, "Upgrade": {"x"}, "Keep-Alive": {"5"},
+		"Transfer-Encoding": {"chunked"}, "Proxy-Authorization": {"x"}, "Expect": {"100-continue"},
+		Backend: {"b"}, Caller: {"c"}, "wigeonspring-outcome": {"x"}, "Cookie": {"c"}, "Wigeon": {"1"},
+	}
+	if !FromNode(h) {
+		t.Error("a request of a node is not recognized")
+	}
+	StripHopByHop(h)
+	StripInternal(h)
+	if len(h) != 2 || h.Get("Cookie") != "c" || h.Get("Wigeon") != "1" {
+		t.Errorf("left: %v", h)
+	}
+	if a, b := NewRequestID(), NewRequestID(); a == b || !ValidRequestID(a) || ValidRequestID(a+"0") || registry.BackendID(a) == "" {
+		t.Errorf("request ids %q, %q", a, b)
+	}
+}
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -183,9 +183,13 @@
 		h["User-Agent"] = []string{""} // Keeps net/http from adding its own.
 	}
 	inject(ctx, h)
+	body := in.Body
+	if in.ContentLength == 0 {
+		body = http.NoBody // The HTTP/2 server gives an empty body that is not NoBody, which would be sent chunked.
+	}
 	u := &url.URL{Scheme: "http", Host: address, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery}
 	return &http.Request{
-		Method: in.Method, URL: u, Host: in.Host, Header: h, Body: in.Body, ContentLength: in.ContentLength,
+		Method: in.Method, URL: u, Host: in.Host, Header: h, Body: body, ContentLength: in.ContentLength,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 }
