--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -227,8 +227,8 @@
 	defer g.mu.Unlock()
 	g.advance(now)
 	e := g.inFlight[ticket]
-	invariant.Check(e != nil, "admission_release_once", "release of ticket %d, which holds no slot", ticket)
 	if e == nil {
+		invariant.Check(false, "admission_release_once", "release of ticket %d, which holds no slot", ticket)
 		return
 	}
 	g.finish(e)
@@ -275,7 +275,9 @@
 	}
 	grants := make([]Grant, len(g.granted))
 	for i, e := range g.granted {
-		invariant.Check(e.decided == 1, "admission_decided_once", "ticket %d was decided %d times", e.Ticket, e.decided)
+		if e.decided != 1 {
+			invariant.Check(false, "admission_decided_once", "ticket %d was decided %d times", e.Ticket, e.decided)
+		}
 		grants[i] = Grant{Ticket: e.Ticket, Admitted: e.admitted, Reason: e.reason}
 	}
 	clear(g.granted)
@@ -529,10 +531,10 @@
 // most queued entries, e included. It returns false if e is that entry; callers
 // with equally many entries keep theirs.
 func (g *Gate) displace(e *entry) bool {
-	most := e.caller
+	most, entries := e.caller, e.caller.queued+1
 	for _, q := range g.queue {
-		if q.caller.queued > most.queued && q.caller != e.caller && q.caller.queued > e.caller.queued+1 {
-			most = q.caller
+		if q.caller != e.caller && q.caller.queued > entries {
+			most, entries = q.caller, q.caller.queued
 		}
 	}
 	if most == e.caller {
