--- /dev/null
+++ b/internal/transport/control/status.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+const (
+	// peerConcurrency bounds the nodes that are asked at the same time.
+	peerConcurrency = 32
+	peerTimeout     = 2 * time.Second
+)
+
+// PolicyStatus implements controlpb.Control. Unless the request is local, it
+// asks every live node; a node that cannot be asked is listed with the error.
+func (s *Server) PolicyStatus(ctx context.Context, req *controlpb.PolicyStatusRequest) (*controlpb.PolicyStatusResponse, error) {
+	resp := &controlpb.PolicyStatusResponse{Nodes: []*controlpb.PolicyNodeStatus{s.localStatus(req.Service)}}
+	if req.Local {
+		return resp, nil
+	}
+	var mu sync.Mutex
+	s.eachPeer(func(n *registry.Node) {
+		status := s.askStatus(ctx, n, req.Service)
+		mu.Lock()
+		defer mu.Unlock()
+		resp.Nodes = append(resp.Nodes, status)
+	})
+	sort.Slice(resp.Nodes, func(i, j int) bool { return resp.Nodes[i].NodeId < resp.Nodes[j].NodeId })
+	return resp, nil
+}
+
+// eachPeer calls ask for every other node that is not dead, for a bounded number
+// of nodes at the same time, and waits for all calls.
+func (s *Server) eachPeer(ask func(*registry.Node)) {
+	var group errgroup.Group
+	group.SetLimit(peerConcurrency)
+	for _, n := range s.opts.Node.Snapshot().Nodes() {
+		if n.ID == s.opts.Node.ID() || n.Status == registry.Dead {
+			continue
+		}
+		group.Go(func() error {
+			ask(n)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// Explain implements controlpb.Control. Decisions are kept by the node that made
+// them, so that all live nodes are asked unless the request is local.
+func (s *Server) Explain(ctx context.Context, req *controlpb.ExplainRequest) (*controlpb.ExplainResponse, error) {
+	resp := &controlpb.ExplainResponse{Events: s.localEvents(req)}
+	if req.Local {
+		return resp, nil
+	}
+	var mu sync.Mutex
+	s.eachPeer(func(n *registry.Node) {
+		found, err := s.askEvents(ctx, n, req)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			resp.Unreachable = append(resp.Unreachable, string(n.ID))
+			return
+		}
+		resp.Events = append(resp.Events, found...)
+	})
+	sort.Slice(resp.Events, func(i, j int) bool { return resp.Events[i].UnixNanos > resp.Events[j].UnixNanos })
+	if req.Limit > 0 && len(resp.Events) > int(req.Limit) {
+		resp.Events = resp.Events[:req.Limit]
+	}
+	return resp, nil
+}
+
+func (s *Server) askEvents(ctx context.Context, n *registry.Node, req *controlpb.ExplainRequest) ([]*controlpb.EventInfo, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	client := controlpb.NewControlProtobufClient("http://"+n.PeerAddr, s.opts.Peers)
+	resp, err := client.Explain(ctx, &controlpb.ExplainRequest{
+		Service:   req.Service,
+		Backend:   req.Backend,
+		RequestId: req.RequestId,
+		Limit:     req.Limit,
+		Local:     true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return resp.Events, nil
+}
+
+func (s *Server) localStatus(service string) *controlpb.PolicyNodeStatus {
+	status := &controlpb.PolicyNodeStatus{
+		NodeId: string(s.opts.Node.ID()),
+		Ready:  s.opts.Node.Ready(),
+	}
+	for _, p := range s.opts.Policies.All() {
+		if service != "" && service != p.Service {
+			continue
+		}
+		status.Policies = append(status.Policies, &controlpb.PolicyEpoch{
+			Service:           p.Service,
+			Epoch:             p.Epoch,
+			Hash:              policy.FormatHash(p.Hash),
+			InForceUnixMillis: p.Since.UnixMilli(),
+		})
+	}
+	return status
+}
+
+func (s *Server) askStatus(ctx context.Context, n *registry.Node, service string) *controlpb.PolicyNodeStatus {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	client := controlpb.NewControlProtobufClient("http://"+n.PeerAddr, s.opts.Peers)
+	resp, err := client.PolicyStatus(ctx, &controlpb.PolicyStatusRequest{Service: service, Local: true})
+	if err != nil {
+		return &controlpb.PolicyNodeStatus{NodeId: string(n.ID), Error: err.Error()}
+	}
+	if len(resp.Nodes) != 1 {
+		return &controlpb.PolicyNodeStatus{NodeId: string(n.ID), Error: "malformed answer"}
+	}
+	return resp.Nodes[0]
+}
