--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -18,11 +18,11 @@
 	Route       string
 	Incarnation uint64
 	// Left is the time left for the request.
-	Left    time.Duration
+	Left time.Duration
 	// AnswerWithin is the time within which the answer must begin; 0 means Left.
 	AnswerWithin time.Duration
 	Attempt      int
-	Caller  string
+	Caller       string
 	// Region is the region of the ingress node.
 	Region   string
 	Baseline evidence.Baseline
@@ -30,20 +30,21 @@
 
 // Write adds the headers of the hop to h.
 func (p *Hop) Write(h http.Header) {
-	h[RequestID] = []string{p.RequestID}
-	h[Backend] = []string{string(p.Backend)}
-	h[Service] = []string{string(p.Service)}
-	h[Route] = []string{p.Route}
-	h[OwnerIncarnation] = []string{strconv.FormatUint(p.Incarnation, 10)}
-	h[DeadlineMillis] = []string{FormatDeadline(p.Left)}
+	names := [...]string{
+		RequestID, Backend, Service, Route, OwnerIncarnation, DeadlineMillis, Attempt, Region, Baseline,
+		Caller, AnswerWithinMillis,
+	}
+	values := [len(names)]string{
+		p.RequestID, string(p.Backend), string(p.Service), p.Route, strconv.FormatUint(p.Incarnation, 10),
+		FormatDeadline(p.Left), FormatAttempt(p.Attempt), p.Region, FormatBaseline(p.Baseline), p.Caller,
+	}
 	if p.AnswerWithin > 0 {
-		h[AnswerWithinMillis] = []string{FormatDeadline(p.AnswerWithin)}
+		values[len(names)-1] = FormatDeadline(p.AnswerWithin)
 	}
-	h[Attempt] = []string{FormatAttempt(p.Attempt)}
-	h[Region] = []string{p.Region}
-	h[Baseline] = []string{FormatBaseline(p.Baseline)}
-	if p.Caller != "" {
-		h[Caller] = []string{p.Caller}
+	for i, name := range names {
+		if values[i] != "" {
+			h[name] = values[i : i+1 : i+1]
+		}
 	}
 }
 
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/retry"
@@ -97,11 +96,12 @@
 
 // runLocal runs the attempt in this process.
 func (t *tried) runLocal(ctx context.Context, hop header.Hop) {
-	r := t.call.request.Clone(ctx)
+	r := *t.call.request // The owner changes the header of the request.
+	r.Header = r.Header.Clone()
 	r.Body, r.ContentLength = t.body, t.call.body.length
 	deadline := t.begin.Add(hop.Left)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	a := &attempt{Hop: hop, Deadline: deadline, Request: r}
+	a := &attempt{Hop: hop, Deadline: deadline, Request: &r}
 	if hop.AnswerWithin > 0 {
 		a.AnswerBy = t.begin.Add(hop.AnswerWithin)
 	}
@@ -116,7 +116,7 @@
 // runPeer runs the attempt on another node.
 func (t *tried) runPeer(ctx context.Context, hop header.Hop) {
 	c := t.call
-	ctx, span := c.in.tracer.Start(ctx, "peer hop", trace.WithSpanKind(trace.SpanKindClient))
+	ctx, span := c.in.tracer.Start(ctx, "peer hop", clientSpan...)
 	addr := t.target.Owner.PeerAddr
 	// The owner enforces the limit; the margin leaves it time to say so.
 	var silentAt time.Time
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -106,7 +106,7 @@
 	}
 	defer in.leave()
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, c.span = in.tracer.Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, c.span = in.tracer.Start(ctx, "ingress", serverSpan...)
 	defer c.span.End()
 	if !c.prepare(r) {
 		return
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -24,6 +24,12 @@
 
 const tracerName = "wigeonspring.example/wigeonspring/internal/transport/proxy"
 
+// Options of the spans, kept because they are needed for every request.
+var (
+	serverSpan = []trace.SpanStartOption{trace.WithSpanKind(trace.SpanKindServer)}
+	clientSpan = []trace.SpanStartOption{trace.WithSpanKind(trace.SpanKindClient)}
+)
+
 // Leases answers whether this node holds the lease of a backend server.
 // *ownership.Table implements it.
 type Leases interface {
@@ -92,7 +98,8 @@
 	Deadline time.Time
 	// AnswerBy is the time by which the answer must begin; zero means Deadline.
 	AnswerBy time.Time
-	// Request is the caller's request without hop-by-hop and internal headers.
+	// Request is the caller's request without hop-by-hop and internal headers. The
+	// owner changes its header.
 	Request *http.Request
 }
 
@@ -110,7 +117,7 @@
 	if !o.enter() {
 		return notRun(reasonStopping, nil)
 	}
-	ctx, span := o.tracer.Start(ctx, "owner", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := o.tracer.Start(ctx, "owner", serverSpan...)
 	r := o.admit(ctx, a)
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("wigeonspring.request_id", a.RequestID),
@@ -162,7 +169,7 @@
 // dispatch runs an admitted attempt on its backend server.
 func (o *Owner) dispatch(ctx context.Context, a *attempt, b *owned, ticket uint64, load *evidence.Load) *reply {
 	x := &exchange{owner: o, attempt: a, backend: b, ticket: ticket}
-	ctx, x.span = o.tracer.Start(ctx, "backend exchange", trace.WithSpanKind(trace.SpanKindClient))
+	ctx, x.span = o.tracer.Start(ctx, "backend exchange", clientSpan...)
 	leased, sent := true, false
 	x.start = o.opt.Now()
 	ctx, answerBegan := limitAnswer(ctx, a.AnswerBy)
@@ -187,10 +194,9 @@
 // outgoing returns the request for the backend server.
 func (o *Owner) outgoing(ctx context.Context, a *attempt, address string) *http.Request {
 	in := a.Request
-	h := in.Header.Clone()
-	h[header.RequestID] = []string{a.RequestID}
-	h[header.DeadlineMillis] = []string{header.FormatDeadline(a.Deadline.Sub(o.opt.Now()))}
-	h[header.Attempt] = []string{header.FormatAttempt(a.Attempt)}
+	h := in.Header
+	v := [...]string{a.RequestID, header.FormatDeadline(a.Deadline.Sub(o.opt.Now())), header.FormatAttempt(a.Attempt)}
+	h[header.RequestID], h[header.DeadlineMillis], h[header.Attempt] = v[0:1:1], v[1:2:2], v[2:3:3]
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // Keeps net/http from adding its own.
 	}
