Report an exchange that is overdue while it goes on

An exchange is now reported after the larger of 250 ms and 20 times the service's median. A timer that fires more than 50 ms late is ignored, because then the node was paused.

--- a/internal/coordination/ejection/cusum.go
+++ b/internal/coordination/ejection/cusum.go
@@ -45,6 +45,10 @@
 	scoreCap = 1.5
 )
 
+// allRoutes names the statistics over all routes in the evidence. No route of a
+// policy can have this name.
+const allRoutes = "*"
+
 var (
 	slowStep   = math.Log(failingSlowShare / normalSlowShare)
 	normalStep = math.Log((1 - failingSlowShare) / (1 - normalSlowShare))
@@ -87,7 +91,7 @@
 	if o.HighThreshold <= 0 {
 		o.HighThreshold = 16
 	}
-	d := &CUSUM{opts: o}
+	d := &CUSUM{opts: o, all: cell{route: allRoutes}}
 	d.SetWeight(DefaultDetectionWeight)
 	return d
 }
@@ -99,7 +103,7 @@
 
 // Reset implements Detector.
 func (d *CUSUM) Reset() {
-	d.all = cell{}
+	d.all = cell{route: allRoutes}
 	d.routes = d.routes[:0]
 }
 
--- a/internal/coordination/ejection/detector.go
+++ b/internal/coordination/ejection/detector.go
@@ -49,7 +49,7 @@
 
 func isFailure(k evidence.Kind) bool {
 	switch k {
-	case evidence.ServerError, evidence.Timeout, evidence.Reset, evidence.Truncated:
+	case evidence.ServerError, evidence.Timeout, evidence.Reset, evidence.Truncated, evidence.Overdue:
 		return true
 	}
 	return false
--- a/internal/state/evidence/evidence.go
+++ b/internal/state/evidence/evidence.go
@@ -46,6 +46,9 @@
 	Reset
 	// Truncated means that the answer ended before its declared end.
 	Truncated
+	// Overdue means that the exchange goes on, but has lasted far longer than is
+	// normal for the service. Its end as a Timeout or Reset is not reported again.
+	Overdue
 	// Canceled means that the caller went away; it is no evidence.
 	Canceled
 )
--- a/internal/transport/node/cluster.go
+++ b/internal/transport/node/cluster.go
@@ -153,4 +153,3 @@
 }
 
 func (n *Node) observe(o evidence.Observation) { n.health.Observe(o) }
-
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -174,6 +175,7 @@
 	x.start = o.opt.Now()
 	ctx, answerBegan := limitAnswer(ctx, a.AnswerBy)
 	defer answerBegan()
+	defer x.watch()()
 	resp, err := b.pool.Do(ctx, o.outgoing(ctx, a, b.address), a.RequestID, func() bool {
 		// The lease may have lapsed in the queue or while connecting.
 		now := o.opt.Now()
@@ -230,6 +232,61 @@
 	latency time.Duration
 	span    trace.Span
 	once    sync.Once
+	// overdue is set when the exchange was reported while it went on.
+	overdue atomic.Bool
+}
+
+// Limits of the time after which an exchange without an answer is reported.
+const (
+	// overdueFactor times the median is far beyond the 99th percentile of a
+	// healthy service.
+	overdueFactor = 20
+	// overdueMin keeps short pauses of a VM from counting as evidence.
+	overdueMin = 250 * time.Millisecond
+	// overdueSamples is the number of samples from which the median is trusted.
+	overdueSamples = 20
+	// overdueLateness is how late the timer may fire. A timer that is later shows
+	// that this process was paused, and not that the backend server is slow.
+	overdueLateness = 50 * time.Millisecond
+)
+
+// watch reports the exchange as overdue if its answer has not begun long after
+// it would normally have ended. A gray backend server is noticed before the
+// deadlines of its requests pass. The returned function ends the watch.
+func (x *exchange) watch() (stop func()) {
+	b := x.attempt.Baseline
+	if b.Samples < overdueSamples || b.Median <= 0 || x.attempt.Request.ContentLength != 0 && !smallBody(x.attempt.Request) {
+		return func() {}
+	}
+	after := max(overdueMin, overdueFactor*b.Median)
+	due := x.owner.opt.Now().Add(after)
+	timer := time.AfterFunc(after, func() {
+		now := x.owner.opt.Now()
+		if now.Sub(due) > overdueLateness {
+			return
+		}
+		x.overdue.Store(true)
+		x.report(evidence.Overdue, now, after)
+	})
+	return func() { timer.Stop() }
+}
+
+// smallBody reports whether the body is sent at once, so that waiting for the
+// caller's upload cannot be taken for a slow backend server.
+func smallBody(r *http.Request) bool {
+	return r.ContentLength > 0 && r.ContentLength <= maxSmallBody
+}
+
+// maxSmallBody is the size of a body that fits the socket buffers.
+const maxSmallBody = 16 << 10
+
+// report hands the evidence of the exchange to the detector.
+func (x *exchange) report(kind evidence.Kind, now time.Time, latency time.Duration) {
+	a := x.attempt
+	x.owner.opt.Observe(evidence.Observation{
+		Backend: a.Backend, Service: a.Service, Route: a.Route, Kind: kind,
+		Latency: latency, At: now, Baseline: a.Baseline,
+	})
 }
 
 // failed ends an exchange without an answer.
@@ -286,9 +343,9 @@
 				attribute.String("wigeonspring.reason", reason))
 		}
 		x.span.End()
-		o.opt.Observe(evidence.Observation{
-			Backend: a.Backend, Service: a.Service, Route: a.Route, Kind: kind,
-			Latency: latency, At: now, Baseline: a.Baseline,
-		})
+		if x.overdue.Load() && (kind == evidence.Timeout || kind == evidence.Reset) {
+			return // Reported already.
+		}
+		x.report(kind, now, latency)
 	})
 }
