--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -225,6 +225,13 @@
 	}
 }
 
+// leavesBody ends the attempt's access to the body of the request and reports
+// whether another attempt can send the whole body.
+func (t *tried) leavesBody() bool {
+	_ = t.body.Close()
+	return t.call.body.repeatable()
+}
+
 // shed reports whether the backend server refused the work.
 func (t *tried) shed() bool {
 	return t.reply.Response != nil && t.reply.Response.StatusCode == http.StatusServiceUnavailable
--- a/internal/transport/proxy/bench_test.go
+++ b/internal/transport/proxy/bench_test.go
@@ -21,12 +21,13 @@
 	paths := []struct {
 		name  string
 		owner int // -1: direct
-	}{{"direct", -1}, {"one node", 0}, {"two nodes", 1}}
+		keep  int64
+	}{{"direct", -1, 0}, {"one node", 0, 0}, {"two nodes", 1, 0}, {"two nodes, body kept", 1, 16 << 10}}
 	requests := []struct{ method, body string }{{"GET", ""}, {"POST", strings.Repeat("x", 1024)}}
 	for _, r := range requests {
 		for _, path := range paths {
 			b.Run(r.method+"/"+path.name, func(b *testing.B) {
-				f := newFleet(b, 2)
+				f := newFleet(b, 2, func(_ *OwnerOptions, in *IngressOptions) { in.KeepBytes = path.keep })
 				s := f.serve(max(path.owner, 0), "b1", answer)
 				url := f.nodes[0].front.URL
 				if path.owner < 0 {
--- a/internal/transport/proxy/body_test.go
+++ b/internal/transport/proxy/body_test.go
@@ -71,8 +71,13 @@
 // Guards against a refused upload that has lost bytes and cannot be tried
 // elsewhere, and against one that was run although it is reported as not run.
 func TestRefusedUploadStaysWhole(t *testing.T) {
-	for _, refusing := range []int{0, 1} {
-		f := newFleet(t, 3)
+	for i := range 4 {
+		refusing, keep := i%2, int64(i/2)<<20
+		f := newFleet(t, 3, func(_ *OwnerOptions, in *IngressOptions) { in.KeepBytes = keep })
+		size := 1 << 20
+		if keep > 0 {
+			size = 10_000
+		}
 		var ran atomic.Int32
 		count := func(w http.ResponseWriter, r *http.Request) {
 			ran.Add(1)
@@ -81,13 +86,13 @@
 		}
 		f.serve(refusing, "b1", count)
 		f.nodes[refusing].leases.ReleaseAll()
-		upload := func() result { return f.send(0, "POST", "/", io.LimitReader(&zeros{}, 1<<20)) }
+		upload := func() result { return f.send(0, "POST", "/", strings.NewReader(strings.Repeat("x", size))) }
 		if res := upload(); res.outcome != header.NotRun || ran.Load() != 0 {
-			t.Fatalf("owner %d: ran %d times, got %+v", refusing, ran.Load(), res)
+			t.Fatalf("owner %d: ran %d times, got %+v, %v", refusing, ran.Load(), res, res.err)
 		}
 		f.serve(2, "b2", count)
 		for range 2 { // The retry budget allows 3; the first upload took one.
-			if res := upload(); res.body != fmt.Sprint(1<<20) {
+			if res := upload(); res.body != fmt.Sprint(size) {
 				t.Fatalf("owner %d: got %+v", refusing, res)
 			}
 		}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -38,6 +39,9 @@
 	route   *policy.Route
 	caller  string
 
+	// answered is set when the caller was answered completely.
+	answered bool
+
 	tried []registry.BackendID
 	// ran counts the attempts that may have run.
 	ran int
@@ -79,7 +83,7 @@
 			state = retry.NotSent
 		}
 		d := plan.Next(in.opt.Now(), budget, retry.AttemptResult{State: state, Shed: t.shed()})
-		if d.Action == retry.Retry && !c.body.repeatable() {
+		if d.Action == retry.Retry && !t.leavesBody() {
 			d = plan.GiveUp(reasonBodyConsumed)
 		}
 		if d.Action == retry.Retry && ctx.Err() != nil {
@@ -144,6 +148,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	copyTrailer(h, resp)
+	c.answered = true
 	t.done(n)
 }
 
@@ -194,8 +199,11 @@
 	if c.shed && outcome == header.NotRun {
 		h.Set("Retry-After", "1")
 	}
+	text := outcome + ": " + reason + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	c.w.WriteHeader(status)
-	_, _ = fmt.Fprintf(c.w, "%s: %s\n", outcome, reason)
+	_, _ = io.WriteString(c.w, text)
+	c.answered = true
 }
 
 func (c *call) describe(outcome string, status int) {
--- a/internal/transport/proxy/caller_body.go
+++ b/internal/transport/proxy/caller_body.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // maxBuffered is the largest body that is kept in memory so that an idempotent
@@ -28,29 +29,31 @@
 	consumed bool
 	// failed is set when the caller's body could not be read.
 	failed atomic.Bool
-	read   atomic.Int64
+	// ended is set when the caller's body was read to its end.
+	ended atomic.Bool
+	read  atomic.Int64
 }
 
-// newCallerBody wraps the body of r. If keep is set and the body is small, it is
-// read into memory; an error means that the caller's body was cut.
-func newCallerBody(r *http.Request, keep bool) (*callerBody, error) {
+// newCallerBody wraps the body of r. A body of at most keep bytes is read into
+// memory; an error means that the caller's body was cut.
+func newCallerBody(r *http.Request, keep int64) (*callerBody, error) {
 	b := &callerBody{length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.length = 0
 		return b, nil
 	}
-	if !keep || r.ContentLength > maxBuffered {
+	if keep <= 0 || r.ContentLength > keep {
 		b.stream = r.Body
 		return b, nil
 	}
-	kept, err := io.ReadAll(io.LimitReader(r.Body, maxBuffered+1))
+	kept, err := io.ReadAll(io.LimitReader(r.Body, keep+1))
 	b.read.Store(int64(len(kept)))
 	if err != nil {
 		return nil, err
 	}
-	if len(kept) > maxBuffered {
+	if int64(len(kept)) > keep {
 		// The length was unknown and is large: the request gets one attempt.
-		b.stream, b.consumed = io.MultiReader(bytes.NewReader(kept), r.Body), false
+		b.stream = io.MultiReader(bytes.NewReader(kept), r.Body)
 		b.read.Store(0)
 		return b, nil
 	}
@@ -80,6 +83,29 @@
 	return !b.consumed
 }
 
+// unread reports whether the caller may still be sending.
+func (b *callerBody) unread() bool { return b.stream != nil && !b.ended.Load() && !b.failed.Load() }
+
+const (
+	// lingerTime and lingerBytes bound how much of a body is discarded after an
+	// early answer.
+	lingerTime  = 2 * time.Second
+	lingerBytes = 32 << 20
+)
+
+// linger discards the rest of a body after an early answer. Closing an HTTP/1
+// connection with unread data resets it, and a caller that is still sending would
+// lose the answer. A caller that reads the answer stops sending, which ends the
+// wait.
+func linger(control *http.ResponseController, r *http.Request, body io.Reader) {
+	if r.ProtoMajor != 1 || control.Flush() != nil {
+		return
+	}
+	if control.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, body, lingerBytes)
+	}
+}
+
 // attemptBody is the stream as seen by one attempt. After Close the attempt can
 // no longer take bytes from the caller.
 type attemptBody struct {
@@ -99,7 +125,11 @@
 	b.mu.Unlock()
 	n, err := b.stream.Read(p)
 	b.read.Add(int64(n))
-	if err != nil && err != io.EOF {
+	switch err {
+	case nil:
+	case io.EOF:
+		b.ended.Store(true)
+	default:
 		b.failed.Store(true)
 	}
 	return n, err
--- a/internal/transport/proxy/fleet_test.go
+++ b/internal/transport/proxy/fleet_test.go
@@ -63,7 +63,7 @@
 	nodes []*testNode
 }
 
-func newFleet(t testing.TB, nodes int) *testFleet {
+func newFleet(t testing.TB, nodes int, edit ...func(*OwnerOptions, *IngressOptions)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, dir: registry.NewDirectory()}
 	table := policy.NewTable(policy.TableOptions{})
@@ -73,19 +73,25 @@
 	for i := range nodes {
 		n := &testNode{id: registry.NodeID(fmt.Sprintf("n%d", i)), leases: ownership.New(ownership.Options{Lease: time.Hour, MaxGap: time.Hour})}
 		n.backends = NewBackends(BackendsOptions{Warm: true})
-		n.owner = NewOwner(OwnerOptions{
+		owner := OwnerOptions{
 			Self: n.id, Region: "r1", Leases: n.leases, Backends: n.backends,
 			Observe: func(o evidence.Observation) {
 				n.mu.Lock()
 				defer n.mu.Unlock()
 				n.observed = append(n.observed, o)
 			},
-		})
+		}
 		n.peers = peer.NewPool(peer.Options{})
-		n.ingress = NewIngress(IngressOptions{
-			Self: n.id, Region: "r1", Directory: f.dir, Policies: table, Peers: n.peers, Owner: n.owner,
+		ingress := IngressOptions{
+			Self: n.id, Region: "r1", Directory: f.dir, Policies: table, Peers: n.peers,
 			Balancer: routing.New(routing.Options{Self: n.id, FailureDomain: "d1", Region: "r1"}),
-		})
+		}
+		for _, e := range edit {
+			e(&owner, &ingress)
+		}
+		n.owner = NewOwner(owner)
+		ingress.Owner = n.owner
+		n.ingress = NewIngress(ingress)
 		n.front = httptest.NewServer(n.ingress)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -48,11 +48,17 @@
 	Balancer  *routing.Balancer
 	Peers     *peer.Pool
 	// Owner runs the requests whose backend server this node owns.
-	Owner   *Owner
-	Events  event.Sink
-	Logger  *zap.Logger
-	Tracing trace.TracerProvider
-	Now     func() time.Time
+	Owner *Owner
+	// KeepBytes is the largest body of known length, at most 64 KB, that is kept in
+	// memory for a request that is not idempotent. Such a body is sent to the owner
+	// without waiting for its interim response, which saves one round trip between
+	// the nodes, and it can be sent to another owner after a refusal. 0 streams
+	// every body of a request that is not idempotent.
+	KeepBytes int64
+	Events    event.Sink
+	Logger    *zap.Logger
+	Tracing   trace.TracerProvider
+	Now       func() time.Time
 }
 
 // Ingress is the http.Handler for the requests of callers.
@@ -99,6 +105,12 @@
 	c.control = http.NewResponseController(w)
 	// Replaces the limit of the previous request on the connection.
 	_ = c.control.SetWriteDeadline(c.start.Add(defaultTimeout))
+	body := r.Body
+	defer func() {
+		if c.answered && body != nil && body != http.NoBody && (c.body == nil || c.body.unread()) {
+			linger(c.control, r, body)
+		}
+	}()
 	if !in.enter() {
 		w.Header().Set("Connection", "close")
 		c.refuse(http.StatusServiceUnavailable, reasonStopping, true)
@@ -176,7 +188,14 @@
 	}
 	// A caller that reads slowly must not hold a slot of a backend server for ever.
 	_ = c.control.SetWriteDeadline(c.deadline.Add(grace))
-	body, err := newCallerBody(r, c.route.Idempotent)
+	keep := int64(maxBuffered)
+	if !c.route.Idempotent {
+		keep = min(c.in.opt.KeepBytes, keep)
+		if r.ContentLength < 0 {
+			keep = 0
+		}
+	}
+	body, err := newCallerBody(r, keep)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
