Probe a member before a death report about it is believed

Each side took the death reports of the other side as suspicions, and with hundreds of them at once the refutations did not arrive within 3 s.

A death report about a member that is alive here now leads to a probe of it, a few a second per node. The ping carries the report, so the member refutes, and only a silent member is suspected.

Syncs now keep to a third of the send budget, and send versions instead of full records for members that both sides know.

A longer suspicion after a death report was ruled out, because its length would have to grow with the size of the fleet.

--- a/cmd/wigeon-slopes/main.go
+++ b/cmd/wigeon-slopes/main.go
@@ -76,6 +76,7 @@
 		f.steady(r, opts.Steady)
 		f.changes(r, opts.Repeat)
 		f.kills(r, opts.Repeat)
+		f.regionCut(r)
 		f.domainLoss(r)
 	}
 	if opts.Sockets > 0 {
--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -254,30 +254,25 @@
 	}
 }
 
-// reportedDead takes a death report. Usually it follows a suspicion that began
-// here at about the same time as at the reporter. If it does not, the member was
-// on our side of a healed partition or answered a moment ago, and gets the whole
-// suspicion timeout to refute.
+// reportedDead takes a death report about the member's current incarnation. It
+// is believed if the member is leaving or has been suspected here for about the
+// suspicion timeout, as is usual. Otherwise the reporter may come from the other
+// side of a healed partition, and the member is probed before it is suspected.
 func (c *Core) reportedDead(m *member) {
 	const reason = "reported dead by another member"
-	if c.opts.Disable.DeadAsSuspicion || m.node.Status == registry.Leaving {
+	switch {
+	case c.opts.Disable.DeadReportChecks || m.node.Status == registry.Leaving:
 		c.declareDead(m, reason)
-		return
-	}
-	if m.node.Status == registry.Alive {
-		c.suspect(m, reason)
-		// The member is told at once, because after a partition gossip competes with
-		// many other updates. send adds the suspicion.
-		c.send(m.peer(), c.message(Gossip), reserveUrgent)
-	}
-	end := m.suspectSince.Add(c.opts.SuspicionTimeout)
-	if c.now.Add(suspicionSkew).Before(end) {
-		if end.Before(m.suspectUntil) {
+	case m.node.Status == registry.Alive:
+		c.doubt(m)
+	default:
+		end := m.suspectSince.Add(c.opts.SuspicionTimeout)
+		if !c.now.Add(suspicionSkew).Before(end) {
+			c.declareDead(m, reason)
+		} else if end.Before(m.suspectUntil) {
 			m.suspectUntil = end
 		}
-		return
 	}
-	c.declareDead(m, reason)
 }
 
 // suspicionEnd returns when a suspicion that begins now ends. A node that only
--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -28,6 +28,9 @@
 	// nextCheck is when the local node, whose probe began the suspicion, checks
 	// the member again; zero if another node began it.
 	nextCheck time.Time
+	// doubted is the incarnation at which the member was reported dead while it
+	// was alive here.
+	doubted uint64
 	// reminded is set once the suspicion has been gossiped again before its end.
 	reminded  bool
 	deadSince time.Time
@@ -79,6 +82,11 @@
 	// left is set once the local node has announced that it is leaving.
 	left bool
 
+	// doubts lists members that were reported dead while they are alive here.
+	doubts     []*member
+	nextDoubt  time.Time
+	lateChecks []uint64
+	silent     []*member
 	assemblies map[registry.NodeID]*assembly
 
 	queue  *queue
@@ -97,6 +105,9 @@
 	fillTries    int
 	nextExpiry   time.Time
 	syncing      bool
+	// syncDebt is the number of bytes of syncs that are not paid off yet, at
+	// syncShare of the send budget. While there is a debt, no sync is started.
+	syncDebt float64
 
 	policyDigest   uint64
 	mismatchPeer   Peer
@@ -175,6 +186,7 @@
 	c.expire()
 	c.tickProbe()
 	c.tickDeadProbe()
+	c.tickDoubts()
 	c.tickWants()
 	c.tickAssemblies()
 	c.tickSync()
@@ -192,6 +204,7 @@
 		return
 	}
 	c.now = now
+	c.syncDebt = max(0, c.syncDebt-gap.Seconds()*float64(c.opts.RateBytes)*syncShare)
 	c.outdated = c.outdated[:0]
 	c.budget.refill(now)
 	if gap <= pauseGap || c.opts.Disable.PauseRule {
@@ -200,6 +213,7 @@
 	c.stats.Pauses++
 	c.probe = nil
 	clear(c.relays)
+	clear(c.checks)
 	c.nextProbe = now.Add(c.jitter(c.opts.ProbeInterval))
 	for _, m := range c.suspects {
 		m.suspectUntil = m.suspectUntil.Add(gap)
@@ -211,50 +225,6 @@
 	}
 }
 
-// UpdateSelf publishes a new record of the local node. Id, incarnation,
-// sequence and status are kept by the core. Changes that follow each other
-// within a second are published together.
-func (c *Core) UpdateSelf(now time.Time, n registry.Node) {
-	c.observe(now)
-	c.pendingSelf = &n
-	c.publishPending()
-}
-
-func (c *Core) publishPending() {
-	if c.pendingSelf == nil || c.now.Sub(c.selfPublished) < selfInterval {
-		return
-	}
-	n, old := *c.pendingSelf, &c.self.node
-	c.pendingSelf = nil
-	n.ID, n.Incarnation, n.Status = old.ID, old.Incarnation, old.Status
-	n.Sequence = old.Sequence
-	hash := ContentHash(&n)
-	if hash == c.self.hash {
-		return
-	}
-	n.Sequence++
-	c.self.node, c.self.hash = n, hash
-	c.selfPublished = c.now
-	c.reindex(c.self)
-	c.change(Stored, c.self)
-	c.queue.add(n.ID, true)
-}
-
-// Leave announces that the local node is leaving.
-func (c *Core) Leave(now time.Time) {
-	c.observe(now)
-	if c.left {
-		return
-	}
-	c.left = true
-	c.self.node.Status = registry.Leaving
-	c.reindex(c.self)
-	c.change(StatusChanged, c.self)
-	c.event(EventLeaving, c.self, "planned stop")
-	c.queue.add(c.self.node.ID, true)
-	c.gossipFresh()
-}
-
 // AddSeeds adds addresses that were learned after the start, such as those
 // listed in the platform. A node that knows no other member tries to fill its
 // directory from them.
@@ -297,7 +267,10 @@
 
 // Debit takes bytes that the transport sent on behalf of the core, such as by a
 // directory sync, from the send budget.
-func (c *Core) Debit(n int) { c.budget.debit(n) }
+func (c *Core) Debit(n int) {
+	c.budget.debit(n)
+	c.syncDebt += float64(n)
+}
 
 // Stats returns the counters.
 func (c *Core) Stats() Stats { return c.stats }
--- a/internal/coordination/membership/invariants_test.go
+++ b/internal/coordination/membership/invariants_test.go
@@ -252,7 +252,7 @@
 			invariant.Check(false, "healing", "%s", wrong)
 		}
 		return c.violated
-	}, membership.Mechanisms{DeadAsSuspicion: true})
+	}, membership.Mechanisms{DeadReportChecks: true})
 }
 
 // Guards against an old process or a late message that takes a member's record
--- a/internal/coordination/membership/options.go
+++ b/internal/coordination/membership/options.go
@@ -68,9 +68,9 @@
 	Budget           bool
 	DeadProbes       bool
 	AntiEntropy      bool
-	// DeadAsSuspicion makes a death report about a member that has not been
-	// suspected here start a suspicion instead of taking effect at once.
-	DeadAsSuspicion bool
+	// DeadReportChecks makes a death report about a member that has not been
+	// suspected here start a probe of it instead of taking effect at once.
+	DeadReportChecks bool
 	// ShortVersions switches to full records in place of versions and pulls.
 	ShortVersions bool
 	// EagerGossip leaves updates to ride on probes only.
@@ -121,6 +121,11 @@
 	// suspicionSkew is how much earlier than the local suspicion timeout a death
 	// report is believed: a suspicion reaches all members within about a second.
 	suspicionSkew = time.Second
+	// syncShare is the part of the send budget that directory syncs may take.
+	syncShare = 1.0 / 3
+	// maxSyncDebt is the debt beyond which a node does not answer the digests of
+	// others: about what one sync of a healed partition of 2,100 nodes costs.
+	maxSyncDebt = 64 << 10
 	// headerBytes is the size of the IPv4 and UDP headers of a datagram.
 	headerBytes = 28
 )
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -42,11 +42,7 @@
 			delete(c.relays, number)
 		}
 	}
-	for number, k := range c.checks {
-		if c.now.After(k.expires) {
-			delete(c.checks, number)
-		}
-	}
+	c.expireChecks()
 	if c.now.Before(c.nextProbe) {
 		return
 	}
@@ -76,10 +72,14 @@
 	}
 }
 
-// check is a probe of a member that the local node suspects.
+// check is a probe outside the round, of a member that the local node suspects
+// or that was reported dead.
 type check struct {
-	target  registry.NodeID
-	expires time.Time
+	target        registry.NodeID
+	sent, expires time.Time
+	// doubted is set for a member that was reported dead; indirect once indirect
+	// probes were sent for it.
+	doubted, indirect bool
 }
 
 // checkSuspect probes a suspect again, directly and through other members. The
--- a/internal/coordination/membership/self.go
+++ b/internal/coordination/membership/self.go
@@ -1,6 +1,54 @@
 package membership
 
-import "wigeonspring.example/wigeonspring/internal/state/registry"
+import (
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// UpdateSelf publishes a new record of the local node. Id, incarnation,
+// sequence and status are kept by the core. Changes that follow each other
+// within a second are published together.
+func (c *Core) UpdateSelf(now time.Time, n registry.Node) {
+	c.observe(now)
+	c.pendingSelf = &n
+	c.publishPending()
+}
+
+func (c *Core) publishPending() {
+	if c.pendingSelf == nil || c.now.Sub(c.selfPublished) < selfInterval {
+		return
+	}
+	n, old := *c.pendingSelf, &c.self.node
+	c.pendingSelf = nil
+	n.ID, n.Incarnation, n.Status = old.ID, old.Incarnation, old.Status
+	n.Sequence = old.Sequence
+	hash := ContentHash(&n)
+	if hash == c.self.hash {
+		return
+	}
+	n.Sequence++
+	c.self.node, c.self.hash = n, hash
+	c.selfPublished = c.now
+	c.reindex(c.self)
+	c.change(Stored, c.self)
+	c.queue.add(n.ID, true)
+}
+
+// Leave announces that the local node is leaving.
+func (c *Core) Leave(now time.Time) {
+	c.observe(now)
+	if c.left {
+		return
+	}
+	c.left = true
+	c.self.node.Status = registry.Leaving
+	c.reindex(c.self)
+	c.change(StatusChanged, c.self)
+	c.event(EventLeaving, c.self, "planned stop")
+	c.queue.add(c.self.node.ID, true)
+	c.gossipFresh()
+}
 
 // applySelfVersion takes a short record about the local node.
 func (c *Core) applySelfVersion(from Peer, v Version) {
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -176,6 +176,12 @@
 	for _, m := range c.dead {
 		out = append(out, m)
 	}
-	slices.SortFunc(out, func(a, b *member) int { return cmp.Compare(a.node.ID, b.node.ID) })
+	sortMembers(out)
 	return out
 }
+
+func sortMembers(list []*member) {
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.node.ID, b.node.ID) })
+}
+
+func sortNumbers(list []uint64) { slices.Sort(list) }
--- a/internal/coordination/membership/sync.go
+++ b/internal/coordination/membership/sync.go
@@ -46,6 +46,9 @@
 	if c.opts.Disable.AntiEntropy {
 		return
 	}
+	if c.syncDebt > 0 {
+		return
+	}
 	if c.mismatchPeer.ID != "" {
 		switch {
 		case c.mismatchDigest != c.digest:
@@ -114,7 +117,7 @@
 		}
 		return resp
 	}
-	if len(req.Digests) == Buckets {
+	if len(req.Digests) == Buckets && c.syncDebt < maxSyncDebt {
 		var differs [Buckets]bool
 		for b, d := range req.Digests {
 			if d != c.buckets[b] {
@@ -151,7 +154,8 @@
 		m := c.members[v.ID]
 		switch {
 		case m != nil && newerThan(m, &v):
-			c.offer(next, m)
+			// The peer knows the member and asks for the record if it needs it.
+			next.Versions = append(next.Versions, m.version())
 		case v.ID == c.self.node.ID, v.Status == registry.Dead, v.Status == registry.Suspect && m != nil,
 			m != nil && (v.ContentHash == m.hash || !supersedes(v.Incarnation, v.Sequence, m)):
 			c.applyVersion(peer, v)
