Bound the syncs of a fleet that starts as a whole

A starting node asked the next peer as soon as an answer arrived, and while no peer can confirm another, every answer is fast: 360 nodes that started within a second made 135,939 calls. Rounds of syncs now wait 100 ms, doubling up to 1 s, with jitter. A lower number of parallel syncs was ruled out: the rate stays tied to the round-trip time.

--- a/internal/coordination/distribution/distribution_test.go
+++ b/internal/coordination/distribution/distribution_test.go
@@ -302,3 +302,25 @@
 		t.Fatalf("status after the patience: %+v", status)
 	}
 }
+
+// Guards against a fleet that starts as a whole and floods the peers or the
+// platform, or does not get ready. The single node has no peer to wait for.
+func TestFleetStartIsBounded(t *testing.T) {
+	for _, size := range [][2]int{{1, 1}, {1, 3}, {6, 20}} {
+		s := newSim(7, size[0], size[1], Disabled{})
+		s.write("booking")
+		for _, n := range s.nodes {
+			s.after(time.Duration(s.rand.Int64N(int64(time.Second))), func() { s.boot(n) })
+		}
+		s.runUntil(8 * time.Second)
+		for _, n := range s.nodes {
+			if !n.ready {
+				t.Errorf("%v: node %s is not ready after 8 s", size, n.member.ID)
+			}
+		}
+		t.Logf("%d nodes: %d calls between nodes, %d platform requests", len(s.nodes), s.calls, s.reads)
+		if s.calls > 60*len(s.nodes) || s.reads > 6*2*size[0] {
+			t.Errorf("%v: %d calls between nodes, %d platform requests", size, s.calls, s.reads)
+		}
+	}
+}
--- a/internal/coordination/distribution/start.go
+++ b/internal/coordination/distribution/start.go
@@ -17,6 +17,11 @@
 	// time before the same peer is asked again.
 	startSyncs = 4
 	startRetry = time.Second
+	// paceLow and paceHigh bound the time between two rounds of syncs; it doubles
+	// with each round. Without a pace, 2,100 nodes that start at the same time and
+	// cannot confirm each other ask as fast as the answers arrive.
+	paceLow  = 100 * time.Millisecond
+	paceHigh = time.Second
 	// startDomains is the number of failure domains whose confirmed peers make a
 	// starting node confirmed without the platform.
 	startDomains = 2
@@ -43,6 +48,9 @@
 	listAt time.Time
 	listed bool
 	peers  map[registry.NodeID]*evidence
+	// askAt is the time of the next round of syncs.
+	askAt time.Time
+	pace  time.Duration
 }
 
 // evidence is what a peer contributed to the start.
@@ -62,6 +70,7 @@
 	s.begun = c.o.Start
 	s.listAt = c.o.Start.Add(listDelay + c.jitter(listDelay))
 	s.peers = map[registry.NodeID]*evidence{}
+	s.pace = paceLow
 }
 
 // startReply notes the answer of a peer, or nil if there was none.
@@ -177,6 +186,9 @@
 // a whole fleet starts, and random members, which share the load.
 func (c *Core) askStartPeers() {
 	s := &c.start
+	if c.now.Before(s.askAt) {
+		return
+	}
 	active := 0
 	covered := map[string]bool{}
 	for id, e := range s.peers {
@@ -207,6 +219,11 @@
 			}
 		}
 	}
+	if len(candidates) == 0 {
+		return
+	}
+	s.askAt = c.now.Add(s.pace/2 + c.jitter(s.pace))
+	s.pace = min(2*s.pace, paceHigh)
 	for ; active < startSyncs && len(candidates) > 0; active++ {
 		pool := candidates
 		if len(watchers) > 0 && c.rand.IntN(2) == 0 {
