Judge a backend server by the baseline that leaves it out

Cause: the owner merged the reports of all its backend servers of a service into one baseline. Ruled out: the permit (0.1 s from request to ejection) and the wait for confirmation (1.5 s). The merged value still serves to notice that the whole service became worse.

--- a/internal/coordination/ejection/core.go
+++ b/internal/coordination/ejection/core.go
@@ -35,6 +35,8 @@
 	// confirming the number of exchanges that began since then.
 	failingSince time.Time
 	confirming   int
+	// baseline is the behaviour of the service without this backend server.
+	baseline baseline
 
 	// level is the backoff exponent at the time of returned.
 	level    float64
@@ -98,7 +100,7 @@
 // Observe takes one exchange with a backend server.
 func (c *Core) Observe(o evidence.Observation) {
 	svc := c.service(o.Service)
-	base := svc.baseline.merge(o.Baseline)
+	svc.baseline.merge(o.Baseline)
 	if o.Kind == evidence.Shed || o.Kind == evidence.Canceled {
 		return
 	}
@@ -113,6 +115,9 @@
 		// Exchanges that began before the ejection are judged already.
 		return
 	}
+	// Each report leaves out the backend server that it came with. Reports that
+	// came with other backend servers contain the failures of this one.
+	base := s.baseline.merge(o.Baseline)
 	failure := isFailure(o.Kind)
 	s.dirty = true
 	if o.At.Add(-o.Latency).After(s.failingSince) {
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -9,6 +9,7 @@
 
 // Kinds of events.
 const (
+	BackendSuspected   Kind = "backend_suspected"
 	BackendEjected     Kind = "backend_ejected"
 	EjectionRefused    Kind = "ejection_refused"
 	BackendDegraded    Kind = "backend_degraded"
--- a/internal/transport/health/health.go
+++ b/internal/transport/health/health.go
@@ -152,6 +152,7 @@
 	metrics.Add(d.Action.String(), 1)
 	switch d.Action {
 	case ejection.Suspect:
+		h.publish(now, event.BackendSuspected, d)
 		h.opts.Permits.Request(d.Service, d.Backend, func(a Answer) { h.answer(d.Backend, a) })
 	case ejection.ReleasePermit:
 		h.opts.Permits.Release(d.Service, d.Backend)
