--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -29,8 +29,8 @@
 
 ready() { http "http://$(operator_addr "$1")/ready"; }
 for i in 1 2 3 4 5 6; do wait_for 20 ready "$i"; done
-ctl policy apply examples/policies/riemwerk-booking.toml | head -1
-ctl policy apply examples/policies/plechovka-reservations.toml | head -1
+ctl policy apply examples/policies/riemwerk-booking.toml | sed -n 1p
+ctl policy apply examples/policies/plechovka-reservations.toml | sed -n 1p
 in_force() { [ "$(ctl policy status | awk 'NR > 1 && $2 == 1 && $4 == 6' | wc -l)" = 2 ]; }
 wait_for 10 in_force
 announced() { [ "$(ctl backends | grep -c active)" = 24 ]; }
