--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -22,6 +22,14 @@
 	return NewGate(Options{Slots: slots, QueueLimit: queue, Warm: true}, t0)
 }
 
+// offer offers tickets of one caller without a deadline.
+func offer(g *Gate, caller string, tickets ...uint64) *Gate {
+	for _, ticket := range tickets {
+		g.Offer(t0, Request{Ticket: ticket, Caller: caller})
+	}
+	return g
+}
+
 // runScript drives a gate with decoded operations and checks after each one that
 // every ticket is decided exactly once and that no slot is idle while a queued
 // request could use it.
@@ -125,31 +133,25 @@
 
 // Shows that each invariant detects the absence of its mechanism.
 func TestInvariantsDetectMissingMechanisms(t *testing.T) {
-	offer := func(g *Gate, n uint64) *Gate {
-		for i := range n {
-			g.Offer(t0, Request{Ticket: i, Caller: "a"})
-		}
-		return g
-	}
 	proptest.Violates(t, "admission_slots", func() {
-		g := offer(warm(1, 4), 2)
+		g := offer(warm(1, 4), "a", 0, 1)
 		g.off.slots = true
 		g.Ready(t0)
 	})
 	proptest.Violates(t, "admission_queue_limit", func() {
 		g := warm(1, 2)
 		g.off.queueLimit = true
-		offer(g, 4)
+		offer(g, "a", 0, 1, 2, 3)
 	})
 	proptest.Violates(t, "admission_decided_once", func() {
-		g := offer(warm(2, 4), 3)
+		g := offer(warm(2, 4), "a", 0, 1, 2)
 		g.off.removal = true
 		g.Release(t0, 0, 0)
 		g.Release(t0, 1, 0)
 		g.Ready(t0)
 	})
 	proptest.Violates(t, "admission_release_once", func() {
-		g := offer(warm(1, 2), 1)
+		g := offer(warm(1, 2), "a", 0)
 		g.Release(t0, 0, 0)
 		g.Release(t0, 0, 0)
 	})
@@ -203,17 +205,12 @@
 // Guards against an advantage for a caller that joins a long queue late, and a slot
 // that stays taken when a grant is withdrawn before its delivery.
 func TestLateCaller(t *testing.T) {
-	g := warm(1, 20)
-	for i := range uint64(8) {
-		g.Offer(t0, Request{Ticket: i, Caller: "early"})
-	}
+	g := offer(warm(1, 20), "early", 0, 1, 2, 3, 4, 5, 6, 7)
 	for i := range uint64(4) {
 		g.Release(t0, i, 0)
 		g.Ready(t0)
 	}
-	for i := range uint64(3) {
-		g.Offer(t0, Request{Ticket: 10 + i, Caller: "late"})
-	}
+	offer(g, "late", 10, 11, 12)
 	g.Release(t0, 4, 0)
 	canceled, next := g.Cancel(t0, 10), g.Ready(t0)
 	if !canceled || len(next) != 1 || next[0].Ticket != 5 || order(g, 5)[0] != 11 {
@@ -235,10 +232,7 @@
 	if load := g.Load(); load.Queued != MaxQueue {
 		t.Errorf("queue of %d", load.Queued)
 	}
-	g = warm(1, 4)
-	for i := range 5 {
-		g.Offer(t0, Request{Ticket: uint64(i + 1), Caller: "greedy"})
-	}
+	g = offer(warm(1, 4), "greedy", 1, 2, 3, 4, 5)
 	if v, reason := g.Offer(t0, Request{Ticket: 6, Caller: "greedy"}); v != Refused || reason != QueueFull {
 		t.Errorf("newest entry of the largest caller: %s %s", v, reason)
 	}
@@ -267,7 +261,7 @@
 	if v, reason := short(10, t0); v != Refused || reason != DeadlineTooShort {
 		t.Errorf("remaining time below the median: %s %s", v, reason)
 	}
-	g.Offer(t0, Request{Ticket: 11})
+	offer(g, "", 11)
 	g.Offer(t0, Request{Ticket: 12, Deadline: at(time.Second)})
 	timer, ok := g.NextTimer()
 	if !ok || timer.Sub(t0) != 700*time.Millisecond+1 {
@@ -285,13 +279,10 @@
 // Guards against full load on a cold or recovering backend server.
 func TestSlotsInForce(t *testing.T) {
 	g := NewGate(Options{Slots: 5}, t0)
-	for _, c := range []struct {
-		after time.Duration
-		slots int
-	}{{0, 1}, {2499 * time.Millisecond, 1}, {2500 * time.Millisecond, 2}, {5 * time.Second, 3}, {9999 * time.Millisecond, 4}, {10 * time.Second, 5}} {
-		g.Ready(at(c.after))
-		if got := g.Load().Slots; got != c.slots {
-			t.Errorf("slots after %s: %d, want %d", c.after, got, c.slots)
+	for _, c := range [][2]int{{0, 1}, {2499, 1}, {2500, 2}, {5000, 3}, {9999, 4}, {10000, 5}} {
+		g.Ready(at(time.Duration(c[0]) * time.Millisecond))
+		if got := g.Load().Slots; got != c[1] {
+			t.Errorf("slots after %d ms: %d, want %d", c[0], got, c[1])
 		}
 	}
 	g.StartRamp(at(10 * time.Second))
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,13 +19,9 @@
 func runBudget(script []uint32) error {
 	b, now := NewBudget(BudgetOptions{}), t0
 	var requests, retries []time.Time
-	inWindow := func(times []time.Time) (n int) {
-		for _, t := range times {
-			if now.Sub(t) < DefaultWindow {
-				n++
-			}
-		}
-		return n
+	inWindow := func(times []time.Time) int {
+		first, _ := slices.BinarySearchFunc(times, now.Add(1-DefaultWindow), time.Time.Compare)
+		return len(times) - first
 	}
 	for step, op := range script {
 		arg := int(op >> 8)
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -344,14 +344,10 @@
 		n.Backends = slices.DeleteFunc(n.Backends, func(x registry.Backend) bool { return x.ID == gone })
 	})
 	_, after := sample1000(t, b, rng, t0, d.Snapshot())
-	kept := 0
-	for id := range after {
-		if before[id] > 0 {
-			kept++
-		}
-	}
-	if len(before) != DefaultSubsetSize || len(after) != DefaultSubsetSize || kept != DefaultSubsetSize-1 {
-		t.Errorf("subset of %d, then %d with %d kept", len(before), len(after), kept)
+	both := maps.Clone(before)
+	maps.Copy(both, after)
+	if len(before) != DefaultSubsetSize || len(after) != DefaultSubsetSize || len(both) != DefaultSubsetSize+1 {
+		t.Errorf("subset of %d, then %d, together %d", len(before), len(after), len(both))
 	}
 }
 
