--- a/internal/transport/proxy/body_test.go
+++ b/internal/transport/proxy/body_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -277,3 +278,19 @@
 		}
 	}
 }
+
+// Guards against a caller that does not read its answer and keeps the slot.
+func TestSlowReaderReturnsSlot(t *testing.T) {
+	for _, owner := range []int{0, 1} {
+		f := newFleet(t, 2)
+		f.serve(owner, "b1", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 32<<20)) })
+		c, err := net.Dial("tcp", f.nodes[0].front.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: booking.test\r\n%s: 100\r\n\r\n", header.DeadlineMillis)
+		waitFor(t, func() bool { l, _ := f.nodes[owner].backends.Load("b1"); return l.InUse == 1 })
+		waitFor(t, func() bool { l, _ := f.nodes[owner].backends.Load("b1"); return l.InUse == 0 })
+		_ = c.Close()
+	}
+}
