Replace a peer connection that is going away

Cause: a connection that has received GOAWAY reports no error until its last request ends, and refuses new streams. Until then every request to that peer was refused as peer_busy, also when a new process had taken its address. Such a connection is now forgotten, ends with its last request, and the next request opens another.

A refusal because a peer connection is at its limit now carries Retry-After.

--- a/internal/protocol/header/header_test.go
+++ b/internal/protocol/header/header_test.go
@@ -24,7 +24,7 @@
 		func(incarnation uint64, ms int64, attempt, samples int, rate float64, name string) bool {
 			in := Hop{
 				RequestID: NewRequestID(), Backend: "b", Service: "s", Route: name, Incarnation: incarnation,
-				Left: time.Duration(ms) * time.Millisecond, Attempt: attempt, Caller: CallerName(name), Region: "r",
+				Left: time.Duration(ms) * time.Millisecond, AnswerWithin: time.Duration(attempt) * time.Millisecond, Attempt: attempt, Caller: CallerName(name), Region: "r",
 				Baseline: evidence.Baseline{FailureRate: float64(int(rate*1000)) / 1000, Median: time.Duration(samples) * time.Microsecond, Samples: samples},
 			}
 			h := http.Header{}
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -118,14 +118,10 @@
 // counts as in use until the body of the response is closed. Errors are of type
 // *Error.
 func (p *Pool) Do(ctx context.Context, addr string, req *http.Request) (*http.Response, error) {
-	l, err := p.acquire(ctx, addr)
+	l, err := p.reserve(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	if err := l.client.Reserve(); err != nil {
-		p.release(l)
-		return nil, &Error{NotSent: true, Reason: ReasonBusy, Err: fault.New("open stream to owner", addr, err)}
-	}
 	resp, err := l.client.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		p.release(l)
@@ -135,6 +131,42 @@
 	return resp, nil
 }
 
+// reserve returns the connection to a peer with a stream reserved on it.
+func (p *Pool) reserve(ctx context.Context, addr string) (*link, error) {
+	for replaced := false; ; replaced = true {
+		l, err := p.acquire(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		if err = l.client.Reserve(); err == nil {
+			return l, nil
+		}
+		// A connection without a stream to spare and few in flight is going away: the
+		// peer shuts down gracefully, or a new process has taken its address. It ends
+		// with its last request.
+		if goingAway := l.client.InFlight() < initialStreams; goingAway && !replaced {
+			p.retire(l)
+			continue
+		}
+		p.release(l)
+		return nil, &Error{NotSent: true, Reason: ReasonBusy, Err: fault.New("open stream to owner", addr, err)}
+	}
+}
+
+// initialStreams is the number of streams that the HTTP/2 client of net/http opens
+// before the peer has stated its limit, which is MaxStreams.
+const initialStreams = 100
+
+// retire releases a connection that takes no more requests and forgets it.
+func (p *Pool) retire(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.users--
+	if p.peers[l.addr] == l {
+		p.remove(l)
+	}
+}
+
 // streamError has the fields of the HTTP/2 stream error of net/http, which
 // converts itself to it in errors.As.
 type streamError struct {
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -226,3 +226,30 @@
 		t.Fatalf("%d connections", n)
 	}
 }
+
+// Guards against a connection that is going away and keeps new requests from the
+// process that has taken over the address, and against cutting its last request.
+func TestConnectionGoingAwayIsReplaced(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(http.ResponseWriter, *http.Request) { close(started); <-release })
+	p := newTestPool(t, Options{})
+	last := make(chan error, 1)
+	go func() { last <- get(context.Background(), p, s.addr) }()
+	<-started
+	go func() { _ = s.srv.Shutdown(context.Background()) }()
+	time.Sleep(100 * time.Millisecond) // The listener is closed and GOAWAY was sent.
+	l, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = next.Serve(l) }()
+	defer func() { _ = next.Close() }()
+	if err := get(context.Background(), p, s.addr); err != nil {
+		t.Errorf("request to the new process: %v", err)
+	}
+	close(release)
+	if err := <-last; err != nil {
+		t.Errorf("last request on the old connection: %v", err)
+	}
+}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -20,6 +20,7 @@
 	"wigeonspring.example/wigeonspring/internal/state/event"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/peer"
 )
 
 // call is one request of a caller.
@@ -117,8 +118,9 @@
 // note remembers why an attempt brought no answer.
 func (c *call) note(t *tried) {
 	c.reason, c.timeout = t.reply.Reason, t.reply.Timeout
-	switch admission.Reason(c.reason) {
-	case admission.QueueFull, admission.RemoteShareFull, admission.DeadlineTooShort:
+	switch c.reason {
+	case string(admission.QueueFull), string(admission.RemoteShareFull), string(admission.DeadlineTooShort),
+		peer.ReasonBusy, peer.ReasonLimit:
 		c.shed = true
 	default:
 		c.shed = false
