Pay off directory syncs gradually; measure the cut of a region

A sync took its bytes from the token bucket at once, which could empty it and silence acks. It now leaves a debt that a third of the refill pays off, and no sync is started while there is one. Acks keep a reserve of 1,000 B that gossip does not touch.

--- a/cmd/wigeon-slopes/main.go
+++ b/cmd/wigeon-slopes/main.go
@@ -21,7 +21,7 @@
 	Nodes    []int         `long:"nodes" default:"100" default:"300" default:"1000" default:"2100" description:"fleet size; may be repeated"`
 	Backends int           `long:"backends" default:"12" description:"backend servers per node"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of all random choices"`
-	Steady   time.Duration `long:"steady" default:"5m" description:"virtual time of the steady state"`
+	Steady   time.Duration `long:"steady" default:"3m" description:"virtual time of the steady state"`
 	Repeat   int           `long:"repeat" default:"5" description:"number of record changes and of kills"`
 	Output   string        `long:"output" description:"file to write instead of standard output"`
 
--- a/cmd/wigeon-slopes/partition.go
+++ b/cmd/wigeon-slopes/partition.go
@@ -9,17 +9,31 @@
 )
 
 const (
-	cutTime   = 2 * time.Minute
-	healLimit = 5 * time.Minute
+	cutTime   = 5 * time.Minute
+	healLimit = 2 * time.Minute
 )
 
-// regionCut cuts one region off and measures how long the views take to converge
+// regionCut cuts one region off, reports how many views over the cut are dead at
+// its end, and measures how long the views take to converge
 // after the contact is back, and how many members were wrongly declared dead
 // within their own side.
 func (f *fleet) regionCut(r *report) {
 	sameSide := func(a, b *simnet.Node) bool { return (a.Index%regions == 0) == (b.Index%regions == 0) }
 	f.net.Blocked = func(from, to *simnet.Node) bool { return !sameSide(from, to) }
 	f.net.Run(cutTime)
+	dead, cut := 0, 0
+	for _, a := range f.net.Nodes {
+		for _, b := range f.net.Nodes {
+			if a.Down || b.Down || sameSide(a, b) {
+				continue
+			}
+			cut++
+			if got, _ := a.Core.Lookup(b.ID); got.Status == registry.Dead {
+				dead++
+			}
+		}
+	}
+	r.add("region_cut_views_dead_after_5_min", 100*float64(dead)/float64(cut), "percent")
 	f.net.Blocked = func(*simnet.Node, *simnet.Node) bool { return false }
 	falseDeaths := 0
 	f.onEvent = func(n *simnet.Node, e membership.Event) {
--- a/internal/coordination/membership/budget.go
+++ b/internal/coordination/membership/budget.go
@@ -6,15 +6,22 @@
 type bucket struct {
 	rate, burst float64
 	tokens      float64
-	last        time.Time
-	off         bool
+	// debt is the number of bytes of syncs that are not paid off yet. It is paid
+	// off by a share of the refill instead of at once, because an empty bucket
+	// silences acks and gets the node suspected.
+	debt float64
+	last time.Time
+	off  bool
 }
 
 func (b *bucket) refill(now time.Time) {
 	if b.last.IsZero() {
 		b.tokens = b.burst
 	} else if d := now.Sub(b.last); d > 0 {
-		b.tokens = min(b.burst, b.tokens+b.rate*d.Seconds())
+		fresh := b.rate * d.Seconds()
+		paid := min(b.debt, fresh*syncShare)
+		b.debt -= paid
+		b.tokens = min(b.burst, b.tokens+fresh-paid)
 	}
 	b.last = now
 }
@@ -38,7 +45,3 @@
 	}
 	return max(0, int(b.tokens)-reserve)
 }
-
-// debit takes n bytes that were sent outside the core, such as by a sync. It
-// leaves no debt, because a debt would silence acks and get the node suspected.
-func (b *bucket) debit(n int) { b.tokens = max(0, b.tokens-float64(n)) }
--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -105,9 +105,6 @@
 	fillTries    int
 	nextExpiry   time.Time
 	syncing      bool
-	// syncDebt is the number of bytes of syncs that are not paid off yet, at
-	// syncShare of the send budget. While there is a debt, no sync is started.
-	syncDebt float64
 
 	policyDigest   uint64
 	mismatchPeer   Peer
@@ -204,7 +201,6 @@
 		return
 	}
 	c.now = now
-	c.syncDebt = max(0, c.syncDebt-gap.Seconds()*float64(c.opts.RateBytes)*syncShare)
 	c.outdated = c.outdated[:0]
 	c.budget.refill(now)
 	if gap <= pauseGap || c.opts.Disable.PauseRule {
@@ -267,10 +263,7 @@
 
 // Debit takes bytes that the transport sent on behalf of the core, such as by a
 // directory sync, from the send budget.
-func (c *Core) Debit(n int) {
-	c.budget.debit(n)
-	c.syncDebt += float64(n)
-}
+func (c *Core) Debit(n int) { c.budget.debt += float64(n) }
 
 // Stats returns the counters.
 func (c *Core) Stats() Stats { return c.stats }
--- a/internal/coordination/membership/options.go
+++ b/internal/coordination/membership/options.go
@@ -121,7 +121,7 @@
 	// suspicionSkew is how much earlier than the local suspicion timeout a death
 	// report is believed: a suspicion reaches all members within about a second.
 	suspicionSkew = time.Second
-	// syncShare is the part of the send budget that directory syncs may take.
+	// syncShare is the part of the send budget that pays off directory syncs.
 	syncShare = 1.0 / 3
 	// maxSyncDebt is the debt beyond which a node does not answer the digests of
 	// others: about what one sync of a healed partition of 2,100 nodes costs.
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -13,9 +13,9 @@
 // leave half of the bucket to newer updates: without that, the loss of a failure
 // domain uses up the bucket with repetitions.
 const (
-	reserveUrgent = 300
-	reserveNormal = 1000
-	reserveRecord = 1500
+	reserveUrgent = 1000
+	reserveNormal = 1700
+	reserveRecord = 2200
 )
 
 func (c *Core) message(kind Kind) *Message {
--- a/internal/coordination/membership/sync.go
+++ b/internal/coordination/membership/sync.go
@@ -46,7 +46,8 @@
 	if c.opts.Disable.AntiEntropy {
 		return
 	}
-	if c.syncDebt > 0 {
+	if c.budget.debt > 0 {
+		// Earlier syncs are not paid off yet.
 		return
 	}
 	if c.mismatchPeer.ID != "" {
@@ -117,7 +118,7 @@
 		}
 		return resp
 	}
-	if len(req.Digests) == Buckets && c.syncDebt < maxSyncDebt {
+	if len(req.Digests) == Buckets && c.budget.debt < maxSyncDebt {
 		var differs [Buckets]bool
 		for b, d := range req.Digests {
 			if d != c.buckets[b] {
