Sync when no digest arrives and ask failing peers last

A node whose probes and their answers are all lost for 3 s hears no digest and cannot notice that it is behind. A node behind one-way cuts spends its tries on peers that did not answer before.

A node that has heard no digest for 1 to 1.5 s now syncs with a random peer, and peers that did not answer in the last 5 s are asked last.

Under heavy loss the bound remains a matter of probability.

--- a/internal/coordination/distribution/core.go
+++ b/internal/coordination/distribution/core.go
@@ -46,6 +46,13 @@
 	// Waiting for the next foreign digest instead costs up to a second, and two
 	// failures in a row then exceed the 4 s.
 	syncRetries = 3
+	// quietLow and quietHigh bound the time without a digest after which a node
+	// syncs with a random peer. A node that hears no digest cannot notice that it
+	// is behind, which happens when probes and their answers are lost.
+	quietLow  = time.Second
+	quietHigh = 1500 * time.Millisecond
+	// failureMemory is how long a peer that did not answer is asked last.
+	failureMemory = 5 * time.Second
 	// maxSyncs bounds the syncs at once that foreign digests caused.
 	maxSyncs = 2
 	// syncMemory and idleSyncMemory are how long a sync is not repeated while both
@@ -111,6 +118,10 @@
 	// mismatches are the peers with another digest that wait for a sync.
 	mismatches map[registry.NodeID]mismatch
 	compared   map[registry.NodeID]comparison
+	// failures are the times of the last unanswered calls.
+	failures map[registry.NodeID]time.Time
+	// quietAt is when the node has heard no digest for too long.
+	quietAt time.Time
 	// reported holds the refusals that were reported, so that a source that
 	// repeats an offer does not repeat the event.
 	reported map[string]bool
@@ -149,11 +160,18 @@
 	tries int
 }
 
-// next returns the source with the fewest tries, or nil if none is left.
-func (w *want) next() *source {
+// next returns the source with the fewest tries, or nil if none is left. A peer
+// that did not answer lately comes last.
+func (c *Core) next(w *want) *source {
 	var best *source
+	rank := func(s *source) int {
+		if c.failedLately(s.id) {
+			return s.tries + maxTries
+		}
+		return s.tries
+	}
 	for i := range w.sources {
-		if s := &w.sources[i]; s.tries < maxTries && (best == nil || s.tries < best.tries) {
+		if s := &w.sources[i]; s.tries < maxTries && (best == nil || rank(s) < rank(best)) {
 			best = s
 		}
 	}
@@ -187,6 +205,7 @@
 		refused:    map[string]Have{},
 		mismatches: map[registry.NodeID]mismatch{},
 		compared:   map[registry.NodeID]comparison{},
+		failures:   map[registry.NodeID]time.Time{},
 		reported:   map[string]bool{},
 	}
 	c.table = policy.NewTable(policy.TableOptions{
@@ -227,6 +246,7 @@
 	c.requestPlatform()
 	c.startStep()
 	c.syncMismatches()
+	c.syncWhenQuiet()
 	c.pullWanted()
 	c.repeatPushes()
 	c.out.Status = Status{
@@ -265,6 +285,7 @@
 		earlier(c.repeats[0].due)
 	}
 	earlier(c.platformWake())
+	earlier(c.quietAt)
 	if !c.confirmed.Load() {
 		earlier(c.now.Add(startInterval))
 	}
@@ -284,6 +305,7 @@
 	}
 	gone := func(id registry.NodeID) bool { _, ok := c.domain[id]; return !ok }
 	maps.DeleteFunc(c.mismatches, func(id registry.NodeID, _ mismatch) bool { return gone(id) })
+	maps.DeleteFunc(c.failures, func(id registry.NodeID, _ time.Time) bool { return gone(id) })
 	maps.DeleteFunc(c.compared, func(id registry.NodeID, _ comparison) bool { return gone(id) })
 	c.source.watcher = slices.Contains(Watchers(c.members, c.o.FailureDomain), c.o.Self)
 }
@@ -421,7 +443,7 @@
 		if w.call != 0 && c.now.Sub(w.asked) < pullHedge {
 			continue
 		}
-		next := w.next()
+		next := c.next(w)
 		if w.call != 0 && (next == nil || next.tries > 0) {
 			if w.retries > 0 {
 				w.retries--
@@ -449,7 +471,7 @@
 		for _, service := range p.Pull.Services {
 			w := c.wants[service]
 			w.call, w.asked = p.ID, c.now
-			w.next().tries++
+			c.next(w).tries++
 		}
 	}
 }
@@ -466,6 +488,11 @@
 		return
 	}
 	delete(c.calls, r.ID)
+	if r.Err != nil {
+		c.failures[cl.To] = c.now
+	} else {
+		delete(c.failures, cl.To)
+	}
 	switch {
 	case cl.Pull != nil:
 		more := false
@@ -491,7 +518,7 @@
 				// The peer no longer has what it reported.
 				w.sources = slices.DeleteFunc(w.sources, func(s source) bool { return s.id == cl.To })
 			}
-			if w.next() == nil {
+			if c.next(w) == nil {
 				retries = max(retries, w.retries)
 				delete(c.wants, service)
 			}
@@ -513,6 +540,7 @@
 	if c.o.Disabled.AntiEntropy || c.domain[d.From] == "" {
 		return
 	}
+	c.heardSomething()
 	if d.Digest == c.table.Digest() {
 		delete(c.mismatches, d.From)
 		return
@@ -560,18 +588,45 @@
 	if retries == 0 || c.o.Disabled.AntiEntropy {
 		return
 	}
-	var peers []registry.NodeID
+	var peers, failing []registry.NodeID
 	for _, m := range c.members {
-		if m.ID != c.o.Self && m.ID != failed {
+		switch {
+		case m.ID == c.o.Self || m.ID == failed:
+		case c.failedLately(m.ID):
+			failing = append(failing, m.ID)
+		default:
 			peers = append(peers, m.ID)
 		}
 	}
+	if len(peers) == 0 {
+		peers = failing
+	}
 	if len(peers) > 0 {
 		to := peers[c.rand.IntN(len(peers))]
 		c.call(to, &call{Call: Call{Sync: &Sync{Digests: digests(c.table)}}, mine: c.table.Digest(), retries: retries - 1})
 	}
 }
 
+func (c *Core) failedLately(id registry.NodeID) bool {
+	at, ok := c.failures[id]
+	return ok && c.now.Sub(at) < failureMemory
+}
+
+// syncWhenQuiet syncs with a random peer if no digest arrives.
+func (c *Core) syncWhenQuiet() {
+	if !c.confirmed.Load() || c.now.Before(c.quietAt) {
+		return
+	}
+	if !c.quietAt.IsZero() {
+		c.retrySync("", syncRetries)
+	}
+	c.heardSomething()
+}
+
+func (c *Core) heardSomething() {
+	c.quietAt = c.now.Add(quietLow + c.jitter(quietHigh-quietLow))
+}
+
 // synced takes in the difference to a peer: it wants what the peer has newer
 // and reports to the peer what it has newer itself.
 func (c *Core) synced(cl *call, r *SyncReply) {
@@ -598,7 +653,7 @@
 	if cl.starting {
 		return
 	}
-	if wanted == 0 {
+	if wanted == 0 && cl.theirs != 0 {
 		memory := idleSyncMemory
 		if told > 0 {
 			memory = syncMemory
