Send small bodies to the owner at once; keep payload out of the standard log

Asking the owner before sending the body of a booking costs a second round trip between nodes, 3 ms between failure domains, against a bound of 3.2 ms for 99 in 100. Bodies up to 16 KB are kept and sent with the request. The policy check now measures from the operator's start.

--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,6 +15,7 @@
 
 	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/state/settings"
+	"wigeonspring.example/wigeonspring/internal/transport/backend"
 	"wigeonspring.example/wigeonspring/internal/transport/node"
 )
 
@@ -74,6 +76,8 @@
 		log.Warn("second signal: stopping at once")
 		os.Exit(exitFailed)
 	}()
+	// net/http writes unsolicited bytes of a backend server to the standard logger.
+	stdlog.SetOutput(backend.RedactLog(os.Stderr))
 	n, err := node.New(ctx, node.Options{Settings: s, Log: log, TraceWriter: os.Stdout})
 	if err != nil {
 		return err
--- a/e2e/policy_test.go
+++ b/e2e/policy_test.go
@@ -40,18 +40,19 @@
 	f.start("booking", bookingPolicy, 5, bookingFloor)
 	for _, changes := range []int{1, 20} {
 		var epoch uint64
+		var start time.Time
 		for i := range changes {
+			start = time.Now()
 			file := writePolicy(t, "p.toml", fmt.Sprintf("%dms", 2000+changes*100+i))
 			if out, code := f.ctl(1, "policy", "apply", file); code != 0 {
 				t.Fatalf("apply: %s", out)
 			}
 			epoch = f.storedEpoch()
 		}
-		start := time.Now()
-		f.eventually(inForceBound, fmt.Sprintf("epoch %d in force on all nodes", epoch), func() bool {
+		f.eventually(inForceBound-time.Since(start), fmt.Sprintf("epoch %d in force on all nodes", epoch), func() bool {
 			return f.epochEverywhere("booking", epoch)
 		})
-		t.Logf("%d changes: epoch %d in force on %d nodes %v after the last was accepted", changes, epoch, f.nodes, time.Since(start))
+		t.Logf("%d changes: epoch %d in force on %d nodes %v after the operator began the last", changes, epoch, f.nodes, time.Since(start))
 	}
 }
 
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -44,6 +44,11 @@
 // explainEvents is the number of decisions kept in memory for explanations.
 const explainEvents = 4096
 
+// keepBytes is the size up to which the body of a request is kept in memory, so
+// that it is sent to the owner at once. Asking the owner first costs another round
+// trip between nodes, 3 ms between failure domains.
+const keepBytes = 16 << 10
+
 // Node is a running daemon.
 type Node struct {
 	opts        Options
@@ -209,11 +214,12 @@
 			FailureDomain: s.Node.FailureDomain,
 			Region:        s.Node.Region,
 		}),
-		Peers:   n.peers,
-		Owner:   n.owner,
-		Events:  n.bus,
-		Logger:  n.log,
-		Tracing: n.tracing,
+		Peers:     n.peers,
+		Owner:     n.owner,
+		KeepBytes: keepBytes,
+		Events:    n.bus,
+		Logger:    n.log,
+		Tracing:   n.tracing,
 	})
 }
 
