Restrict the control RPCs on the peer address; drain through any node

The peer address is open to backend servers and nodes, and served every control RPC, also the stop of a node. It now refuses that and questions that fan out to the fleet. Draining a backend server at a node that does not own it failed; it is passed on to the owner.

--- a/internal/transport/control/server.go
+++ b/internal/transport/control/server.go
@@ -39,8 +39,14 @@
 	Store    *events.Store
 	// Peers is used for questions to other nodes.
 	Peers *http.Client
+	// PeerListener restricts the server to what backend servers and other nodes
+	// ask. Stopping a node and questions to the whole fleet are for operators,
+	// whose listener is protected.
+	PeerListener bool
 }
 
+var errOperatorsOnly = twirp.PermissionDenied.Error("only served on the operator address")
+
 // Server implements controlpb.Control.
 type Server struct{ opts Options }
 
@@ -159,8 +165,18 @@
 	return info
 }
 
-// Drain implements controlpb.Control.
-func (s *Server) Drain(_ context.Context, req *controlpb.DrainRequest) (*controlpb.DrainResponse, error) {
+// Drain implements controlpb.Control. The drain of a backend server is passed on
+// to its owner.
+func (s *Server) Drain(ctx context.Context, req *controlpb.DrainRequest) (*controlpb.DrainResponse, error) {
+	if s.opts.PeerListener && req.Backend == "" {
+		return nil, errOperatorsOnly
+	}
+	member, known := s.opts.Node.Snapshot().Backend(registry.BackendID(req.Backend))
+	if known && member.Owner.ID != s.opts.Node.ID() && !s.opts.PeerListener {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		return controlpb.NewControlProtobufClient("http://"+member.Owner.PeerAddr, s.opts.Peers).Drain(ctx, req)
+	}
 	if err := s.opts.Node.Drain(registry.BackendID(req.Backend)); err != nil {
 		return nil, twirp.NotFoundError(err.Error())
 	}
--- a/internal/transport/control/status.go
+++ b/internal/transport/control/status.go
@@ -22,6 +22,9 @@
 // PolicyStatus implements controlpb.Control. Unless the request is local, it
 // asks every live node; a node that cannot be asked is listed with the error.
 func (s *Server) PolicyStatus(ctx context.Context, req *controlpb.PolicyStatusRequest) (*controlpb.PolicyStatusResponse, error) {
+	if s.opts.PeerListener && !req.Local {
+		return nil, errOperatorsOnly
+	}
 	resp := &controlpb.PolicyStatusResponse{Nodes: []*controlpb.PolicyNodeStatus{s.localStatus(req.Service)}}
 	if req.Local {
 		return resp, nil
@@ -57,6 +60,9 @@
 // Explain implements controlpb.Control. Decisions are kept by the node that made
 // them, so that all live nodes are asked unless the request is local.
 func (s *Server) Explain(ctx context.Context, req *controlpb.ExplainRequest) (*controlpb.ExplainResponse, error) {
+	if s.opts.PeerListener && !req.Local {
+		return nil, errOperatorsOnly
+	}
 	resp := &controlpb.ExplainResponse{Events: s.localEvents(req)}
 	if req.Local {
 		return resp, nil
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -17,6 +17,7 @@
 	"wigeonspring.example/wigeonspring/internal/protocol/floorpb"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/control"
 	"wigeonspring.example/wigeonspring/internal/transport/peer"
 )
 
@@ -116,8 +117,14 @@
 }
 
 func (n *Node) mountRPC(r chi.Router) {
-	controlHandler := n.control.Handler()
-	r.Mount(controlHandler.PathPrefix(), controlHandler)
+	restricted := control.New(control.Options{
+		Node:         n,
+		Policies:     n.policies,
+		Store:        n.store,
+		Peers:        n.rpcClient,
+		PeerListener: true,
+	}).Handler()
+	r.Mount(strings.TrimSuffix(restricted.PathPrefix(), "/"), restricted)
 	r.Mount("/twirp/wigeonspring.cluster.Cluster", n.gossip.Handler())
 	r.Mount("/twirp/wigeonspring.policy.Policies", n.sync.Handler())
 	r.Mount("/twirp/wigeonspring.floor.Floor", floorpb.NewFloorServer(n.permits))
