Report the recent behaviour of a service if it is worse than that of 30 s

The ingress nodes now report that view. Test: median of 10 ms reported 1 s after the change before, 100 ms after.

--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -377,6 +377,29 @@
 	}
 }
 
+// Guards against a service that became slow or failing as a whole being reported
+// by what was normal before, so that its backend servers look sick.
+func TestBaselineFollowsTheWholeService(t *testing.T) {
+	const before, after = 10 * time.Millisecond, 100 * time.Millisecond
+	var r samples
+	for i := range 300 {
+		r.add(t0.Add(time.Duration(i)*100*time.Millisecond), nil, false, before)
+	}
+	now := t0.Add(30 * time.Second)
+	for i := range 20 {
+		now = now.Add(50 * time.Millisecond)
+		r.add(now, nil, i%2 == 0, after)
+	}
+	got := r.baseline(now, &stat{})
+	if got.Median != after || got.FailureRate < 0.3 {
+		t.Errorf("1 s after the change: %+v, want a median of %v and a failure rate of 0.3 or more", got, after)
+	}
+	r.add(now.Add(10*time.Second), nil, true, 0)
+	if got := r.baseline(now.Add(10*time.Second), &stat{}); got.FailureRate > 0.1 {
+		t.Errorf("a single recent failure counts as the behaviour of the service: %+v", got)
+	}
+}
+
 // Guards against a refusal that gives the wrong reason.
 func TestRefusals(t *testing.T) {
 	rng := proptest.Rand(t)
--- a/internal/coordination/routing/samples.go
+++ b/internal/coordination/routing/samples.go
@@ -10,6 +10,10 @@
 const (
 	// baselineWindow is the age up to which an attempt counts in the baseline.
 	baselineWindow = 30 * time.Second
+	// recentWindow is the age up to which an attempt counts in the recent view, and
+	// minRecentSamples the number of attempts from which that view is used.
+	recentWindow     = 2 * time.Second
+	minRecentSamples = 10
 	// baselineRefresh is the age up to which a computed baseline is reused. The
 	// baseline moves slowly, and computing it costs a pass over the samples.
 	baselineRefresh = 500 * time.Millisecond
@@ -49,14 +53,28 @@
 	r.next = (r.next + 1) % maxSamples
 }
 
-// baseline summarizes the samples in the window that are not of exclude.
+// baseline returns the behaviour in the window or, if it is worse, in the last
+// recentWindow, without the attempts of exclude. The median of the long window
+// needs 15 s to follow a service that becomes slow as a whole, in which its
+// backend servers would be judged by what is no longer normal.
 func (r *samples) baseline(now time.Time, exclude *stat) evidence.Baseline {
+	base := r.summarize(now, exclude, baselineWindow)
+	recent := r.summarize(now, exclude, recentWindow)
+	if recent.Samples >= minRecentSamples {
+		base.FailureRate = max(base.FailureRate, recent.FailureRate)
+		base.Median = max(base.Median, recent.Median)
+	}
+	return base
+}
+
+// summarize returns the figures of the samples in a window that are not of exclude.
+func (r *samples) summarize(now time.Time, exclude *stat, window time.Duration) evidence.Baseline {
 	var base evidence.Baseline
 	var failed int
 	latencies := make([]time.Duration, 0, len(r.ring))
 	for i := range r.ring {
 		s := &r.ring[i]
-		if now.Sub(r.start)-s.at > baselineWindow || s.stat == exclude {
+		if now.Sub(r.start)-s.at > window || s.stat == exclude {
 			continue
 		}
 		base.Samples++
