Add the operators' console and the operator token

Cause: policies could only be edited as files with wigeonctl, and whoever reached the operator address could drain nodes without a credential.

The console lists services and nodes and edits one policy by a form without JavaScript. The form's fields are named by the keys of the document, so each problem of policy.Parse finds its field. Values of a wrong type are written to the document as text, so that Parse reports them with the rest instead of the form stopping at the first. On a conflict the input is kept; rebasing takes over what only the winner changed and names what both changed.

The guard wraps the whole operator handler: cross-origin protection, Host check, token or session, and 2 MB for a body. Messages about the token show no found value, because error messages end up in logs.

Ruled out: a rebase that only raises the base epoch, because it silently reverts the winner's change; a file for the token, as the VMs have no disks; a write timeout on the operator listener, because a status of 2,100 nodes with unreachable peers takes longer than any useful bound; pages of the console have 30 s instead.

The console was not yet seen in a browser.

--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -26,6 +26,7 @@
 type Settings struct {
 	Node       Node       `toml:"node"`
 	Listen     Listen     `toml:"listen"`
+	Operator   Operator   `toml:"operator"`
 	Platform   Platform   `toml:"platform"`
 	Membership Membership `toml:"membership"`
 	Drain      Drain      `toml:"drain"`
@@ -45,10 +46,15 @@
 type Listen struct {
 	CallerListen   string `toml:"caller_listen" required:"true" allowed:"IP:port or :port" doc:"Address for callers, HTTP over TCP."`
 	PeerListen     string `toml:"peer_listen" required:"true" allowed:"IP:port with the IP address of one interface" doc:"Address for other nodes and for the announcements of backend servers: HTTP over TCP, and gossip over UDP on the same port."`
-	OperatorListen string `toml:"operator_listen" required:"true" allowed:"IP:port with the IP address of one interface" doc:"Address for operators, HTTP over TCP."`
+	OperatorListen string `toml:"operator_listen" allowed:"IP:port with the IP address of one interface" doc:"Address for operators, HTTP over TCP."`
 	PeerAdvertise  string `toml:"peer_advertise" allowed:"\"\" (the same as peer_listen) or IP:port" doc:"Address under which other nodes reach peer_listen, if it differs."`
 }
 
+// Operator protects the operator address.
+type Operator struct {
+	Token string `toml:"token" allowed:"16 to 512 printable ASCII characters without spaces; \"\" only if operator_listen is a loopback address" doc:"Secret that operators send as a bearer token or enter in the console. The endpoint /ready needs none."`
+}
+
 // Platform says how the platform's object API is reached.
 type Platform struct {
 	Address string   `toml:"address" required:"true" allowed:"an http or https URL with a host" doc:"Address of the platform's object API."`
@@ -84,6 +90,7 @@
 // Defaults returns the settings of an empty document.
 func Defaults() *Settings {
 	return &Settings{
+		Listen:   Listen{OperatorListen: "127.0.0.1:9001"},
 		Platform: Platform{Timeout: Duration(5 * time.Second)},
 		Membership: Membership{
 			ProbeInterval:  Duration(time.Second),
@@ -169,14 +176,27 @@
 			add(key, "address is used twice", pair[1], "different addresses for callers, nodes and operators")
 		}
 	}
+	if s.Operator.Token == "" && !undecoded["operator.token"] && !loopback(l.OperatorListen) {
+		add("operator.token", "missing secret", nil, "16 to 512 characters, because listen.operator_listen is not a loopback address")
+	}
 	if len(problems) > 0 {
+		for i := range problems {
+			if key := problems[i].Key; key == "operator" || strings.HasPrefix(key, "operator.") {
+				// Error messages end up in logs, which must hold no credential.
+				problems[i].Found = ""
+			}
+		}
 		problems.Sort()
 		return nil, problems
 	}
 	return s, nil
 }
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,63}$`)
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,63}$`)
+	// tokenPattern holds what fits into an Authorization header.
+	tokenPattern = regexp.MustCompile(`^[!-~]{16,512}$`)
+)
 
 // checks holds the test of the allowed values of every key but the seeds.
 var checks = map[string]func(any) bool{
@@ -187,6 +207,7 @@
 	"listen.peer_listen":              specificAddress,
 	"listen.operator_listen":          specificAddress,
 	"listen.peer_advertise":           func(v any) bool { return v == "" || specificAddress(v) },
+	"operator.token":                  func(v any) bool { return v == "" || tokenPattern.MatchString(v.(string)) },
 	"platform.address":                webURL,
 	"platform.timeout":                between(100*time.Millisecond, time.Minute),
 	"membership.probe_interval":       between(100*time.Millisecond, 10*time.Second),
@@ -215,6 +236,12 @@
 	return err == nil && !a.Addr().IsUnspecified()
 }
 
+// loopback also holds for an invalid address, which is reported by itself.
+func loopback(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err != nil || a.Addr().Unmap().IsLoopback()
+}
+
 func anyAddress(v any) bool {
 	if port, ok := strings.CutPrefix(v.(string), ":"); ok {
 		_, err := strconv.ParseUint(port, 10, 16)
--- a/internal/state/settings/settings_test.go
+++ b/internal/state/settings/settings_test.go
@@ -96,6 +96,30 @@
 	}
 }
 
+// Guards against an operator address without protection, and against a secret
+// in an error message, which ends up in logs.
+func TestOperatorToken(t *testing.T) {
+	public := strings.Replace(valid, "127.0.0.1:9001", "192.0.2.1:9001", 1)
+	for _, c := range []struct {
+		text    string
+		refused bool
+	}{
+		{strings.Replace(valid, "operator_listen = \"127.0.0.1:9001\"\n", "", 1), false},
+		{public, true},
+		{strings.Replace(public, "192.0.2.1", "[::ffff:192.0.2.1]", 1), true},
+		{public + "[operator]\ntoken = \"secret-of-16-chr\"\n", false},
+		{valid + "[operator]\ntoken = \"secret-of-15-ch\"\n", true},
+		{valid + "[operator]\ntoken = \"secret with a space\"\n", true},
+		{valid + "[operator]\ntoken = [\"secret-in-array\"]\n", true},
+		{"operator = \"secret-of-16-chr\"\n" + valid, true},
+	} {
+		_, _, err := load(t, c.text)
+		if (err != nil) != c.refused || (err != nil && strings.Contains(err.Error(), "secret-")) || (err != nil && strings.Contains(err.Error(), "secret with")) {
+			t.Errorf("%s\ngot %v", c.text, err)
+		}
+	}
+}
+
 // Guards against a key without a check, a description or its allowed values, and
 // against a reference page that differs from the code.
 func TestReferenceIsComplete(t *testing.T) {
--- /dev/null
+++ b/internal/transport/console/console_test.go
@@ -0,0 +1,329 @@
+package console
+
+import (
+	"context"
+	"fmt"
+	"html"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/standin/platform"
+)
+
+const (
+	hostile = `<script>alert("x")</script>`
+	secret  = "0123456789abcdef"
+)
+
+// fakeControl answers with names that need escaping.
+type fakeControl struct{ controlpb.Control }
+
+func (fakeControl) Backends(_ context.Context, r *controlpb.BackendsRequest) (*controlpb.BackendsResponse, error) {
+	if r.Service != "" && r.Service != "booking" {
+		return &controlpb.BackendsResponse{}, nil
+	}
+	return &controlpb.BackendsResponse{Backends: []*controlpb.BackendInfo{
+		{Id: "b1" + hostile, Service: "booking", Owner: "n1", State: "active", Weight: 1, OwnerStatus: "alive"},
+		{Id: "b2", Service: "booking", Owner: "n1" + hostile, State: "ejected", OwnerStatus: "alive"},
+		{Id: "b3", Service: "booking", Owner: "n3", State: "active", Weight: 1, OwnerStatus: "suspect"},
+	}}, nil
+}
+
+func (fakeControl) Nodes(context.Context, *controlpb.NodesRequest) (*controlpb.NodesResponse, error) {
+	return &controlpb.NodesResponse{Nodes: []*controlpb.NodeInfo{{Id: "n1", Status: "alive", Region: hostile}}}, nil
+}
+
+func (fakeControl) PolicyStatus(context.Context, *controlpb.PolicyStatusRequest) (*controlpb.PolicyStatusResponse, error) {
+	return &controlpb.PolicyStatusResponse{Nodes: []*controlpb.PolicyNodeStatus{
+		{NodeId: "n1", Ready: true, Policies: []*controlpb.PolicyEpoch{{Service: "booking", Epoch: 7}}},
+	}}, nil
+}
+
+func (fakeControl) Explain(context.Context, *controlpb.ExplainRequest) (*controlpb.ExplainResponse, error) {
+	return &controlpb.ExplainResponse{Events: []*controlpb.EventInfo{{Kind: "backend_ejected", Reason: "failing " + hostile}}}, nil
+}
+
+type fixture struct {
+	t      *testing.T
+	url    string
+	memory *platform.Memory
+	guard  *Guard
+	now    time.Time
+}
+
+func newFixture(t *testing.T, token string) *fixture {
+	f := &fixture{t: t, memory: platform.NewMemory(), now: time.Now()}
+	f.guard = NewGuard(GuardOptions{Token: token, Now: func() time.Time { return f.now }})
+	table := policy.NewTable(policy.TableOptions{})
+	document := "[service]\nname = \"booking\"\nhosts = [\"booking.example\"]\nfloor = 2\n[[service.route]]\nname = \"all\"\npath = \"/*\"\n"
+	if _, err := table.Set(policy.Versioned{Service: "booking", Epoch: 7, Text: []byte(document)}); err != nil {
+		t.Fatal(err)
+	}
+	r := chi.NewRouter()
+	r.Get("/ready", func(http.ResponseWriter, *http.Request) {})
+	r.Get("/debug/vars", func(http.ResponseWriter, *http.Request) {})
+	New(Options{Control: fakeControl{}, Platform: f.memory, Policies: table, Guard: f.guard}).Mount(r)
+	server := httptest.NewServer(f.guard.Wrap(r))
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+// do sends a request and checks the status and parts of the body.
+func (f *fixture) do(status int, r *http.Request, parts ...string) (*http.Response, string) {
+	f.t.Helper()
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != status {
+		f.t.Fatalf("%s %s: status %d, want %d:\n%s", r.Method, r.URL, resp.StatusCode, status, body)
+	}
+	for _, p := range parts {
+		if !strings.Contains(string(body), p) {
+			f.t.Errorf("%s %s: no %q in:\n%s", r.Method, r.URL, p, body)
+		}
+	}
+	return resp, string(body)
+}
+
+func (f *fixture) get(path string) *http.Request {
+	r, _ := http.NewRequest(http.MethodGet, f.url+path, nil)
+	return r
+}
+
+func (f *fixture) post(path string, v url.Values) *http.Request {
+	r, _ := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader(v.Encode()))
+	r.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	r.Header.Set("Sec-Fetch-Site", "same-origin")
+	return r
+}
+
+// press posts the form with a button.
+func (f *fixture) press(status int, v url.Values, button, value string, parts ...string) (url.Values, string) {
+	f.t.Helper()
+	v.Set(button, value)
+	_, page := f.do(status, f.post("/edit", v), parts...)
+	v.Del(button)
+	return read(page), page
+}
+
+var (
+	inputs = regexp.MustCompile(`(?s)<input( type="[a-z]+")? name="([^"]*)" value="([^"]*)"([^>]*)>|<textarea name="([^"]*)"[^>]*>\n(.*?)</textarea>`)
+)
+
+// read returns the values that a browser would post.
+func read(page string) url.Values {
+	v := url.Values{}
+	for _, m := range inputs.FindAllStringSubmatch(page, -1) {
+		if m[5] != "" {
+			v.Add(m[5], html.UnescapeString(m[6]))
+		} else if !strings.Contains(m[1], "checkbox") || strings.Contains(m[4], "checked") {
+			v.Add(m[2], html.UnescapeString(m[3]))
+		}
+	}
+	return v
+}
+
+// create applies a first policy of service "photo" and returns its form.
+func (f *fixture) create() url.Values {
+	f.t.Helper()
+	_, page := f.do(http.StatusOK, f.get("/edit"))
+	v := read(page)
+	for k, s := range map[string]string{
+		"operator": "ann", "service.name": "photo", "service.hosts": "photo.example\r\n", "service.floor": "9",
+		"service.route[0].name": "intake", "service.route[0].path": "/*", "service.route[0].selector": "disk = big",
+	} {
+		v.Set(k, s)
+	}
+	f.press(http.StatusSeeOther, v, "action", "apply")
+	_, page = f.do(http.StatusOK, f.get("/edit?service=photo"), "based on epoch 1")
+	return read(page)
+}
+
+func (f *fixture) stored() *policy.Document {
+	f.t.Helper()
+	env, _, err := policy.Read(context.Background(), f.memory, "photo")
+	doc, problems := policy.Parse([]byte(env.Text))
+	if err != nil || len(problems) > 0 {
+		f.t.Fatal(err, problems)
+	}
+	return doc
+}
+
+// Guards against pages that miscount the capacity, and against names of other
+// processes that become markup.
+func TestPages(t *testing.T) {
+	f := newFixture(t, "")
+	escaped := html.EscapeString(hostile)
+	for path, parts := range map[string][]string{
+		"/":                 {"<td>7</td>", "<td>2</td>", "1 of 3 (below the floor)"},
+		"/services/booking": {"1 of 3", "ejected: 1", "owner suspect: 1", "b1" + escaped, "failing " + escaped, "n1" + escaped},
+		"/nodes":            {"booking: 7", escaped},
+		"/edit?service=" + url.QueryEscape(hostile): {escaped},
+	} {
+		resp, page := f.do(http.StatusOK, f.get(path), parts...)
+		if strings.Contains(page, "<script") || !strings.Contains(resp.Header.Get("Content-Security-Policy"), "default-src 'none'") {
+			t.Errorf("%s: script or no policy against scripts:\n%s", path, page)
+		}
+	}
+	f.do(http.StatusNotFound, f.get("/services/none"))
+	f.do(http.StatusOK, f.get("/console.css"), "font")
+}
+
+// Guards against a problem that is shown at no field or at the wrong one, a
+// check that stores, and input that is lost or unescaped on the way.
+func TestFormCheckAndApply(t *testing.T) {
+	f := newFixture(t, "")
+	v := f.create()
+	if s := f.stored().Service; s.Routes[0].Selector["disk"] != "big" || s.Floor != 9 {
+		t.Fatalf("stored %+v", s)
+	}
+	v, _ = f.press(http.StatusOK, v, "action", "add")
+	v.Set("service.floor", "many")
+	v.Set("service.hosts", "photo.example\nBAD")
+	v.Set("service.route[1].name", hostile)
+	v.Set("service.route[1].selector", "a=1\na=2")
+	v.Set("service.route[1].idempotent", "true")
+	v, page := f.press(http.StatusUnprocessableEntity, v, "action", "check", html.EscapeString(hostile), "floor = &#39;many&#39;")
+	for field, reason := range map[string]string{
+		"service.floor": "an integer", "service.hosts": "invalid host name", "service.route[1].name": "invalid value",
+		"service.route[1].path": "missing key", "service.route[1].selector": "duplicate label", "service.route[1].idempotent": "must name its methods",
+	} {
+		_, after, _ := strings.Cut(page, fmt.Sprintf(`name="%s"`, field))
+		if own, _, _ := strings.Cut(after, ` name="`); !strings.Contains(own, reason) {
+			t.Errorf("field %s lacks %q:\n%s", field, reason, own)
+		}
+	}
+	if strings.Contains(page, "<script") || v.Get("service.route[1].name") != hostile {
+		t.Error("hostile input is lost or not escaped")
+	}
+	v, _ = f.press(http.StatusOK, v, "remove", "1")
+	v.Set("service.floor", "10")
+	v.Set("service.hosts", "photo.example")
+	v["service.route[0].methods"] = []string{"GET", "PUT"}
+	v, _ = f.press(http.StatusOK, v, "action", "check", "service.floor</td><td>9</td><td>10", "floor = 10")
+	if f.stored().Service.Floor != 9 {
+		t.Error("check has stored the document")
+	}
+	v.Set("operator", "")
+	v, _ = f.press(http.StatusUnprocessableEntity, v, "action", "apply")
+	v.Set("operator", "ann")
+	f.press(http.StatusSeeOther, v, "action", "apply")
+	if s := f.stored().Service; s.Floor != 10 || len(s.Routes) != 1 || len(s.Routes[0].Methods) != 2 {
+		t.Errorf("stored %+v", s)
+	}
+}
+
+// Guards against a second operator who loses input, does not learn who won, or
+// undoes the first operator's change by rebasing.
+func TestTwoOperators(t *testing.T) {
+	f := newFixture(t, "")
+	first, second := f.create(), url.Values{}
+	for k, s := range first {
+		second[k] = append([]string{}, s...)
+	}
+	first.Set("operator", "ben")
+	first.Set("service.timeout", "3s")
+	first.Set("service.detection_weight", "0.7")
+	f.press(http.StatusSeeOther, first, "action", "apply")
+	second.Set("operator", "eve")
+	second.Set("service.floor", "11")
+	second.Set("service.detection_weight", "0.2")
+	second.Set("service.route[0].path", "/photos/*")
+	second, _ = f.press(http.StatusConflict, second, "action", "apply", "Operator <b>ben</b> applied epoch <b>2</b>", "Rebase on epoch 2")
+	if second.Get("service.floor") != "11" || second.Get("service.route[0].path") != "/photos/*" || second.Get("base") != "1" {
+		t.Fatalf("input is lost: %v", second)
+	}
+	second, _ = f.press(http.StatusOK, second, "action", "rebase", "<code>service.detection_weight</code>", "Difference from epoch 2")
+	f.press(http.StatusSeeOther, second, "action", "apply")
+	s := f.stored().Service
+	if s.Floor != 11 || time.Duration(s.Timeout) != 3*time.Second || s.DetectionWeight != 0.2 || s.Routes[0].Path != "/photos/*" {
+		t.Errorf("stored %+v", s)
+	}
+}
+
+// Guards against input that is lost while the platform is down.
+func TestPlatformDown(t *testing.T) {
+	f := newFixture(t, "")
+	v := f.create()
+	f.memory.SetFaults(platform.Faults{Outage: true})
+	v.Set("service.floor", "12")
+	v.Set("operator", "ann")
+	v, _ = f.press(http.StatusServiceUnavailable, v, "action", "apply", "platform unavailable")
+	if v.Get("service.floor") != "12" {
+		t.Error("input is lost")
+	}
+	f.do(http.StatusOK, f.get("/edit?service=booking"), "in force on this node", "based on epoch 7")
+}
+
+// Guards against endpoints that are open without the token, sessions that
+// outlive their time, and unbounded memory for sessions.
+func TestToken(t *testing.T) {
+	f := newFixture(t, secret)
+	f.do(http.StatusOK, f.get("/ready"))
+	for _, path := range []string{"/", "/nodes", "/debug/vars"} {
+		f.do(http.StatusUnauthorized, f.get(path))
+		for header, status := range map[string]int{"Bearer " + secret: 200, "Bearer " + secret[1:]: 401, "Basic " + secret: 401} {
+			r := f.get(path)
+			r.Header.Set("Authorization", header)
+			f.do(status, r)
+		}
+	}
+	f.do(http.StatusUnauthorized, f.post("/edit", url.Values{}))
+	f.do(http.StatusUnauthorized, f.post("/login", url.Values{"token": {"wrong"}}), "The token is wrong")
+	browser := f.get("/nodes")
+	browser.Header.Set("Accept", "text/html")
+	if resp, _ := f.do(http.StatusSeeOther, browser); resp.Header.Get("Location") != "/login" {
+		t.Errorf("got %v", resp.Header)
+	}
+	resp, _ := f.do(http.StatusSeeOther, f.post("/login", url.Values{"token": {secret}}))
+	cookie := resp.Cookies()[0]
+	if !cookie.HttpOnly || cookie.SameSite != http.SameSiteStrictMode {
+		t.Errorf("cookie %v", cookie)
+	}
+	visit := func(status int) {
+		t.Helper()
+		r := f.get("/nodes")
+		r.AddCookie(cookie)
+		f.do(status, r)
+	}
+	visit(http.StatusOK)
+	f.now = f.now.Add(sessionLifetime)
+	visit(http.StatusUnauthorized)
+	for range maxSessions + 10 {
+		f.guard.login(httptest.NewRecorder(), secret)
+	}
+	if n := len(f.guard.sessions); n != maxSessions {
+		t.Errorf("%d sessions", n)
+	}
+}
+
+// Guards against posts from other sites, DNS rebinding and bodies without bound.
+func TestHostileRequests(t *testing.T) {
+	f := newFixture(t, "")
+	cross := f.post("/edit", url.Values{})
+	cross.Header.Set("Sec-Fetch-Site", "cross-site")
+	f.do(http.StatusForbidden, cross)
+	foreign := f.post("/edit", url.Values{})
+	foreign.Header.Del("Sec-Fetch-Site")
+	foreign.Header.Set("Origin", "http://attacker.example")
+	f.do(http.StatusForbidden, foreign)
+	rebound := f.get("/")
+	rebound.Host = "attacker.example"
+	f.do(http.StatusMisdirectedRequest, rebound)
+	f.do(http.StatusRequestEntityTooLarge, f.post("/edit", url.Values{"original": {strings.Repeat("x", maxBodyBytes)}}))
+	f.do(http.StatusBadRequest, f.post("/edit", url.Values{"base": {"1"}, "routes": {"1000000"}}))
+}
--- a/internal/transport/ctl/ctl.go
+++ b/internal/transport/ctl/ctl.go
@@ -47,6 +47,7 @@
 type globals struct {
 	Platform string        `long:"platform" env:"WIGEON_PLATFORM" value-name:"URL" description:"address of the platform"`
 	Node     string        `long:"node" env:"WIGEON_NODE" value-name:"URL" description:"operator address of a node"`
+	Token    string        `long:"token" env:"WIGEON_TOKEN" value-name:"SECRET" description:"operator token of the node; the variable keeps it out of the process list"`
 	Output   string        `long:"output" choice:"text" choice:"json" default:"text" description:"output format"`
 	Timeout  time.Duration `long:"timeout" default:"10s" description:"time limit of one call"`
 }
@@ -69,12 +70,16 @@
 			return platform.NewHTTP(platform.Options{URL: url, Timeout: timeout})
 		}
 	}
+	t := &tool{o: o}
 	if o.Node == nil {
-		o.Node = func(url string, timeout time.Duration) controlpb.Control {
-			return controlpb.NewControlProtobufClient(url, &http.Client{Timeout: timeout})
+		t.o.Node = func(url string, timeout time.Duration) controlpb.Control {
+			client := &http.Client{Timeout: timeout}
+			if t.Token != "" {
+				client.Transport = bearer{token: t.Token, next: http.DefaultTransport}
+			}
+			return controlpb.NewControlProtobufClient(url, client)
 		}
 	}
-	t := &tool{o: o}
 	parser := flags.NewNamedParser("wigeonctl", flags.HelpFlag|flags.PassDoubleDash)
 	must(parser.AddGroup("Global options", "", &t.globals))
 	policies := must(parser.AddCommand("policy", "check, apply and show routing policies", "", &struct{}{}))
@@ -98,6 +103,20 @@
 	return t.report(err)
 }
 
+// bearer adds the operator token to each request. The twirp client follows no
+// redirects, so the token reaches only the given node.
+type bearer struct {
+	token string
+	next  http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+b.token)
+	return b.next.RoundTrip(r)
+}
+
 // must panics on an invalid command definition, which is a fault of this package.
 func must[T any](v T, err error) T {
 	if err != nil {
--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -168,6 +169,25 @@
 	f.run(ExitFailed, []string{"drain", "b9"}, "no backend server b9")
 }
 
+// Guards against a token that is not sent, so that a protected node refuses.
+func TestToken(t *testing.T) {
+	f := newFixture(t)
+	got := ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Get("Authorization")
+		controlpb.NewControlServer(fakeNode{}).ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	f.nodeURL = server.URL
+	f.run(ExitDone, []string{"--token", "option", "nodes"})
+	option := got
+	t.Setenv("WIGEON_TOKEN", "variable")
+	f.run(ExitDone, []string{"nodes"})
+	if option != "Bearer option" || got != "Bearer variable" {
+		t.Errorf("sent %q and %q", option, got)
+	}
+}
+
 // Guards against bad arguments that are carried out; a drain without an
 // argument would stop a node.
 func TestUsage(t *testing.T) {
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -17,6 +17,7 @@
 	"wigeonspring.example/wigeonspring/internal/protocol/floorpb"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/console"
 	"wigeonspring.example/wigeonspring/internal/transport/peer"
 )
 
@@ -26,6 +27,9 @@
 	callerHeaderTimeout = 5 * time.Second
 	callerIdleTimeout   = 2 * time.Minute
 	callerMaxHeader     = 64 << 10
+	// operatorReadTimeout bounds the reading of an operator's request, of which
+	// the largest is a policy form of 2 MB.
+	operatorReadTimeout = 30 * time.Second
 	// closeTimeout bounds the closing of listeners after the drain.
 	closeTimeout  = 2 * time.Second
 	reasonStarted = "node_not_ready"
@@ -73,7 +77,13 @@
 	}
 	caller.Protocols.SetHTTP1(true)
 	caller.Protocols.SetUnencryptedHTTP2(true)
-	operator := &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: callerHeaderTimeout}
+	operator := &http.Server{
+		Handler:           n.operatorHandler(),
+		ReadHeaderTimeout: callerHeaderTimeout,
+		ReadTimeout:       operatorReadTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    callerMaxHeader,
+	}
 	peers := peer.NewServer(n.peerHandler())
 	servers := []*http.Server{caller, peers, operator}
 	for i, ln := range []net.Listener{n.listeners.caller, n.listeners.peer, n.listeners.operator} {
@@ -133,7 +143,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return r
+	guard := console.NewGuard(console.GuardOptions{Token: n.opts.Settings.Operator.Token})
+	console.New(console.Options{Control: n.control, Platform: n.platform, Policies: n.policies, Guard: guard}).Mount(r)
+	return guard.Wrap(r)
 }
 
 // Drain implements control.Node.
