Declare a member dead that was reported dead and does not answer

A node that had missed the suspicion of a member took a death report as a reason to probe it, and after a silent probe began a suspicion of 3 to 6 s of its own. This was the tail of the loss of a failure domain. The reporter has already waited for the suspicion timeout, so a silent probe now ends the matter.

--- a/internal/coordination/membership/doubt.go
+++ b/internal/coordination/membership/doubt.go
@@ -88,7 +88,9 @@
 	c.lateChecks = c.lateChecks[:0]
 	sortMembers(c.silent)
 	for _, m := range c.silent {
-		c.probeFailed(m)
+		// Another node suspected the member for the whole timeout, and it does not
+		// answer here either.
+		c.declareDead(m, "reported dead by another member and no ack")
 	}
 	c.silent = c.silent[:0]
 }
