Drop evidence only when the rest of the service becomes worse

The jump was looked for in reports that came with any server of the service, so the failures of one server, seen through its neighbours, dropped the evidence against it. The view that came with the server itself, which leaves it out, is used now. The new test fails without the change.

--- a/internal/coordination/ejection/core.go
+++ b/internal/coordination/ejection/core.go
@@ -9,8 +9,7 @@
 )
 
 type service struct {
-	baseline baseline
-	weight   float64
+	weight float64
 }
 
 // server is the state of one backend server.
@@ -100,7 +99,6 @@
 // Observe takes one exchange with a backend server.
 func (c *Core) Observe(o evidence.Observation) {
 	svc := c.service(o.Service)
-	svc.baseline.merge(o.Baseline)
 	if o.Kind == evidence.Shed || o.Kind == evidence.Canceled {
 		return
 	}
@@ -111,13 +109,13 @@
 		c.servers[o.Backend] = s
 		c.order = append(c.order, s)
 	}
+	// Each report leaves out the backend server that it came with. Reports that
+	// came with other backend servers contain the failures of this one.
+	base := s.baseline.merge(o.Baseline)
 	if s.state == Ejected {
 		// Exchanges that began before the ejection are judged already.
 		return
 	}
-	// Each report leaves out the backend server that it came with. Reports that
-	// came with other backend servers contain the failures of this one.
-	base := s.baseline.merge(o.Baseline)
 	failure := isFailure(o.Kind)
 	s.dirty = true
 	if o.At.Add(-o.Latency).After(s.failingSince) {
--- a/internal/coordination/ejection/detector_test.go
+++ b/internal/coordination/ejection/detector_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
 // Guards against a detector that misses a failure of its kind, or that takes
@@ -81,6 +82,38 @@
 	}
 }
 
+// Guards against a failing server that is not suspected because the reports
+// that come with its neighbours contain its failures and jump.
+func TestNeighboursReportsDoNotHideFailure(t *testing.T) {
+	c := New(Options{})
+	view := View{"s": {Floor: 9, Serving: 12, Capacity: 12}}
+	now, rate := start, 0.0
+	observe := func(id registry.BackendID, kind evidence.Kind, rate float64) {
+		c.Observe(evidence.Observation{
+			Backend: id, Service: "s", Kind: kind, Latency: 20 * time.Millisecond, At: now,
+			Baseline: evidence.Baseline{FailureRate: rate, Median: 20 * time.Millisecond, Samples: 500},
+		})
+	}
+	for i := range 300 {
+		now = now.Add(100 * time.Millisecond)
+		kind := evidence.Success
+		if i > 200 {
+			kind, rate = evidence.ServerError, min(0.4, rate+0.02)
+		}
+		observe("sick", kind, 0)
+		observe("neighbour", evidence.Success, rate)
+		for _, d := range c.Tick(now, view) {
+			if d.Backend != "sick" {
+				t.Fatalf("decision %+v", d)
+			}
+			if i < 225 {
+				return
+			}
+		}
+	}
+	t.Fatal("not suspected within 2.5 s")
+}
+
 // Guards against an ejection when the whole service fails at once: the view of
 // the service arrives a little after the first failures.
 func TestWholeServiceFailureIsNotSuspicious(t *testing.T) {
--- a/internal/coordination/ejection/tick.go
+++ b/internal/coordination/ejection/tick.go
@@ -115,18 +115,14 @@
 	return append(out, c.decision(Suspect, s, left, v.Reason, v))
 }
 
-// forgetOnJump drops the evidence about the servers of a service that became
-// worse as a whole: it was gathered against a baseline that no longer holds.
+// forgetOnJump drops the evidence about the servers for which the rest of the
+// service became worse at once: it was gathered against a baseline that no
+// longer holds.
 func (c *Core) forgetOnJump(now time.Time) {
-	for id, svc := range c.services {
-		if !svc.baseline.jumped(now) {
-			continue
-		}
-		for _, s := range c.order {
-			if s.service == id && s.state != Ejected {
-				s.detector.Reset()
-				s.failures, s.failingSince = 0, time.Time{}
-			}
+	for _, s := range c.order {
+		if s.baseline.jumped(now) && s.state != Ejected {
+			s.detector.Reset()
+			s.failures, s.failingSince = 0, time.Time{}
 		}
 	}
 }
@@ -157,7 +153,7 @@
 	}
 	failing := s.detector.Failing(now)
 	switch {
-	case failing || s.failures >= c.opts.ProbationFailures && c.service(s.service).baseline.failureRate < commonFailures:
+	case failing || s.failures >= c.opts.ProbationFailures && s.baseline.failureRate < commonFailures:
 		reason := ""
 		if !failing {
 			reason = ReasonProbationFail
