Bound the console's pages to the fleet's size and check the token end to end

Cause: the page of the nodes asked for every epoch on every node, which is 1.4 million rows at 2,100 nodes and 650 services; a form of more than 833 routes with all methods would exceed the 10,000 values that net/url reads; wigeonctl showed a refused token as "Error from intermediary"; and nothing checked that the daemon puts the guard in front of every operator endpoint.

Pages with more than 5,000 epochs ask for one service first. Forms hold 800 routes, and a longer policy is refused with a hint at wigeonctl. RPCs are refused in the format of twirp.

Ruled out: raising the limit of net/url by GODEBUG, because it would hold for callers' requests as well.

Chromium is not installed, so the pages were not looked at in a browser.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -91,8 +91,10 @@
 	backends map[string][]int
 	relays   map[int]*relay.Relay
 	floors   map[string]int
-	cancel   context.CancelFunc
-	ctx      context.Context
+	// token is the operator token of the nodes.
+	token  string
+	cancel context.CancelFunc
+	ctx    context.Context
 }
 
 func newFleet(t *testing.T, basePort, nodes int) *fleet {
@@ -228,10 +230,13 @@
 [membership]
 seeds = [%q, %q]
 
+[operator]
+token = %q
+
 [drain]
 timeout = "10s"
 `, nodeName(i), domainOf(i), domainOf(i), f.callerAddr(i), f.peerAddr(i), advertise,
-		strings.TrimPrefix(f.operatorURL(i), "http://"), f.platformURL(), f.peerAddr(1), f.peerAddr(2))
+		strings.TrimPrefix(f.operatorURL(i), "http://"), f.platformURL(), f.peerAddr(1), f.peerAddr(2), f.token)
 	path := filepath.Join(f.t.TempDir(), nodeName(i)+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
--- a/internal/transport/console/console_test.go
+++ b/internal/transport/console/console_test.go
@@ -115,6 +115,12 @@
 func (f *fixture) press(status int, v url.Values, button, value string, parts ...string) (url.Values, string) {
 	f.t.Helper()
 	v.Set(button, value)
+	for k := range v {
+		for i, s := range v[k] {
+			// Browsers post line ends as CRLF.
+			v[k][i] = strings.ReplaceAll(strings.ReplaceAll(s, "\r\n", "\n"), "\n", "\r\n")
+		}
+	}
 	_, page := f.do(status, f.post("/edit", v), parts...)
 	v.Del(button)
 	return read(page), page
@@ -255,6 +261,26 @@
 	}
 }
 
+// Guards against a rebase that revives a removed route, drops an added one or
+// hides that both operators changed the same one.
+func TestMergeRoutes(t *testing.T) {
+	routes := func(list ...string) *form {
+		f := &form{Values: map[string]string{}}
+		for _, s := range list {
+			name, path, _ := strings.Cut(s, " ")
+			f.Routes = append(f.Routes, routeForm{Name: name, Path: path})
+		}
+		return f
+	}
+	base := routes("same /s", "theirs /t", "gone /g", "dropped /d", "both /b", "lost /l")
+	mine := routes("same /s", "theirs /t", "gone /g", "both /mine", "new /n")
+	clashes := mine.merge(base, routes("same /s", "theirs /new", "dropped /d", "both /theirs", "lost /changed", "added /a"))
+	want := routes("same /s", "theirs /new", "both /mine", "new /n", "added /a")
+	if fmt.Sprint(mine.Routes) != fmt.Sprint(want.Routes) || fmt.Sprint(clashes) != "[route both route lost]" {
+		t.Errorf("got %v, clashes %v", mine.Routes, clashes)
+	}
+}
+
 // Guards against input that is lost while the platform is down.
 func TestPlatformDown(t *testing.T) {
 	f := newFixture(t, "")
--- a/internal/transport/console/edit.go
+++ b/internal/transport/console/edit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +11,9 @@
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 )
 
+// tooManyRoutes says why a policy cannot be edited by the form.
+var tooManyRoutes = fmt.Sprintf("A form holds at most %d routes. Use wigeonctl for this policy.", maxFormRoutes)
+
 // editView is what the page of the form shows.
 type editView struct {
 	*form
@@ -98,6 +102,9 @@
 		case env.Epoch == 0:
 		case len(problems) > 0:
 			v.Document, v.Error = env.Text, "The stored policy is refused by the present rules: "+problems.Error()
+		case len(doc.Service.Routes) > maxFormRoutes:
+			c.page(w, http.StatusUnprocessableEntity, "error.html", "Policy of "+service, tooManyRoutes)
+			return
 		default:
 			v.form = formOf(doc)
 			if strings.Contains(env.Text, "#") {
@@ -217,6 +224,11 @@
 		c.showForm(w, http.StatusConflict, v)
 		return
 	}
+	if theirs != nil && len(theirs.Service.Routes)+len(v.Routes) > maxFormRoutes {
+		v.Error = tooManyRoutes
+		c.showForm(w, http.StatusConflict, v)
+		return
+	}
 	if theirs != nil {
 		base := &form{Values: map[string]string{}}
 		if original != nil {
--- a/internal/transport/console/form.go
+++ b/internal/transport/console/form.go
@@ -14,9 +14,10 @@
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 )
 
-// maxFormRoutes is the number of routes that a form holds; policy.Parse
-// reports the routes above its own limit.
-const maxFormRoutes = 1100
+// maxFormRoutes is the number of routes that a form holds. A route posts up to
+// 12 values, and net/url refuses forms of more than 10,000 values. Longer
+// policies are edited as files.
+const maxFormRoutes = 800
 
 type kind int
 
--- a/internal/transport/console/guard.go
+++ b/internal/transport/console/guard.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/twitchtv/twirp"
 )
 
 const (
@@ -62,7 +64,7 @@
 	admit := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		open := r.URL.Path == readyPath
 		if !open && !trustedHost(r.Host) {
-			http.Error(w, "the Host header must be an IP address or localhost", http.StatusMisdirectedRequest)
+			refuse(w, r, http.StatusMisdirectedRequest, twirp.PermissionDenied, "the Host header must be an IP address or localhost")
 			return
 		}
 		if r.URL.Path == loginPath || r.URL.Path == stylePath {
@@ -74,7 +76,7 @@
 				return
 			}
 			w.Header().Set("WWW-Authenticate", "Bearer")
-			http.Error(w, "missing or wrong operator token", http.StatusUnauthorized)
+			refuse(w, r, http.StatusUnauthorized, twirp.Unauthenticated, "missing or wrong operator token")
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
@@ -83,6 +85,16 @@
 	return http.NewCrossOriginProtection().Handler(admit)
 }
 
+// refuse answers RPCs in their own format, so that wigeonctl shows the reason.
+func refuse(w http.ResponseWriter, r *http.Request, status int, code twirp.ErrorCode, reason string) {
+	if strings.HasPrefix(r.URL.Path, "/twirp/") {
+		// The only errors are those of the connection.
+		_ = twirp.WriteError(w, twirp.NewError(code, reason))
+		return
+	}
+	http.Error(w, reason, status)
+}
+
 // trustedHost refuses host names: a DNS name that an attacker rebinds to this
 // address would make the attacker's pages same-origin with the console.
 func trustedHost(host string) bool {
--- a/internal/transport/console/pages.go
+++ b/internal/transport/console/pages.go
@@ -17,6 +17,10 @@
 // decisionsShown is the number of decisions on the page of a service.
 const decisionsShown = 30
 
+// maxEpochsShown bounds the epochs on the page of the nodes. A fleet of 2,100
+// nodes and 650 services has 1.4 million, more than a node's memory for control.
+const maxEpochsShown = 5000
+
 // serviceRow is the state of one service as this node knows it.
 type serviceRow struct {
 	Name string
@@ -111,20 +115,25 @@
 		c.fail(w, err)
 		return
 	}
-	service := r.URL.Query().Get("service")
-	status, err := c.o.Control.PolicyStatus(r.Context(), &controlpb.PolicyStatusRequest{Service: service})
-	if err != nil {
-		c.fail(w, err)
-		return
-	}
+	service, policies := r.URL.Query().Get("service"), c.o.Policies.All()
 	byNode := map[string]*controlpb.PolicyNodeStatus{}
-	for _, s := range status.Nodes {
-		byNode[s.NodeId] = s
+	ask := service != "" || len(nodes.Nodes)*len(policies) <= maxEpochsShown
+	if ask {
+		status, err := c.o.Control.PolicyStatus(r.Context(), &controlpb.PolicyStatusRequest{Service: service})
+		if err != nil {
+			c.fail(w, err)
+			return
+		}
+		for _, s := range status.Nodes {
+			byNode[s.NodeId] = s
+		}
 	}
 	rows := make([]nodeRow, len(nodes.Nodes))
 	for i, n := range nodes.Nodes {
 		rows[i] = nodeRow{Info: n, Status: byNode[n.Id]}
 	}
 	slices.SortFunc(rows, func(a, b nodeRow) int { return cmp.Compare(a.Info.Id, b.Info.Id) })
-	c.page(w, http.StatusOK, "nodes.html", "Nodes", map[string]any{"Rows": rows, "Service": service})
+	c.page(w, http.StatusOK, "nodes.html", "Nodes", map[string]any{
+		"Rows": rows, "Service": service, "Policies": policies, "Asked": ask,
+	})
 }
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -30,6 +30,9 @@
 	// operatorReadTimeout bounds the reading of an operator's request, of which
 	// the largest is a policy form of 2 MB.
 	operatorReadTimeout = 30 * time.Second
+	// operatorWriteTimeout lets a policy status of 2,100 nodes finish, of which
+	// 32 at a time do not answer within 2 s.
+	operatorWriteTimeout = 3 * time.Minute
 	// closeTimeout bounds the closing of listeners after the drain.
 	closeTimeout  = 2 * time.Second
 	reasonStarted = "node_not_ready"
@@ -81,6 +84,7 @@
 		Handler:           n.operatorHandler(),
 		ReadHeaderTimeout: callerHeaderTimeout,
 		ReadTimeout:       operatorReadTimeout,
+		WriteTimeout:      operatorWriteTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    callerMaxHeader,
 	}
