Count a lease from the answer that the announcement echoes

An owner counted a lease from the receipt of an announcement, but the backend server counts it from before the sending. A renewal that the network delayed until the backend server had moved gave the old owner a second lease. An answer now carries a token with the owner's time, the next announcement echoes it, and the lease counts from that time. The token holds the monotonic and the wall-clock time, and the larger age counts, as in the rest of the lease table. It names the process, so that another owner or an earlier start ignores it.

Ruled out: the time of the backend server, because its clock is unrelated; a protected token, because a backend server can only harm itself with it.

The first announcement to a node has no token and counts from its receipt. Two holders remain possible if that one is delayed by more than the margin less the 500 ms in which an owner notices a pause. The margin rises from 500 ms to 1 s. The announcer repeats an announcement that was refused as stale at once with the token of the refusal instead of turning to another node.

TestDelayedRenewal: a renewal sent at 1 s that arrives at 6 s leaves two holders without the token and one with it.

--- a/cmd/wigeon-scale/announce.go
+++ b/cmd/wigeon-scale/announce.go
@@ -39,18 +39,23 @@
 
 func (c *announceCommand) announceTo(ctx context.Context, node controlpb.Control, index int) {
 	incarnation := uint64(time.Now().UnixMilli())
+	tokens := make([][]byte, c.PerNode)
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
 		for k := range c.PerNode {
 			number := index*c.PerNode + k
-			_, _ = node.Announce(ctx, &controlpb.AnnounceRequest{
+			resp, err := node.Announce(ctx, &controlpb.AnnounceRequest{
 				BackendId:   fmt.Sprintf("backend-%05d", number),
 				Service:     fmt.Sprintf("service-%03d", number%c.Services),
 				Address:     "127.0.0.1:9",
 				Slots:       5,
 				Incarnation: incarnation,
+				LeaseToken:  tokens[k],
 			})
+			if err == nil {
+				tokens[k] = resp.LeaseToken
+			}
 		}
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/coordination/ownership/token_test.go
@@ -0,0 +1,63 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Guards against a lease that counts from a later time than the token allows, and
+// against use of another process's clock.
+func TestTokenLeaseFrom(t *testing.T) {
+	tokens := NewTokens(1, t0)
+	issued := t0.Add(time.Second)
+	now := issued.Add(2 * time.Second)
+	cases := []struct {
+		name  string
+		token []byte
+		want  time.Time
+	}{
+		{"answer 2 s ago", tokens.Issue(issued), issued},
+		{"answer just now", tokens.Issue(now), now},
+		{"none", nil, time.Time{}},
+		{"cut short", tokens.Issue(issued)[:tokenSize-1], time.Time{}},
+		{"other process", NewTokens(2, t0).Issue(issued), time.Time{}},
+		{"from the future", tokens.Issue(now.Add(time.Hour)), now},
+		{"suspended for an hour", NewTokens(1, t0.Add(-time.Hour)).Issue(issued.Add(-time.Hour)), issued.Add(-time.Hour)},
+	}
+	for _, c := range cases {
+		if got := tokens.LeaseFrom(now, c.token); !got.Equal(c.want) {
+			t.Errorf("%s: lease from %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against two holders when the network delays a renewal until the backend
+// server has moved. Without the token both nodes hold the lease.
+func TestDelayedRenewal(t *testing.T) {
+	for _, withToken := range []bool{false, true} {
+		old, next := New(Options{}), New(Options{})
+		tokens := NewTokens(1, t0)
+		old.Announce(t0, announcement())
+		token := tokens.Issue(t0)
+		// The renewal is sent after 1 s and arrives at 6 s. Its sender moves after
+		// the lease duration and the margin of 1 s.
+		moved, arrival := t0.Add(time.Second+registry.LeaseDuration+time.Second), t0.Add(6*time.Second)
+		next.Announce(moved, announcement())
+		for now := t0; now.Before(arrival); now = now.Add(100 * time.Millisecond) {
+			old.Tick(now)
+		}
+		late := announcement()
+		if withToken {
+			late.LeaseFrom = tokens.LeaseFrom(arrival, token)
+		}
+		res := old.Announce(arrival, late)
+		if !next.Holds(arrival, "b1") {
+			t.Error("the new owner does not hold the lease")
+		}
+		if withToken != (res.Reason == Stale) || withToken == old.Holds(arrival, "b1") {
+			t.Errorf("with token %t: %+v, held by the old owner: %t", withToken, res, old.Holds(arrival, "b1"))
+		}
+	}
+}
--- a/internal/transport/control/server.go
+++ b/internal/transport/control/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -42,10 +43,15 @@
 }
 
 // Server implements controlpb.Control.
-type Server struct{ opts Options }
+type Server struct {
+	opts   Options
+	tokens *ownership.Tokens
+}
 
 // New returns a Server.
-func New(opts Options) *Server { return &Server{opts: opts} }
+func New(opts Options) *Server {
+	return &Server{opts: opts, tokens: ownership.NewTokens(rand.Uint64(), time.Now())}
+}
 
 // Handler returns the HTTP handler of the RPCs.
 func (s *Server) Handler() controlpb.TwirpServer { return controlpb.NewControlServer(s) }
@@ -62,7 +68,8 @@
 	case req.Slots < 1 || req.Slots > maxSlots:
 		return nil, twirp.InvalidArgumentError("slots", "want 1 to 4096")
 	}
-	res := s.opts.Node.Announce(time.Now(), ownership.Announcement{
+	now := time.Now()
+	res := s.opts.Node.Announce(now, ownership.Announcement{
 		Backend:       registry.BackendID(req.BackendId),
 		Service:       registry.ServiceID(req.Service),
 		Address:       req.Address,
@@ -72,6 +79,7 @@
 		Released:      req.Released,
 		Incarnation:   req.Incarnation,
 		ReportedInUse: int(req.ReportedInUse),
+		LeaseFrom:     s.tokens.LeaseFrom(now, req.LeaseToken),
 	})
 	return &controlpb.AnnounceResponse{
 		NodeId:          string(s.opts.Node.ID()),
@@ -79,6 +87,7 @@
 		LeaseMillis:     registry.LeaseDuration.Milliseconds(),
 		Refused:         !res.Accepted,
 		Reason:          string(res.Reason),
+		LeaseToken:      s.tokens.Issue(time.Now()),
 	}, nil
 }
 
--- a/standin/backend/announcer.go
+++ b/standin/backend/announcer.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
 	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
@@ -12,8 +14,10 @@
 const (
 	announceInterval = time.Second
 	announceTimeout  = 500 * time.Millisecond
-	// leaseMargin covers the time that an owner needs to notice a lapsed lease.
-	leaseMargin = 500 * time.Millisecond
+	// leaseMargin covers the time that an owner needs to notice a pause (500 ms) and
+	// the network delay of an announcement without a lease token (500 ms). The lease
+	// of such an announcement counts from its receipt.
+	leaseMargin = time.Second
 	// failuresBeforeSwitch is the number of failed announcements after which the
 	// announcer turns to the next node.
 	failuresBeforeSwitch = 2
@@ -30,7 +34,10 @@
 	// may have been received.
 	lastSent time.Time
 	client   *http.Client
-	request  func() *controlpb.AnnounceRequest
+	// mu guards token, the lease token of the last answer of the current node.
+	mu      sync.Mutex
+	token   []byte
+	request func() *controlpb.AnnounceRequest
 }
 
 func newAnnouncer(nodes []string, request func() *controlpb.AnnounceRequest) *announcer {
@@ -56,7 +63,11 @@
 }
 
 func (a *announcer) announceOnce(ctx context.Context) {
-	refused, err := a.send(ctx, a.request())
+	refused, reason, err := a.send(ctx, a.request())
+	if err == nil && refused && reason == string(ownership.Stale) {
+		// The answer carried a fresh token.
+		refused, _, err = a.send(ctx, a.request())
+	}
 	if err == nil && !refused {
 		a.failures = 0
 		return
@@ -84,19 +95,30 @@
 	}
 	a.current = (a.current + 1) % len(a.nodes)
 	a.failures = 0
+	a.setToken(nil)
 }
 
-func (a *announcer) send(ctx context.Context, req *controlpb.AnnounceRequest) (refused bool, err error) {
+func (a *announcer) send(ctx context.Context, req *controlpb.AnnounceRequest) (refused bool, reason string, err error) {
 	a.lastSent = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	service := controlpb.NewControlProtobufClient("http://"+a.nodes[a.current], a.client)
+	a.mu.Lock()
+	req.LeaseToken = a.token
+	a.mu.Unlock()
 	resp, err := service.Announce(ctx, req)
 	if err != nil {
-		return false, err
+		return false, "", err
 	}
-	return resp.Refused, nil
+	a.setToken(resp.LeaseToken)
+	return resp.Refused, resp.Reason, nil
+}
+
+func (a *announcer) setToken(token []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.token = token
 }
 
 // sendNow announces outside the schedule, for a drain or a release.
-func (a *announcer) sendNow(ctx context.Context) { _, _ = a.send(ctx, a.request()) }
+func (a *announcer) sendNow(ctx context.Context) { _, _, _ = a.send(ctx, a.request()) }
