Publish the start of each lease and notice pauses from the bind on

Records lacked Announced, so the directory could not tell which of two nodes took a backend server last. It is now the start of the lease. The lease table notes the time before the node listens, because announcements wait in the backlog from then on, and every 100 ms after that instead of every 200 ms.

The decoder already shares equal label sets, but the server side of a directory sync made a new decoder for each request; it now keeps one.

--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -37,6 +37,10 @@
 	calls    *ring.Ring[func()]
 	syncs    *ring.Ring[membership.Sync]
 
+	// serveMu guards serveDecoder, which decodes the sync requests of other nodes.
+	serveMu      sync.Mutex
+	serveDecoder *cluster.Decoder
+
 	cancel context.CancelFunc
 	done   chan struct{}
 	group  sync.WaitGroup
@@ -71,6 +75,8 @@
 		calls:    ring.New[func()](opts.RingSize),
 		syncs:    ring.New[membership.Sync](1),
 		done:     make(chan struct{}),
+
+		serveDecoder: cluster.NewDecoder(),
 	}
 	return t, nil
 }
--- a/internal/transport/gossip/sync.go
+++ b/internal/transport/gossip/sync.go
@@ -78,7 +78,9 @@
 
 // SyncDirectory implements clusterpb.Cluster.
 func (t *Transport) SyncDirectory(ctx context.Context, in *clusterpb.SyncDirectoryRequest) (*clusterpb.SyncDirectoryResponse, error) {
-	req := cluster.NewDecoder().SyncRequest(in)
+	t.serveMu.Lock()
+	req := t.serveDecoder.SyncRequest(in)
+	t.serveMu.Unlock()
 	var resp *membership.SyncResponse
 	if err := t.do(ctx, func() { resp = t.core.SyncServe(time.Now(), "", req) }); err != nil {
 		return nil, err
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -119,6 +119,7 @@
 // error nothing stays bound.
 func New(ctx context.Context, opts Options) (*Node, error) {
 	s := opts.Settings
+	records := newRecords(time.Now())
 	l, err := listen(s)
 	if err != nil {
 		return nil, err
@@ -130,7 +131,7 @@
 		peerAddr:       l.peer.Addr().String(),
 		listeners:      l,
 		directory:      registry.NewDirectory(),
-		records:        newRecords(),
+		records:        records,
 		store:          events.NewStore(explainEvents),
 		rpcClient:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
 		drainRequested: make(chan struct{}),
--- a/internal/transport/node/records.go
+++ b/internal/transport/node/records.go
@@ -24,12 +24,16 @@
 	drained  map[registry.BackendID]bool
 }
 
-func newRecords() *records {
-	return &records{
+// newRecords returns records without backend servers. now is before the node
+// listens: a pause from then on counts for announcements that wait in a backlog.
+func newRecords(now time.Time) *records {
+	r := &records{
 		leases:   ownership.New(ownership.Options{}),
 		verdicts: make(map[registry.BackendID]verdict),
 		drained:  make(map[registry.BackendID]bool),
 	}
+	r.leases.Tick(now)
+	return r
 }
 
 // setVerdict stores a decision about the health of a backend server.
@@ -77,12 +81,13 @@
 		o := &owned[i]
 		state, weight := r.effective(o)
 		list = append(list, registry.Backend{
-			ID:      o.Backend,
-			Service: o.Service,
-			Slots:   o.Slots,
-			Labels:  o.Labels,
-			State:   state,
-			Weight:  weight,
+			ID:        o.Backend,
+			Service:   o.Service,
+			Slots:     o.Slots,
+			Labels:    o.Labels,
+			State:     state,
+			Weight:    weight,
+			Announced: uint64(o.Since.UnixMilli()),
 		})
 	}
 	return list
--- /dev/null
+++ b/internal/transport/node/records_test.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Guards against records without the start of the lease, which decides between two
+// nodes that list one backend server, and against a pause between the bind and the
+// first announcement that goes unnoticed.
+func TestRecordsOfLeases(t *testing.T) {
+	start := time.Now()
+	r := newRecords(start)
+	a := ownership.Announcement{Backend: "b1", Service: "booking", Slots: 5, Incarnation: 1}
+	if res := r.leases.Announce(start.Add(registry.LeaseDuration), a); res.Reason != ownership.Stale {
+		t.Errorf("announcement after a pause of the lease duration: %+v", res)
+	}
+	granted := start.Add(2 * registry.LeaseDuration)
+	for now := start.Add(registry.LeaseDuration); now.Before(granted); now = now.Add(leaseCheckInterval) {
+		r.leases.Tick(now)
+	}
+	r.leases.Announce(granted, a)
+	r.leases.Announce(granted.Add(leaseCheckInterval), a)
+	if list := r.backends(); len(list) != 1 || list[0].Announced != uint64(granted.UnixMilli()) {
+		t.Errorf("published %+v, want a lease since %d", list, granted.UnixMilli())
+	}
+}
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -21,7 +21,9 @@
 )
 
 const (
-	leaseCheckInterval = 200 * time.Millisecond
+	// leaseCheckInterval is a fifth of the gap from which the lease table takes the
+	// process to have been paused (500 ms), so that late timers are no pause.
+	leaseCheckInterval = 100 * time.Millisecond
 	// callerHeaderTimeout bounds the reading of the header of a caller's request.
 	callerHeaderTimeout = 5 * time.Second
 	callerIdleTimeout   = 2 * time.Minute
