Lift the share of spill while the own region has no backend server

A service whose backend servers were all in other regions, or ejected or dead in the own one, lost its requests to the spill limit of 5%. The limit protects the links while the region is merely full; without any backend server in the region it only refuses. The share now applies only if the region has a backend server of the route that is alive and serving. The byte limit and the half queue of the receiving owner apply in any case, and a policy that allows 0% still lets nothing leave.

--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -434,7 +434,7 @@
 }
 
 func (p *picker) spillAllowed() bool {
-	return (p.s.spill.allows(p.now, p.r.Limits) || p.b.off.spillShare) && p.b.nodeAllows(p.now)
+	return (p.s.spill.allows(p.now, p.r.Limits, p.v.local()) || p.b.off.spillShare) && p.b.nodeAllows(p.now)
 }
 
 // twoChoices returns the better of two random candidates. A backend server of low
@@ -484,7 +484,7 @@
 	}
 	a := &attempt{service: p.s, stat: c.stat, body: max(p.r.BodyBytes, 0)}
 	if level == OtherRegion {
-		a.charged = p.s.spill.spend(p.now, a.body)
+		a.charged = p.s.spill.spend(p.now, a.body, p.v.local())
 		p.b.chargeNode(p.now, a.charged)
 	}
 	c.stat.inUse++
--- a/internal/coordination/routing/service.go
+++ b/internal/coordination/routing/service.go
@@ -51,6 +51,9 @@
 	return len(v.levels[SameDomain])+len(v.levels[SameRegion])+len(v.levels[OtherRegion]) == 0
 }
 
+// local reports whether the own region has candidates.
+func (v *view) local() bool { return len(v.levels[SameDomain])+len(v.levels[SameRegion]) > 0 }
+
 // slots returns the slots of the published record, capped by policy.
 func (c *candidate) slots(limit int) int {
 	slots := c.member.Backend.Slots
--- a/internal/coordination/routing/spill.go
+++ b/internal/coordination/routing/spill.go
@@ -18,6 +18,8 @@
 const firstResponse = 8 << 10
 
 // spill limits the traffic of one service to other regions, in requests and bytes.
+// The share of requests is not limited while the own region has no backend server
+// of the route that serves, because it would refuse nearly all requests.
 type spill struct {
 	// credit is the number of requests that may leave the region now. Each request
 	// earns the share that the policy allows.
@@ -42,9 +44,11 @@
 	s.credit = min(spillBurst, s.credit+percent/100)
 }
 
-// allows reports whether a request may leave the region.
-func (s *spill) allows(now time.Time, l policy.Limits) bool {
-	if l.SpillPercent <= 0 || l.SpillBytesPerSecond <= 0 || s.credit < 1 {
+// allows reports whether a request may leave the region. With share, the limited
+// share of requests applies too. A policy that allows no requests at all to leave
+// is obeyed in either case.
+func (s *spill) allows(now time.Time, l policy.Limits, share bool) bool {
+	if l.SpillPercent <= 0 || l.SpillBytesPerSecond <= 0 || share && s.credit < 1 {
 		return false
 	}
 	if s.bytes == nil {
@@ -55,9 +59,11 @@
 }
 
 // spend charges a request that leaves the region and returns the bytes charged.
-func (s *spill) spend(now time.Time, body int64) int64 {
-	s.credit--
-	s.spilled++
+func (s *spill) spend(now time.Time, body int64, share bool) int64 {
+	if share {
+		s.credit--
+		s.spilled++
+	}
 	invariant.Check(s.spilled <= s.earned+spillBurst, "routing_spill_share",
 		"%.0f requests left the region, %.1f were allowed", s.spilled, s.earned+spillBurst)
 	bytes := body + int64(s.response)
