--- /dev/null
+++ b/internal/transport/control/server_test.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
+	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// leaseNode notes the last announcement.
+type leaseNode struct {
+	Node
+	last ownership.Announcement
+}
+
+func (n *leaseNode) ID() registry.NodeID { return "n1" }
+func (n *leaseNode) Incarnation() uint64 { return 1 }
+func (n *leaseNode) Announce(_ time.Time, a ownership.Announcement) ownership.Result {
+	n.last = a
+	return ownership.Result{Reason: ownership.Stale}
+}
+
+// Guards against a token that is not issued with a refusal or not passed on: the
+// lease would count from the receipt of an announcement.
+func TestAnnounceToken(t *testing.T) {
+	node := &leaseNode{}
+	s := New(Options{Node: node})
+	req := &controlpb.AnnounceRequest{BackendId: "b1", Service: "booking", Slots: 5}
+	before := time.Now()
+	resp, err := s.Announce(t.Context(), req)
+	if err != nil || !node.last.LeaseFrom.IsZero() {
+		t.Fatalf("without a token: lease from %s, %v", node.last.LeaseFrom, err)
+	}
+	answered := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	req.LeaseToken = resp.LeaseToken
+	if _, err = s.Announce(t.Context(), req); err != nil || node.last.LeaseFrom.Before(before) || node.last.LeaseFrom.After(answered) {
+		t.Errorf("lease from %s, want between %s and %s; %v", node.last.LeaseFrom, before, answered, err)
+	}
+}
