Fuzz the parsers of outside input

Policy documents, settings, gossip datagrams with the membership core, request headers between nodes and the ejection ledger are read from other processes or from operators, and were tested with chosen inputs only.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PROTOS := $(wildcard internal/protocol/*/*.proto)
 
-.PHONY: all build test demo lint generate slopes scale latency long
+.PHONY: all build test demo lint generate slopes scale latency long fuzz
 
 all: test
 
@@ -33,3 +33,7 @@
 
 latency: build
 	bash scripts/latency.sh
+
+# Runs every fuzz test for a few seconds; FUZZ_SECONDS sets how long.
+fuzz:
+	bash scripts/fuzz.sh
