Apply a policy above the epochs in force after a platform restore

The check against the stored epoch stays, so that two operators who restore at once do not overwrite each other.

The tool warns of nodes that could not be asked and goes on, because a restore must be possible while nodes are down. A node with a higher epoch refuses the new one until the command is repeated.

With 7 in force on a node and 1 stored, an apply with the flag stores epoch 8 (TestPolicyApplyRestore); without it, an apply stores 2, as before.

--- a/internal/state/policy/apply.go
+++ b/internal/state/policy/apply.go
@@ -108,6 +108,10 @@
 // ApplyOptions describes who applies a policy.
 type ApplyOptions struct {
 	Operator string
+	// After is an epoch that the new one must exceed although the platform does not
+	// hold it: after a restore of the platform from a backup, the nodes refuse
+	// epochs up to the one that they have in force. 0 means the stored epoch.
+	After uint64
 	// Now returns the time stored in the envelope; nil means time.Now.
 	Now func() time.Time
 	// Pause is the time before an unanswered write is read back; 0 means 200 ms.
@@ -122,8 +126,8 @@
 	Epoch uint64 `json:"epoch"`
 }
 
-// Apply validates text and stores it as the next epoch of its service if the
-// platform still holds baseEpoch; 0 means that the service has no policy yet.
+// Apply validates text and stores it as the next epoch of its service, or the one
+// after ApplyOptions.After if that is higher, if the platform still holds baseEpoch; 0 means that the service has no policy yet.
 // It returns Problems, a ConflictError, a ClaimError, an UnknownError or the
 // error of the platform. The hosts are claimed before the policy is written and
 // released after it, so that two operators who apply policies of different
@@ -148,7 +152,7 @@
 		return Envelope{}, conflict(service, baseEpoch, cur)
 	}
 	env := Envelope{
-		Epoch: baseEpoch + 1, Text: string(text), Operator: o.Operator, Time: o.Now().UTC(), Operation: rand.Text(),
+		Epoch: max(baseEpoch, o.After) + 1, Text: string(text), Operator: o.Operator, Time: o.Now().UTC(), Operation: rand.Text(),
 	}
 	if cur.Operation != "" {
 		env.Recent = append([]string{cur.Operation}, cur.Recent...)
@@ -157,7 +161,7 @@
 	if err := updateClaims(ctx, c, o.Pause, service, env.Epoch, doc.Service.Hosts, false); err != nil {
 		return Envelope{}, err
 	}
-	if err := write(ctx, c, service, env, version, o.Pause); err != nil {
+	if err := write(ctx, c, service, env, baseEpoch, version, o.Pause); err != nil {
 		return Envelope{}, err
 	}
 	// The policy is accepted. Claims that could not be released are released by
@@ -187,7 +191,7 @@
 // write stores the envelope. A write without an answer may have taken effect,
 // so it is looked for by its operation id and repeated under the same version
 // until the platform shows who won.
-func write(ctx context.Context, c platform.Client, service string, env Envelope, version uint64, pause time.Duration) error {
+func write(ctx context.Context, c platform.Client, service string, env Envelope, base, version uint64, pause time.Duration) error {
 	value, err := json.Marshal(env)
 	if err != nil {
 		return fault.New("encode policy envelope", service, err)
@@ -210,7 +214,7 @@
 			}
 			// A read that shows no later version than the one written on is stale.
 			if curVersion > version && !(unanswered && cur.Epoch >= env.Epoch+recentOperations) {
-				return conflict(service, env.Epoch-1, cur)
+				return conflict(service, base, cur)
 			}
 			readErr = err
 		}
--- a/internal/state/policy/apply_test.go
+++ b/internal/state/policy/apply_test.go
@@ -41,6 +41,30 @@
 	}
 }
 
+// Guards against a policy that nodes refuse after a restore of the platform from a
+// backup, and against a restore that skips the check of the base epoch.
+func TestApplyAfterRestore(t *testing.T) {
+	cases := []struct{ stored, after, want uint64 }{{0, 7, 8}, {2, 7, 8}, {2, 1, 3}, {2, 2, 3}}
+	for _, c := range cases {
+		m := platform.NewMemory()
+		for base := range c.stored {
+			if _, err := apply(m, text("a", "x", 1), base, "ann"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		o := policy.ApplyOptions{Operator: "ben", After: c.after, Pause: time.Millisecond}
+		env, err := policy.Apply(context.Background(), &loser{Memory: m, takesEffect: true, between: func() {}}, text("a", "x", 2), c.stored, o)
+		stored, _, readErr := policy.Read(context.Background(), m, "a")
+		if err != nil || readErr != nil || env.Epoch != c.want || stored.Epoch != c.want {
+			t.Errorf("stored %d, after %d: epoch %d, stored %d, want %d; %v", c.stored, c.after, env.Epoch, stored.Epoch, c.want, err)
+		}
+		var conflict *policy.ConflictError
+		if _, err := policy.Apply(context.Background(), m, text("a", "x", 3), c.stored, o); !errors.As(err, &conflict) || conflict.Base != c.stored {
+			t.Errorf("restore based on an old epoch: %v", err)
+		}
+	}
+}
+
 // Guards against two operators at the same moment who are both told that they won.
 func TestApplyConcurrently(t *testing.T) {
 	m := platform.NewMemory()
--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -124,6 +124,18 @@
 	f.run(ExitFailed, []string{"policy", "show", "booking"}, "platform unavailable")
 }
 
+// Guards against a restored policy whose epoch a node refuses (the fake node has 7
+// in force), and against a node that is left out without a warning.
+func TestPolicyApplyRestore(t *testing.T) {
+	f := newFixture(t)
+	f.run(ExitDone, []string{"policy", "apply", f.document}, "epoch 1 accepted")
+	f.run(ExitDone, []string{"policy", "apply", "--restore", f.document}, "epoch 8 accepted", "node n4 could not be asked")
+	f.run(ExitDone, []string{"policy", "apply", f.document}, "epoch 9 accepted")
+	f.run(ExitDone, []string{"policy", "apply", "--restore", f.document}, "epoch 10 accepted")
+	f.run(ExitFailed, []string{"policy", "apply", "--restore", "--base", "8", f.document}, "applied epoch 10")
+	f.run(ExitUsage, []string{"--node", "", "policy", "apply", "--restore", f.document})
+}
+
 // Guards against JSON output that scripts cannot read, also for errors.
 func TestJSONOutput(t *testing.T) {
 	f := newFixture(t)
--- a/internal/transport/ctl/policy.go
+++ b/internal/transport/ctl/policy.go
@@ -42,6 +42,7 @@
 type applyCommand struct {
 	*tool
 	Base     *uint64 `long:"base" value-name:"EPOCH" description:"epoch that the document is based on, 0 for a new service; the default is the epoch in the platform"`
+	Restore  bool    `long:"restore" description:"after the platform was restored from a backup: use an epoch above those in force on the nodes, which refuse lower ones"`
 	Operator string  `long:"operator" env:"USER" default:"unknown" description:"name recorded with the policy"`
 	Args     fileArg `positional-args:"yes" required:"yes"`
 }
@@ -70,7 +71,13 @@
 	if c.Base != nil {
 		base = *c.Base
 	}
-	env, err := policy.Apply(ctx, client, text, base, policy.ApplyOptions{Operator: c.Operator})
+	options := policy.ApplyOptions{Operator: c.Operator}
+	if c.Restore {
+		if options.After, err = c.highestInForce(doc.Service.Name); err != nil {
+			return err
+		}
+	}
+	env, err := policy.Apply(ctx, client, text, base, options)
 	if err != nil {
 		return err
 	}
@@ -90,6 +97,33 @@
 	return nil
 }
 
+// highestInForce returns the highest epoch of a service that is in force on any
+// node. It warns of nodes that could not be asked, because they refuse the new
+// epoch if theirs is higher.
+func (c *applyCommand) highestInForce(service string) (uint64, error) {
+	node, ctx, cancel, err := c.node()
+	if err != nil {
+		return 0, err
+	}
+	defer cancel()
+	resp, err := node.PolicyStatus(ctx, &controlpb.PolicyStatusRequest{Service: service})
+	if err != nil {
+		return 0, err
+	}
+	var highest uint64
+	for _, n := range resp.Nodes {
+		if n.Error != "" {
+			fmt.Fprintf(c.o.Stderr, "warning: node %s could not be asked for its epoch: %s\n", printable(n.NodeId), printable(n.Error))
+		}
+		for _, p := range n.Policies {
+			if p.Service == service {
+				highest = max(highest, p.Epoch)
+			}
+		}
+	}
+	return highest, nil
+}
+
 type showCommand struct {
 	*tool
 	Args struct {
