--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -140,6 +140,9 @@
 			f := newFleet(t, 24400+200*i, 6)
 			f.start("booking", bookingPolicy, 5, bookingFloor)
 			f.eventually(20*time.Second, "owners have reserved permits", func() bool { return f.reservedPermits("booking") > 0 })
+			// The holder must have the answer to its write as well: an outage that
+			// begins before would leave it with a permit that it cannot confirm.
+			time.Sleep(time.Second)
 			if outage {
 				f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{Outage: true})
 			}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,9 @@
 if [ -n "$skip" ]; then
   echo "known red (see KNOWN-RED.txt): $skip"
   go test -race -timeout 20m -skip "^($skip)\$" ./...
-  go test -timeout 10m -run "^($skip)\$" ./... || echo "known red tests failed as recorded"
+  if go test -timeout 10m -run "^($skip)\$" ./... 2>&1 | grep -v '\[no test\(s to run\| files\)\]'; then
+    echo "known red tests: see above; a pass means that the entry can be removed"
+  fi
 else
   go test -race -timeout 20m ./...
 fi
