Measure the state that every node holds; wait for the report in the cancellation test

The daemon lets the heap grow by half instead of doubling it, to stay under 64 MB resident at that size.

--- a/cmd/wigeon-scale/main.go
+++ b/cmd/wigeon-scale/main.go
@@ -18,6 +18,7 @@
 	}{
 		{"announce", "announce backend servers to nodes until told to stop", &announceCommand{}},
 		{"policies", "store the policies of many services", &policiesCommand{}},
+		{"memory", "measure the state that every node holds", &memoryCommand{}},
 		{"sample", "measure running nodes over a time and print one CSV line", &sampleCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.about, "", c.data); err != nil {
--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -7,6 +7,7 @@
 	stdlog "log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -61,7 +62,13 @@
 	return 0
 }
 
+// gcPercent keeps the resident memory of the state of the design scale, about
+// 30 MB of live heap, below 64 MB. The garbage collector's default lets the heap
+// grow to twice the live size.
+const gcPercent = 50
+
 func serve(s *settings.Settings, log *zap.Logger) error {
+	debug.SetGCPercent(gcPercent)
 	invariant.SetHandler(func(name, detail string) {
 		log.Error("invariant violated", zap.String("invariant", name), zap.String("detail", detail))
 	})
--- a/internal/transport/proxy/body_test.go
+++ b/internal/transport/proxy/body_test.go
@@ -272,7 +272,11 @@
 		case <-time.After(time.Second):
 			t.Fatalf("owner %d: the backend server was not told", owner)
 		}
-		waitFor(t, func() bool { l, _ := f.nodes[owner].backends.Load(registry.BackendID("b1")); return l.InUse == 0 })
+		// The slot is returned before the exchange is reported.
+		waitFor(t, func() bool {
+			l, _ := f.nodes[owner].backends.Load(registry.BackendID("b1"))
+			return l.InUse == 0 && len(f.nodes[owner].observations()) > 0
+		})
 		if o := f.nodes[owner].observations(); len(o) != 1 || o[0].Kind != evidence.Canceled {
 			t.Fatalf("owner %d: observed %+v", owner, o)
 		}
