--- /dev/null
+++ b/internal/coordination/admission/limits.go
@@ -0,0 +1,100 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// SetSlots changes the number of slots. Requests in flight keep theirs.
+func (g *Gate) SetSlots(slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.opt.Slots = max(slots, 1)
+	g.trim()
+}
+
+// SetLimits changes the limits of the queue and of a caller; 0 as in Options.
+// Entries beyond a lower limit of the queue are refused.
+func (g *Gate) SetLimits(queueLimit, callerInFlight int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.opt.QueueLimit, g.opt.CallerInFlight = queueLimit, callerInFlight
+	g.trim()
+}
+
+// SetState changes the state of the backend server. Draining and ejection refuse
+// the queued requests; requests in flight continue. The caller starts the ramp of
+// a readmitted backend server with StartRamp.
+func (g *Gate) SetState(state registry.BackendState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state = state
+	g.refuseUnserved()
+	g.trim()
+}
+
+// SetWeight changes the weight that Load reports, 0 to 1. The weight scales the
+// share of work that ingress nodes send. It leaves the slots as they are, because
+// a degraded backend server stays part of the capacity that the floor protects.
+func (g *Gate) SetWeight(now time.Time, weight float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.weight = min(max(weight, 0), 1)
+	g.advance(now)
+}
+
+// StartRamp starts the cold start ramp from 1 slot.
+func (g *Gate) StartRamp(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rampFrom = now
+	g.advance(now)
+	g.trim()
+}
+
+// slots returns the number of slots in force.
+func (g *Gate) slots() int {
+	if g.state == registry.Probation {
+		return min(ProbationSlots, g.opt.Slots)
+	}
+	if g.rampFrom.IsZero() {
+		return g.opt.Slots
+	}
+	share := float64(g.now.Sub(g.rampFrom)) / float64(g.opt.Ramp)
+	return min(g.opt.Slots, 1+int(share*float64(g.opt.Slots-1)))
+}
+
+// nextRampStep returns when the ramp adds the next slot, or zero.
+func (g *Gate) nextRampStep() time.Time {
+	slots := g.slots()
+	if g.rampFrom.IsZero() || g.state == registry.Probation || slots >= g.opt.Slots {
+		return time.Time{}
+	}
+	share := float64(slots) / float64(g.opt.Slots-1)
+	return g.rampFrom.Add(time.Duration(math.Ceil(share * float64(g.opt.Ramp))))
+}
+
+func (g *Gate) queueLimit() int {
+	limit := g.opt.QueueLimit
+	if limit <= 0 {
+		limit = 2 * g.slots()
+	}
+	return min(limit, MaxQueue)
+}
+
+// tooLate returns why a request with this deadline is not worth starting.
+func (g *Gate) tooLate(deadline time.Time) Reason {
+	if deadline.IsZero() {
+		return None
+	}
+	remaining := deadline.Sub(g.now)
+	if remaining <= 0 {
+		return DeadlinePassed
+	}
+	if median, ok := g.median.value(g.now); ok && remaining < median {
+		return DeadlineTooShort
+	}
+	return None
+}
--- /dev/null
+++ b/internal/coordination/admission/queue.go
@@ -0,0 +1,201 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+
+	"wigeonspring.example/wigeonspring/internal/invariant"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+type entry struct {
+	Request
+	caller  *caller
+	arrival uint64
+	// decided counts the decisions about the ticket.
+	decided  int
+	admitted bool
+	reason   Reason
+}
+
+type caller struct {
+	name     string
+	inFlight int
+	queued   int
+	// served counts the caller's admissions from the queue, raised to the gate's
+	// virtual time when it joins the queue, so that time without requests earns
+	// no advantage.
+	served uint64
+}
+
+func (g *Gate) caller(name string) *caller {
+	c := g.callers[name]
+	if c == nil {
+		c = &caller{name: name}
+		g.callers[name] = c
+	}
+	return c
+}
+
+func (g *Gate) mayRun(c *caller) bool {
+	return g.opt.CallerInFlight <= 0 || c.inFlight < g.opt.CallerInFlight
+}
+
+// next returns the queue index of the request that is admitted next, or -1. The
+// caller with the fewest requests in flight goes first, then the one with the
+// fewest admissions from the queue, then the earliest deadline. With one slot all
+// callers in the queue have none in flight, and without the second rule a caller
+// with short deadlines would keep all others waiting.
+func (g *Gate) next() int {
+	best := -1
+	for i, e := range g.queue {
+		if !g.mayRun(e.caller) {
+			continue
+		}
+		if best < 0 || goesBefore(e.caller, g.queue[best].caller) {
+			best = i
+		}
+	}
+	return best
+}
+
+func goesBefore(a, b *caller) bool {
+	if a.inFlight != b.inFlight {
+		return a.inFlight < b.inFlight
+	}
+	return a.served < b.served
+}
+
+// decide takes entry i off the queue and records its decision for Ready.
+func (g *Gate) decide(i int, admitted bool, reason Reason) {
+	e := g.queue[i]
+	if !g.off.removal || e.decided > 0 {
+		g.unqueue(i)
+	}
+	e.decided++
+	e.admitted, e.reason = admitted, reason
+	if admitted {
+		g.served = max(g.served, e.caller.served)
+		e.caller.served++
+		g.start(e)
+	}
+	g.granted = append(g.granted, e)
+}
+
+// start gives the entry a slot.
+func (g *Gate) start(e *entry) {
+	e.admitted = true
+	g.callers[e.caller.name] = e.caller
+	e.caller.inFlight++
+	g.inFlight[e.Ticket] = e
+	invariant.Check(len(g.inFlight) <= g.slots(), "admission_slots",
+		"%d requests in flight in %d slots", len(g.inFlight), g.slots())
+}
+
+// finish frees the slot of the entry.
+func (g *Gate) finish(e *entry) {
+	delete(g.inFlight, e.Ticket)
+	e.caller.inFlight--
+	g.forget(e.caller)
+}
+
+// enqueue inserts the entry in deadline order.
+func (g *Gate) enqueue(e *entry) {
+	i, _ := slices.BinarySearchFunc(g.queue, e, compareEntries)
+	g.queue = slices.Insert(g.queue, i, e)
+	if e.caller.queued == 0 {
+		e.caller.served = max(e.caller.served, g.served)
+	}
+	e.caller.queued++
+	invariant.Check(len(g.queue) <= g.queueLimit(), "admission_queue_limit",
+		"%d requests in a queue of %d", len(g.queue), g.queueLimit())
+}
+
+func (g *Gate) unqueue(i int) {
+	c := g.queue[i].caller
+	g.queue = slices.Delete(g.queue, i, i+1)
+	c.queued--
+	g.forget(c)
+}
+
+// displace makes room for e by refusing the newest entry of the caller with the
+// most queued entries, e included. It returns false if e is that entry; callers
+// with equally many entries keep theirs.
+func (g *Gate) displace(e *entry) bool {
+	most, entries := e.caller, e.caller.queued+1
+	for _, q := range g.queue {
+		if q.caller != e.caller && q.caller.queued > entries {
+			most, entries = q.caller, q.caller.queued
+		}
+	}
+	if most == e.caller {
+		return false
+	}
+	g.decide(g.newestOf(most), false, QueueFull)
+	return true
+}
+
+func (g *Gate) newestOf(c *caller) int {
+	newest := -1
+	for i, q := range g.queue {
+		if q.caller == c && (newest < 0 || q.arrival > g.queue[newest].arrival) {
+			newest = i
+		}
+	}
+	return newest
+}
+
+// trim refuses entries beyond the limit of the queue.
+func (g *Gate) trim() {
+	for len(g.queue) > g.queueLimit() {
+		most := g.queue[0].caller
+		for _, q := range g.queue {
+			if q.caller.queued > most.queued {
+				most = q.caller
+			}
+		}
+		g.decide(g.newestOf(most), false, QueueFull)
+	}
+}
+
+// refuseUnserved refuses the queue if the backend server takes no work.
+func (g *Gate) refuseUnserved() {
+	reason := None
+	switch g.state {
+	case registry.Draining:
+		reason = BackendDraining
+	case registry.Ejected:
+		reason = BackendEjected
+	}
+	for reason != None && len(g.queue) > 0 {
+		g.decide(len(g.queue)-1, false, reason)
+	}
+}
+
+// forget drops a caller without requests, so that the map does not grow with
+// every team that ever sent one.
+func (g *Gate) forget(c *caller) {
+	if c.inFlight == 0 && c.queued == 0 {
+		delete(g.callers, c.name)
+	}
+}
+
+func compareEntries(a, b *entry) int {
+	if c := a.compareDeadline(b); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.arrival, b.arrival)
+}
+
+// compareDeadline orders entries without a deadline last.
+func (e *entry) compareDeadline(o *entry) int {
+	switch x, y := e.Deadline.IsZero(), o.Deadline.IsZero(); {
+	case x && y:
+		return 0
+	case x:
+		return 1
+	case y:
+		return -1
+	}
+	return e.Deadline.Compare(o.Deadline)
+}
--- /dev/null
+++ b/internal/coordination/distribution/platform.go
@@ -0,0 +1,126 @@
+package distribution
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+)
+
+// platformSource is the state of the watch on the platform.
+type platformSource struct {
+	watcher bool
+	// request is the waiting request; nil if there is none.
+	request  *PlatformRequest
+	deadline time.Time
+	lastID   uint64
+	// listed says that a listing succeeded, so that a watch can go on from
+	// revision.
+	listed   bool
+	revision uint64
+	failures int
+	retryAt  time.Time
+	seen     time.Time
+}
+
+func (c *Core) platformWake() time.Time {
+	s := &c.source
+	switch {
+	case s.request != nil:
+		return s.deadline
+	case s.watcher:
+		return s.retryAt
+	}
+	return time.Time{}
+}
+
+// requestPlatform keeps a watch waiting on a watcher. Another node lists the
+// policies only if it starts and the peers do not suffice.
+func (c *Core) requestPlatform() {
+	s := &c.source
+	if s.request != nil {
+		switch {
+		case !c.now.Before(s.deadline):
+			c.platformReply(&PlatformReply{ID: s.request.ID, Err: platform.ErrUnavailable})
+			c.out.CancelPlatform = true
+		case !s.watcher && s.request.Watch:
+			s.request, s.listed = nil, false
+			c.out.CancelPlatform = true
+		}
+	}
+	if s.request != nil || c.now.Before(s.retryAt) {
+		return
+	}
+	if !s.watcher {
+		s.listed = false
+		if c.confirmed.Load() || c.now.Before(c.start.listAt) {
+			return
+		}
+		// After a listing that did not suffice, the next one waits.
+		c.start.listAt = c.now.Add(backoffHigh/2 + c.jitter(backoffHigh/2))
+	}
+	s.lastID++
+	s.request = &PlatformRequest{ID: s.lastID}
+	s.deadline = c.now.Add(platformTimeout)
+	if s.listed {
+		s.request.Watch, s.request.Since, s.request.Wait = true, s.revision, watchWait
+		s.deadline = s.deadline.Add(watchWait)
+	}
+	c.out.Platform = s.request
+}
+
+func (c *Core) platformReply(r *PlatformReply) {
+	s := &c.source
+	if s.request == nil || r.ID != s.request.ID {
+		return
+	}
+	watch := s.request.Watch
+	s.request = nil
+	if errors.Is(r.Err, platform.ErrCompacted) {
+		// A platform that refuses its own revisions must not be asked in a loop.
+		s.listed, s.retryAt = false, c.now.Add(c.jitter(backoffLow))
+		return
+	}
+	if r.Err != nil {
+		// The wait is spread over the whole range, so that one of the watchers
+		// returns soon after the end of an outage.
+		high := min(backoffHigh, 2*backoffLow<<min(s.failures, 10))
+		s.retryAt = c.now.Add(backoffLow + c.jitter(high-backoffLow))
+		if s.failures == 0 {
+			c.event(event.PlatformDown, "", r.Err.Error())
+		}
+		s.failures++
+		return
+	}
+	if s.failures > 0 {
+		c.event(event.PlatformUp, "", fmt.Sprintf("answer after %d failures", s.failures))
+	}
+	s.failures, s.seen = 0, c.now
+	for _, obj := range r.Objects {
+		service, ok := strings.CutPrefix(obj.Key, policy.KeyPrefix)
+		if !ok {
+			continue
+		}
+		if obj.Deleted {
+			c.refusal(service, 0, obj.Version, "the platform deleted the policy; the last epoch stays in force", "platform")
+			continue
+		}
+		env, err := policy.DecodeEnvelope(obj)
+		if err != nil {
+			c.refusal(service, 0, obj.Version, err.Error(), "platform")
+			continue
+		}
+		c.offer(policy.Versioned{Service: service, Epoch: env.Epoch, Text: []byte(env.Text)}, "platform")
+	}
+	if watch {
+		s.revision = max(s.revision, r.Revision)
+		return
+	}
+	// A listing may go back to a lower revision, after a restored backup.
+	s.listed, s.revision = true, r.Revision
+	c.start.listed = true
+}
--- /dev/null
+++ b/internal/coordination/distribution/push.go
@@ -0,0 +1,44 @@
+package distribution
+
+import (
+	"slices"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// push tells peers of the failure domain, apart from those that were told
+// before, and returns them. A node pushes only what it has in force, because the
+// peer pulls the text from it.
+func (c *Core) push(h Have, told []registry.NodeID) []registry.NodeID {
+	var peers []registry.NodeID
+	for _, m := range c.members {
+		if m.FailureDomain == c.o.FailureDomain && m.ID != c.o.Self && !slices.Contains(told, m.ID) {
+			peers = append(peers, m.ID)
+		}
+	}
+	c.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = peers[:min(len(peers), pushFanout)]
+	for _, id := range peers {
+		c.out.Datagrams = append(c.out.Datagrams, Datagram{To: id, Have: h})
+	}
+	return peers
+}
+
+// repeatPushes pushes the epochs that are still in force a second time.
+func (c *Core) repeatPushes() {
+	for len(c.repeats) > 0 && !c.now.Before(c.repeats[0].due) {
+		r := c.repeats[0]
+		c.repeats = c.repeats[1:]
+		if p := c.table.Get(r.Service); p.Epoch == r.Epoch {
+			c.push(r.Have, r.told)
+		}
+	}
+}
+
+// repeat is a push that is due a second time.
+type repeat struct {
+	Have
+	due  time.Time
+	told []registry.NodeID
+}
