--- a/internal/transport/gossip/options.go
+++ b/internal/transport/gossip/options.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
@@ -9,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/membership"
-	"wigeonspring.example/wigeonspring/internal/protocol/clusterpb"
 	"wigeonspring.example/wigeonspring/internal/state/event"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
@@ -52,8 +50,6 @@
 	OnDigestMismatch func(peer membership.Peer, digest uint64)
 	// OnSuperseded is called when a newer process has taken over the node's id.
 	OnSuperseded func()
-	// SyncPolicies answers the SyncPolicies RPC; nil answers with nothing.
-	SyncPolicies func(context.Context, *clusterpb.SyncPoliciesRequest) (*clusterpb.SyncPoliciesResponse, error)
 
 	// HTTPClient is used for twirp calls.
 	HTTPClient *http.Client
--- a/internal/transport/gossip/sync.go
+++ b/internal/transport/gossip/sync.go
@@ -95,11 +95,3 @@
 	}
 	return out, nil
 }
-
-// SyncPolicies implements clusterpb.Cluster.
-func (t *Transport) SyncPolicies(ctx context.Context, in *clusterpb.SyncPoliciesRequest) (*clusterpb.SyncPoliciesResponse, error) {
-	if t.opts.SyncPolicies == nil {
-		return &clusterpb.SyncPoliciesResponse{}, nil
-	}
-	return t.opts.SyncPolicies(ctx, in)
-}
