--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -62,13 +62,18 @@
 	return 0
 }
 
-// gcPercent keeps the resident memory of the state of the design scale, about
-// 30 MB of live heap, below 64 MB. The garbage collector's default lets the heap
-// grow to twice the live size.
-const gcPercent = 50
+// Settings of the garbage collector. A small heap grows to five times its live
+// size before it is collected, because frequent collections delay requests. Near
+// the memory limit, which leaves room below 64 MB for what the runtime does not
+// count, the collector runs more often instead.
+const (
+	gcPercent   = 400
+	memoryLimit = 56 << 20
+)
 
 func serve(s *settings.Settings, log *zap.Logger) error {
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	invariant.SetHandler(func(name, detail string) {
 		log.Error("invariant violated", zap.String("invariant", name), zap.String("detail", detail))
 	})
