Use the settings of the membership in the node; drop the one without effect

membership.sync_interval, limits.control_bytes_per_second and limits.control_burst_bytes were read and checked but not passed on; membership.gossip_interval has no counterpart in the core, which sends at its tick.

--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -63,10 +63,9 @@
 
 // Membership sets the cost and the speed of failure detection between nodes.
 type Membership struct {
-	Seeds          []string `toml:"seeds" allowed:"an array of at most 16 entries IP:port" doc:"Peer addresses of nodes to join at start. The seeds in the platform are used if none of them answers."`
-	ProbeInterval  Duration `toml:"probe_interval" allowed:"100ms to 10s" doc:"Time between two probes of other nodes."`
-	GossipInterval Duration `toml:"gossip_interval" allowed:"50ms to 10s" doc:"Time between two rounds of sending updates."`
-	SyncInterval   Duration `toml:"sync_interval" allowed:"1s to 1h" doc:"Time between two comparisons of the whole directory with a random peer."`
+	Seeds         []string `toml:"seeds" allowed:"an array of at most 16 entries IP:port" doc:"Peer addresses of nodes to join at start. The seeds in the platform are used if none of them answers."`
+	ProbeInterval Duration `toml:"probe_interval" allowed:"100ms to 10s" doc:"Time between two probes of other nodes."`
+	SyncInterval  Duration `toml:"sync_interval" allowed:"1s to 1h" doc:"Time between two comparisons of the whole directory with a random peer."`
 }
 
 // Drain bounds a graceful shutdown.
@@ -93,9 +92,8 @@
 		Listen:   Listen{OperatorListen: "127.0.0.1:9001"},
 		Platform: Platform{Timeout: Duration(5 * time.Second)},
 		Membership: Membership{
-			ProbeInterval:  Duration(time.Second),
-			GossipInterval: Duration(200 * time.Millisecond),
-			SyncInterval:   Duration(time.Minute),
+			ProbeInterval: Duration(time.Second),
+			SyncInterval:  Duration(time.Minute),
 		},
 		Drain:  Drain{Timeout: Duration(30 * time.Second)},
 		Output: Output{LogLevel: "info"},
@@ -211,7 +209,6 @@
 	"platform.address":                webURL,
 	"platform.timeout":                between(100*time.Millisecond, time.Minute),
 	"membership.probe_interval":       between(100*time.Millisecond, 10*time.Second),
-	"membership.gossip_interval":      between(50*time.Millisecond, 10*time.Second),
 	"membership.sync_interval":        between(time.Second, time.Hour),
 	"drain.timeout":                   between(0, 10*time.Minute),
 	"output.log_level":                func(v any) bool { return slices.Contains([]string{"debug", "info", "warn", "error"}, v.(string)) },
--- a/internal/transport/node/cluster.go
+++ b/internal/transport/node/cluster.go
@@ -30,6 +30,9 @@
 		Directory: n.directory,
 		Membership: membership.Options{
 			ProbeInterval: time.Duration(s.Membership.ProbeInterval),
+			SyncInterval:  time.Duration(s.Membership.SyncInterval),
+			RateBytes:     s.Limits.ControlBytesPerSecond,
+			BurstBytes:    s.Limits.ControlBurstBytes,
 		},
 		PolicyDigest: n.policies.Digest,
 		OnHave:       n.hearHave,
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -35,10 +35,10 @@
     sample+=(--operator "http://$(operator_addr "$i")" --pid "$(pid_of "n$i")")
   done
   spawn "announce-$size" bin/wigeon-scale announce "${announce[@]}" --services "$SERVICES"
-  # The records of nodes that start together take over a minute to settle.
   known() { [ "$(ctl nodes | grep -c alive)" = "$size" ]; }
   wait_for 90 known
   for i in $(seq 1 "$size"); do wait_for 60 http "http://$(operator_addr "$i")/ready"; done
+  # The records of nodes that start together take over a minute to settle.
   sleep "${SETTLE_SECONDS:-90}"
   bin/wigeon-scale sample "${header[@]}" "${sample[@]}" --platform "$(platform_url)" \
     --duration "${SECONDS_EACH}s" --label idle
