Share the main function of the stand-ins

Four commands repeated flag parsing, signals and exit statuses; standin/command does it once. Usage and exit statuses are as before (2 for bad usage).

--- a/cmd/wigeon-backend/main.go
+++ b/cmd/wigeon-backend/main.go
@@ -6,13 +6,10 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"wigeonspring.example/wigeonspring/standin/backend"
+	"wigeonspring.example/wigeonspring/standin/command"
 	"wigeonspring.example/wigeonspring/standin/record"
 )
 
@@ -31,21 +28,10 @@
 
 func main() {
 	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	if err := run(opts); err != nil {
-		fmt.Fprintln(os.Stderr, "wigeon-backend:", err)
-		os.Exit(1)
-	}
+	command.Main("wigeon-backend", &opts, func(ctx context.Context) error { return run(ctx, opts) })
 }
 
-func run(opts options) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+func run(ctx context.Context, opts options) error {
 	server, err := backend.New(backend.Options{
 		ID:          opts.ID,
 		Service:     opts.Service,
--- a/cmd/wigeon-load/main.go
+++ b/cmd/wigeon-load/main.go
@@ -8,13 +8,10 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"wigeonspring.example/wigeonspring/standin/caller"
+	"wigeonspring.example/wigeonspring/standin/command"
 	"wigeonspring.example/wigeonspring/standin/record"
 )
 
@@ -35,14 +32,10 @@
 
 func main() {
 	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	command.Main("wigeon-load", &opts, func(ctx context.Context) error { return run(ctx, opts) })
+}
+
+func run(ctx context.Context, opts options) error {
 	load := caller.New(caller.Options{
 		Targets:        opts.Targets,
 		Service:        opts.Service,
@@ -60,8 +53,8 @@
 	})
 	out, err := json.Marshal(load.Run(ctx))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "wigeon-load:", err)
-		os.Exit(1)
+		return err
 	}
 	fmt.Fprintln(os.Stderr, string(out))
+	return nil
 }
--- a/cmd/wigeon-platform/main.go
+++ b/cmd/wigeon-platform/main.go
@@ -7,13 +7,9 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"wigeonspring.example/wigeonspring/standin/command"
 	"wigeonspring.example/wigeonspring/standin/platform"
 )
 
@@ -24,25 +20,14 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, "wigeon-platform:", err)
-		os.Exit(1)
-	}
+	command.Main("wigeon-platform", &o, func(ctx context.Context) error { return run(ctx, o) })
 }
 
-func run(o options) error {
+func run(ctx context.Context, o options) error {
 	listener, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	server := &http.Server{
 		Handler:           platform.New(platform.Options{History: o.History}),
 		ReadHeaderTimeout: 10 * time.Second,
--- a/cmd/wigeon-relay/main.go
+++ b/cmd/wigeon-relay/main.go
@@ -4,15 +4,10 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"wigeonspring.example/wigeonspring/standin/command"
 	"wigeonspring.example/wigeonspring/standin/relay"
 )
 
@@ -25,21 +20,10 @@
 
 func main() {
 	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
-	}
-	if err := run(opts); err != nil {
-		fmt.Fprintln(os.Stderr, "wigeon-relay:", err)
-		os.Exit(1)
-	}
+	command.Main("wigeon-relay", &opts, func(ctx context.Context) error { return run(ctx, opts) })
 }
 
-func run(opts options) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+func run(ctx context.Context, opts options) error {
 	link, err := relay.New(relay.Options{
 		Listen: opts.Listen,
 		Target: opts.Target,
