Share the subcommand loop of wigeon-scale and wigeon-verify

Both mains held the same loop over commands and the same exit statuses; standin/command holds it once, with a typed Commander in place of any. Ruled out: sharing the import blocks and option structs that also look alike, which are declarations.

--- a/cmd/wigeon-scale/main.go
+++ b/cmd/wigeon-scale/main.go
@@ -4,32 +4,14 @@
 package main
 
 import (
-	"fmt"
-	"os"
-
-	"github.com/jessevdk/go-flags"
+	"wigeonspring.example/wigeonspring/standin/command"
 )
 
 func main() {
-	parser := flags.NewNamedParser("wigeon-scale", flags.Default)
-	for _, c := range []struct {
-		name, about string
-		data        any
-	}{
-		{"announce", "announce backend servers to nodes until told to stop", &announceCommand{}},
-		{"policies", "store the policies of many services", &policiesCommand{}},
-		{"memory", "measure the state that every node holds", &memoryCommand{}},
-		{"sample", "measure running nodes over a time and print one CSV line", &sampleCommand{}},
-	} {
-		if _, err := parser.AddCommand(c.name, c.about, "", c.data); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-	}
-	if _, err := parser.Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(1)
-	}
+	command.Subcommands("wigeon-scale",
+		command.Subcommand{Name: "announce", About: "announce backend servers to nodes until told to stop", Data: &announceCommand{}},
+		command.Subcommand{Name: "policies", About: "store the policies of many services", Data: &policiesCommand{}},
+		command.Subcommand{Name: "memory", About: "measure the state that every node holds", Data: &memoryCommand{}},
+		command.Subcommand{Name: "sample", About: "measure running nodes over a time and print one CSV line", Data: &sampleCommand{}},
+	)
 }
--- a/cmd/wigeon-verify/main.go
+++ b/cmd/wigeon-verify/main.go
@@ -15,9 +15,8 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	"wigeonspring.example/wigeonspring/standin/command"
 	"wigeonspring.example/wigeonspring/standin/record"
 	"wigeonspring.example/wigeonspring/standin/verify"
 )
@@ -151,24 +150,9 @@
 }
 
 func main() {
-	parser := flags.NewNamedParser("wigeon-verify", flags.Default)
-	for _, c := range []struct {
-		name, about string
-		data        any
-	}{
-		{"watch", "sample the serving backend servers of services", &watchCommand{}},
-		{"http", "send one HTTP request", &httpCommand{}},
-		{"report", "compare callers' answers with backend servers' work", &reportCommand{}},
-	} {
-		if _, err := parser.AddCommand(c.name, c.about, "", c.data); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-	}
-	if _, err := parser.Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(1)
-	}
+	command.Subcommands("wigeon-verify",
+		command.Subcommand{Name: "watch", About: "sample the serving backend servers of services", Data: &watchCommand{}},
+		command.Subcommand{Name: "http", About: "send one HTTP request", Data: &httpCommand{}},
+		command.Subcommand{Name: "report", About: "compare callers' answers with backend servers' work", Data: &reportCommand{}},
+	)
 }
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -1,4 +1,4 @@
-// Package command runs the main function of a stand-in: it parses the flags,
+// Package command runs the main function of stand-ins and tools: it parses the flags,
 // ends the context on SIGTERM or SIGINT, and sets the exit status.
 package command
 
@@ -33,3 +33,25 @@
 		os.Exit(exitFailed)
 	}
 }
+
+// Subcommand is one command of a tool. Data holds its flags and has a method
+// Execute([]string) error.
+type Subcommand struct {
+	Name, About string
+	Data        flags.Commander
+}
+
+// Subcommands parses the arguments and runs the command that they name. It does
+// not return on an error.
+func Subcommands(name string, commands ...Subcommand) {
+	parser := flags.NewNamedParser(name, flags.Default)
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.Name, c.About, "", c.Data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailed)
+		}
+	}
+	if _, err := parser.Parse(); err != nil && !flags.WroteHelp(err) {
+		os.Exit(exitFailed)
+	}
+}
