--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
@@ -18,6 +19,7 @@
 	"wigeonspring.example/wigeonspring/internal/state/settings"
 	"wigeonspring.example/wigeonspring/internal/transport/backend"
 	"wigeonspring.example/wigeonspring/internal/transport/node"
+	"wigeonspring.example/wigeonspring/platform"
 )
 
 // Exit statuses.
@@ -90,14 +92,22 @@
 	}()
 	// net/http writes unsolicited bytes of a backend server to the standard logger.
 	stdlog.SetOutput(backend.RedactLog(os.Stderr))
-	n, err := node.New(ctx, node.Options{Settings: s, Log: log, TraceWriter: os.Stdout})
+	n, err := node.New(ctx, node.Options{Settings: s, Log: log, TraceWriter: os.Stdout, Adapter: newAdapter(s, log)})
 	if err != nil {
 		return err
 	}
 	return n.Run(ctx)
 }
 
-// newLogger returns a logger of JSON lines on standard error.
+// newAdapter returns the adapter that the settings select, or nil.
+func newAdapter(s *settings.Settings, log *zap.Logger) *node.Adapter {
+	if s.Platform.Form != settings.FormObjects {
+		return nil
+	}
+	return platform.NewAdapter(s.Platform.Address, time.Duration(s.Platform.Timeout), log)
+}
+
+// newLogger returns a logger of JSON lines on standard output.
 func newLogger(s *settings.Settings) (*zap.Logger, error) {
 	level, err := zapcore.ParseLevel(s.Output.LogLevel)
 	if err != nil {
@@ -106,6 +116,7 @@
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(level)
 	cfg.Sampling = nil
+	cfg.OutputPaths = []string{"stdout"}
 	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
 	cfg.DisableCaller = true
 	cfg.DisableStacktrace = true
--- a/internal/coordination/distribution/core.go
+++ b/internal/coordination/distribution/core.go
@@ -73,6 +73,9 @@
 	// starting node sees itself alone at first; the wait keeps the nodes of a
 	// fleet that starts as a whole from all reading the platform.
 	firstRequest = time.Second
+	// firstListing is the longest wait before the first listing of any starting
+	// node if a listing confirms it: 2,100 nodes then make 2,100 reads in 1.05 s.
+	firstListing = 500 * time.Millisecond
 )
 
 // Disabled switches mechanisms off. It is for tests that show that an invariant
@@ -91,6 +94,13 @@
 	Start time.Time
 	// Rand is the source of all random choices.
 	Rand *rand.Rand
+	// Linearizable says that a listing of the platform reflects every write that
+	// was acknowledged before, so that it confirms a starting node without a peer.
+	Linearizable bool
+	// MaxBackoff bounds the wait after platform errors; 0 selects 30 s.
+	MaxBackoff time.Duration
+	// Defaults complete the services of a fleet document.
+	Defaults policy.ServiceDefaults
 	// Disabled is for tests only.
 	Disabled Disabled
 }
@@ -146,8 +156,15 @@
 	c.table = policy.NewTable(policy.TableOptions{
 		Now:               func() time.Time { return c.now },
 		AcceptLowerEpochs: o.Disabled.EpochCheck,
+		Defaults:          o.Defaults,
 	})
+	if c.o.MaxBackoff == 0 {
+		c.o.MaxBackoff = backoffHigh
+	}
 	c.source.retryAt = o.Start.Add(firstRequest/2 + c.jitter(firstRequest/2))
+	if o.Linearizable {
+		c.source.retryAt = o.Start.Add(c.jitter(firstListing))
+	}
 	c.start.init(c)
 	return c
 }
--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -61,7 +61,7 @@
 			return
 		}
 		// After a listing that did not suffice, the next one waits.
-		c.start.listAt = c.now.Add(backoffHigh/2 + c.jitter(backoffHigh/2))
+		c.start.listAt = c.now.Add(c.o.MaxBackoff/2 + c.jitter(c.o.MaxBackoff/2))
 	}
 	s.lastID++
 	s.request = &PlatformRequest{ID: s.lastID}
@@ -88,7 +88,7 @@
 	if r.Err != nil {
 		// The wait is spread over the whole range, so that one of the watchers
 		// returns soon after the end of an outage.
-		high := min(backoffHigh, 2*backoffLow<<min(s.failures, 10))
+		high := min(c.o.MaxBackoff, 2*backoffLow<<min(s.failures, 10))
 		s.retryAt = c.now.Add(backoffLow + c.jitter(high-backoffLow))
 		if s.failures == 0 {
 			c.event(event.PlatformDown, "", r.Err.Error())
--- a/internal/coordination/distribution/start.go
+++ b/internal/coordination/distribution/start.go
@@ -69,6 +69,9 @@
 func (s *starter) init(c *Core) {
 	s.begun = c.o.Start
 	s.listAt = c.o.Start.Add(listDelay + c.jitter(listDelay))
+	if c.o.Linearizable {
+		s.listAt = c.o.Start
+	}
 	s.peers = map[registry.NodeID]*evidence{}
 	s.pace = paceLow
 }
@@ -163,6 +166,8 @@
 		reason = fmt.Sprintf("synced with %d peers of %d failure domains", confirmed, len(domains))
 	case peers > 0 && len(live) < startDomains && confirmed == peers:
 		reason = fmt.Sprintf("synced with all %d live peers", peers)
+	case s.listed && c.o.Linearizable:
+		reason = "read the platform"
 	case s.listed && confirmed > 0:
 		reason = "read the platform and synced with a peer"
 	case s.listed && c.now.Sub(s.begun) >= peerGrace && failed >= min(peers, peerTries):
--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -25,6 +25,10 @@
 	// Stale: the announcement may have been sent longer ago than a lease lasts, so
 	// it grants nothing. The next one, a second later, does.
 	Stale Reason = "stale_announcement"
+	// StaleSequence: a later announcement of the same start arrived before.
+	StaleSequence Reason = "stale_sequence"
+	// Superseded: a later start of another backend server uses the address.
+	Superseded Reason = "address_superseded"
 	// Invalid: the announcement names no backend server or no service.
 	Invalid Reason = "invalid_announcement"
 	// Released: the backend server released its lease, a lease duration ago at most.
@@ -61,7 +65,14 @@
 	// Released ends the lease at once.
 	Released bool
 	// Incarnation is the start time of the backend server in unix milliseconds.
+	// In a release, 0 means whichever start holds the lease.
 	Incarnation uint64
+	// Warmup is how much longer the backend server is slow after its start. If it is
+	// not stated, the gate assumes the default of a cold start.
+	Warmup       time.Duration
+	WarmupStated bool
+	// Sequence rises with each announcement of the same start; 0 if it is not known.
+	Sequence uint64
 	// ReportedInUse is the backend server's own count; it may lag or mislead.
 	ReportedInUse int
 	// LeaseFrom is the instant of this node's clock from which the lease counts.
@@ -83,6 +94,8 @@
 	Changed bool
 	// Expires is the end of the lease.
 	Expires time.Time
+	// Replaced is the backend server that had the address before, or nil.
+	Replaced *Lost
 }
 
 // Lost is a lease that ended.
@@ -156,9 +169,15 @@
 	if old != nil && t.lapsed(now, old) {
 		old = nil // A renewal counts as new; otherwise Tick reports the loss.
 	}
+	if a.Released && a.Incarnation == 0 && old != nil {
+		a.Incarnation = old.Incarnation
+	}
 	if old != nil && a.Incarnation < old.Incarnation {
 		return Result{Reason: StaleIncarnation}
 	}
+	if old != nil && a.Incarnation == old.Incarnation && a.Sequence > 0 && a.Sequence < old.Sequence {
+		return Result{Reason: StaleSequence}
+	}
 	if a.Released {
 		delete(t.leases, a.Backend)
 		t.released[a.Backend] = release{a.Incarnation, now}
@@ -176,6 +195,13 @@
 		return Result{Reason: Stale}
 	}
 	res := Result{Accepted: true, New: true, Changed: true}
+	if other := t.sharesAddress(now, a); other != nil {
+		if a.Incarnation < other.Incarnation {
+			return Result{Reason: Superseded}
+		}
+		delete(t.leases, other.Backend)
+		res.Replaced = &Lost{Backend: other.Backend, Service: other.Service, Reason: Superseded}
+	}
 	if old != nil {
 		if old.Expires.After(l.Expires) {
 			l.from, l.Expires = old.from, old.Expires
@@ -191,6 +217,31 @@
 	return res
 }
 
+// sharesAddress returns another backend server that holds a lease at the address
+// of an announcement. An address serves one backend server at a time, so the one
+// that started later has it.
+func (t *Table) sharesAddress(now time.Time, a Announcement) *lease {
+	for id, l := range t.leases {
+		if id != a.Backend && a.Address != "" && l.Address == a.Address && !t.lapsed(now, l) {
+			return l
+		}
+	}
+	return nil
+}
+
+// Drop ends the lease of a backend server without remembering a release, for one
+// whose address was found to be in use by another. Its next announcement counts.
+func (t *Table) Drop(id registry.BackendID) (Lost, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.leases[id]
+	if l == nil {
+		return Lost{}, false
+	}
+	delete(t.leases, id)
+	return Lost{Backend: id, Service: l.Service, Reason: Superseded}, true
+}
+
 // leaseFrom returns the earliest instant at which the announcement may have been
 // sent. An announcement that is read soon after a pause of the process may have
 // been sent at any time since the pause began, and its sender may have moved to
--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -44,6 +44,8 @@
 	// Shed marks a complete answer with status 503: the backend server refused
 	// the work. Only an idempotent request is retried after it.
 	Shed bool
+	// Arrived marks a Refused attempt that the backend server itself refused.
+	Arrived bool
 }
 
 // Action is what the ingress node does next.
@@ -121,12 +123,19 @@
 	MaxAttempts int
 	// Deadline is the caller's deadline; zero means none.
 	Deadline time.Time
+	// FreeRefusals is the number of attempts that may end before anything reached
+	// a backend server without counting as attempts or retries. Such an attempt
+	// adds no load to the service.
+	FreeRefusals int
 }
 
 // Plan follows the attempts of one request. It is not safe for concurrent use.
 type Plan struct {
 	opt      Options
 	attempts int
+	// refusals counts the attempts that were free; see Options.FreeRefusals.
+	refusals int
+	counted  bool
 	// mayHaveRun is set once an attempt may have reached a backend server.
 	mayHaveRun bool
 	final      *Decision
@@ -184,9 +193,13 @@
 	if p.final != nil {
 		return *p.final
 	}
-	if p.attempts == 0 {
+	if !p.counted {
+		p.counted = true
 		b.AddRequest(now)
 	}
+	if free := r.State == NotSent || r.State == Refused && !r.Arrived; free && p.refusals < p.opt.FreeRefusals {
+		return p.retryFree(now, r.State)
+	}
 	p.attempts++
 	if r.State == Sent || r.State == Answered {
 		p.mayHaveRun = true
@@ -235,6 +248,21 @@
 	return Decision{Retry, why}
 }
 
+// retryFree follows an attempt that reached no backend server.
+func (p *Plan) retryFree(now time.Time, s State) Decision {
+	p.refusals++
+	why := AttemptRefused
+	if s == NotSent {
+		why = AttemptNotSent
+	}
+	if !p.opt.Deadline.IsZero() && !now.Before(p.opt.Deadline) {
+		return p.report(DeadlinePassed)
+	}
+	invariant.Check(!p.mayHaveRun || p.opt.Idempotent, "retry_at_most_once",
+		"attempt after %d refusals follows one that may have run", p.refusals)
+	return Decision{Retry, why}
+}
+
 // report ends the request with what is known about it.
 func (p *Plan) report(reason Reason) Decision {
 	action := ReportNotRun
--- /dev/null
+++ b/internal/protocol/header/dialect.go
@@ -0,0 +1,85 @@
+package header
+
+import (
+	"net/http"
+
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+)
+
+// Dialect names the headers that callers and backend servers use. An empty name
+// means that the header is neither sent nor read. Names are in canonical form.
+type Dialect struct {
+	// RequestID identifies a request at callers and backend servers.
+	RequestID string
+	// AdoptRequestID takes the identifier over from the caller, which must send
+	// one; otherwise the ingress node makes one.
+	AdoptRequestID bool
+	// Deadline is the time left in milliseconds.
+	Deadline string
+	// CallerService names the service on the VM where the request began.
+	CallerService string
+	// ExpectedInstance names the backend server that a request is meant for, and
+	// Instance the one that answers. Another backend server answers 421.
+	ExpectedInstance string
+	Instance         string
+	// NotRun marks an answer of a backend server that did not run the request.
+	NotRun string
+	// Load is the load that a backend server states with an answer, and ParseLoad
+	// reads it.
+	Load      string
+	ParseLoad func(string) (evidence.Load, bool)
+}
+
+// OwnDialect returns the project's own headers.
+func OwnDialect() *Dialect {
+	return &Dialect{
+		RequestID:        RequestID,
+		Deadline:         DeadlineMillis,
+		CallerService:    CallerService,
+		ExpectedInstance: ExpectedInstance,
+		Instance:         Instance,
+		NotRun:           BackendNotRun,
+		Load:             BackendLoad,
+		ParseLoad: func(s string) (evidence.Load, bool) {
+			l, err := ParseLoad(s)
+			return l, err == nil
+		},
+	}
+}
+
+// Set replaces a header that has a name.
+func Set(h http.Header, name, value string) {
+	if name == "" {
+		return
+	}
+	if value == "" {
+		delete(h, name)
+		return
+	}
+	h[name] = []string{value}
+}
+
+// ProvesNotRun reports whether an answer states that the backend server did not
+// run the request.
+func (d *Dialect) ProvesNotRun(resp *http.Response) bool {
+	if d.NotRun != "" && resp.Header.Get(d.NotRun) != "" {
+		return true
+	}
+	return d.ExpectedInstance != "" && resp.StatusCode == http.StatusMisdirectedRequest
+}
+
+// StatedLoad returns the load in the header of an answer, or nil.
+func (d *Dialect) StatedLoad(h http.Header) *evidence.Load {
+	if d.Load == "" || d.ParseLoad == nil {
+		return nil
+	}
+	value := h.Get(d.Load)
+	if value == "" {
+		return nil
+	}
+	l, ok := d.ParseLoad(value)
+	if !ok {
+		return nil
+	}
+	return &l
+}
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -35,6 +35,24 @@
 	Baseline = "Wigeonspring-Baseline"
 	// Load is the load of the backend server as its owner sees it.
 	Load = "Wigeonspring-Load"
+	// Rank orders requests that compete for a slot, 0 first.
+	Rank = "Wigeonspring-Rank"
+	// ObjectiveMillis is the time left, in milliseconds, in which an answer is
+	// fully useful to the caller.
+	ObjectiveMillis = "Wigeonspring-Objective-Ms"
+	// Idempotent marks a request that may run more than once.
+	Idempotent = "Wigeonspring-Idempotent"
+	// LastResort marks an attempt for which no other backend server is left.
+	LastResort = "Wigeonspring-Last-Resort"
+	// CallerService names the service on the VM where the request began.
+	CallerService = "Wigeonspring-Caller-Service"
+	// ExpectedInstance and Instance name backend servers; see Dialect.
+	ExpectedInstance = "Wigeonspring-Expected-Instance"
+	Instance         = "Wigeonspring-Instance"
+	// BackendNotRun marks an answer of a backend server that did not run the
+	// request, and BackendLoad the load that a backend server states.
+	BackendNotRun = "Wigeonspring-Backend-Not-Run"
+	BackendLoad   = "Wigeonspring-Backend-Load"
 )
 
 // Outcomes of a request.
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -26,25 +26,51 @@
 	// Region is the region of the ingress node.
 	Region   string
 	Baseline evidence.Baseline
+	// Rank is the rank of the route, 0 first.
+	Rank int
+	// Idempotent says that the request may run more than once.
+	Idempotent bool
+	// Objective is the time left in which an answer is fully useful; 0 means that
+	// none is stated or that it has passed.
+	Objective time.Duration
+	// LastResort says that the ingress node knows no better backend server.
+	LastResort bool
 }
 
+// flagSet is the value of a header that is either absent or set.
+const flagSet = "1"
+
 // Write adds the headers of the hop to h.
 func (p *Hop) Write(h http.Header) {
-	names := [...]string{
-		RequestID, Backend, Service, Route, OwnerIncarnation, DeadlineMillis, Attempt, Region, Baseline,
-		Caller, AnswerWithinMillis,
-	}
-	values := [len(names)]string{
-		p.RequestID, string(p.Backend), string(p.Service), p.Route, strconv.FormatUint(p.Incarnation, 10),
-		FormatDeadline(p.Left), FormatAttempt(p.Attempt), p.Region, FormatBaseline(p.Baseline), p.Caller,
+	set := func(name, value string) {
+		if value != "" {
+			h[name] = []string{value}
+		}
 	}
+	set(RequestID, p.RequestID)
+	set(Backend, string(p.Backend))
+	set(Service, string(p.Service))
+	set(Route, p.Route)
+	set(OwnerIncarnation, strconv.FormatUint(p.Incarnation, 10))
+	set(DeadlineMillis, FormatDeadline(p.Left))
+	set(Attempt, FormatAttempt(p.Attempt))
+	set(Region, p.Region)
+	set(Baseline, FormatBaseline(p.Baseline))
+	set(Caller, p.Caller)
 	if p.AnswerWithin > 0 {
-		values[len(names)-1] = FormatDeadline(p.AnswerWithin)
+		set(AnswerWithinMillis, FormatDeadline(p.AnswerWithin))
 	}
-	for i, name := range names {
-		if values[i] != "" {
-			h[name] = values[i : i+1 : i+1]
-		}
+	if p.Rank > 0 {
+		set(Rank, strconv.Itoa(p.Rank))
+	}
+	if p.Idempotent {
+		set(Idempotent, flagSet)
+	}
+	if p.Objective > 0 {
+		set(ObjectiveMillis, FormatDeadline(p.Objective))
+	}
+	if p.LastResort {
+		set(LastResort, flagSet)
 	}
 }
 
@@ -58,13 +84,25 @@
 		Caller:    CallerName(h.Get(Caller)),
 		Region:    h.Get(Region),
 	}
-	if !ValidRequestID(p.RequestID) {
+	if !UsableRequestID(p.RequestID) {
 		return p, fmt.Errorf("%s: not a request id", RequestID)
 	}
 	if p.Backend == "" || p.Service == "" {
 		return p, fmt.Errorf("%s, %s: missing", Backend, Service)
 	}
+	p.Idempotent = h.Get(Idempotent) == flagSet
+	p.LastResort = h.Get(LastResort) == flagSet
 	var err error
+	if s := h.Get(Rank); s != "" {
+		if p.Rank, err = strconv.Atoi(s); err != nil || p.Rank < 0 {
+			return p, fmt.Errorf("%s: %q is not a rank", Rank, s)
+		}
+	}
+	if s := h.Get(ObjectiveMillis); s != "" {
+		if p.Objective, err = ParseDeadline(s); err != nil {
+			return p, err
+		}
+	}
 	if p.Incarnation, err = strconv.ParseUint(h.Get(OwnerIncarnation), 10, 64); err != nil {
 		return p, fmt.Errorf("%s: not an incarnation", OwnerIncarnation)
 	}
--- a/internal/protocol/header/values.go
+++ b/internal/protocol/header/values.go
@@ -44,6 +44,15 @@
 	return true
 }
 
+// maxRequestID bounds an identifier that a caller chose.
+const maxRequestID = 64
+
+// UsableRequestID reports whether an identifier that a caller may have chosen is
+// safe in headers and logs: 1 to 64 letters, digits, dots, hyphens and underscores.
+func UsableRequestID(id string) bool {
+	return id != "" && len(id) <= maxRequestID && CallerName(id) == id
+}
+
 // FormatDeadline writes the time left, rounded down to milliseconds.
 func FormatDeadline(left time.Duration) string {
 	return strconv.FormatInt(max(left.Milliseconds(), 0), 10)
--- a/internal/state/policy/policy.go
+++ b/internal/state/policy/policy.go
@@ -2,7 +2,10 @@
 // validated as a whole, and the table of the policies in force.
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // MaxDocumentBytes is the largest accepted document.
 const MaxDocumentBytes = 256 << 10
@@ -38,6 +41,9 @@
 	// must never undercut. It has no default, because a forgotten floor would
 	// permit the removal of all capacity.
 	Floor int `toml:"floor"`
+	// FloorShare is the floor as a share of the backend servers that are known, 0
+	// to 1. The larger of the two floors holds. Only a fleet document sets it.
+	FloorShare float64 `toml:"-"`
 	// DetectionWeight balances detection time (1) against false ejections (0).
 	// The default is 0.5.
 	DetectionWeight float64 `toml:"detection_weight"`
@@ -89,4 +95,20 @@
 	Idempotent bool `toml:"idempotent"`
 	// Timeout overrides the timeout of the service; 0 keeps it.
 	Timeout Duration `toml:"timeout,omitempty"`
+	// Objective is the time within which an answer is fully useful; 0 means that
+	// none is stated. Rank orders requests that compete for slots, 0 first.
+	// MaxAttempts overrides the limit of the service; 0 keeps it. Only a fleet
+	// document sets them.
+	Objective   Duration `toml:"-"`
+	Rank        int      `toml:"-"`
+	MaxAttempts int      `toml:"-"`
 }
+
+// FloorOf returns the number of backend servers that must stay in service when
+// known of them are neither draining nor gone.
+func (s *Service) FloorOf(known int) int {
+	return max(s.Floor, int(math.Ceil(s.FloorShare*float64(known)-floorRounding)))
+}
+
+// floorRounding keeps a share such as 0.7 of 10 from being rounded up to 8.
+const floorRounding = 1e-9
--- a/internal/state/policy/table.go
+++ b/internal/state/policy/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -30,8 +31,27 @@
 	Document *Document
 	// Since is when this node put the policy in force.
 	Since time.Time
+
+	fleet *fleetTable
+}
+
+// Services returns the policies that a fleet document implies, and the policy
+// itself for any other document.
+func (p *InForce) Services() []*InForce {
+	if p.fleet == nil {
+		return []*InForce{p}
+	}
+	return slices.Collect(maps.Values(p.fleet.services))
 }
 
+// Errors of Match.
+var (
+	// ErrUnknownHost says that no policy in force claims the host.
+	ErrUnknownHost = errors.New("no policy claims the host")
+	// ErrNoRoute says that the host has no route for the request.
+	ErrNoRoute = errors.New("no route for the request")
+)
+
 // SetResult says what Set did.
 type SetResult struct {
 	// Changed is false if the same epoch and hash were in force already.
@@ -102,6 +122,9 @@
 	// AcceptLowerEpochs switches the epoch check off. It is for tests that show
 	// that the invariant of rising epochs depends on the check.
 	AcceptLowerEpochs bool
+	// Defaults complete the services of a fleet document; zero means
+	// DefaultServiceDefaults.
+	Defaults ServiceDefaults
 }
 
 // Table holds the policies in force on a node. Reads take no lock, so that
@@ -115,6 +138,7 @@
 type Table struct {
 	now         func() time.Time
 	acceptLower bool
+	defaults    ServiceDefaults
 	snapshot    atomic.Pointer[snapshot]
 
 	mu sync.Mutex
@@ -133,7 +157,10 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	t := &Table{now: o.Now, acceptLower: o.AcceptLowerEpochs, held: map[string]*InForce{}}
+	if o.Defaults == (ServiceDefaults{}) {
+		o.Defaults = DefaultServiceDefaults()
+	}
+	t := &Table{now: o.Now, acceptLower: o.AcceptLowerEpochs, defaults: o.Defaults, held: map[string]*InForce{}}
 	t.snapshot.Store(&snapshot{byService: map[string]*InForce{}, byHost: map[string]*InForce{}})
 	return t
 }
@@ -160,6 +187,9 @@
 			return SetResult{}, nil
 		}
 	}
+	if v.Service == FleetName {
+		return t.setFleet(v, hash)
+	}
 	doc, problems := Parse(v.Text)
 	if doc != nil && doc.Service.Name != v.Service {
 		problems = Problems{{Line: 1, Key: "service.name", Reason: "document of another service", Found: doc.Service.Name, Allowed: v.Service}}
@@ -177,6 +207,22 @@
 	return SetResult{Policies: applied}, &HostError{Service: v.Service, Epoch: v.Epoch, Host: host, Holder: holder}
 }
 
+// setFleet puts a fleet document in force. The caller holds the lock.
+func (t *Table) setFleet(v Versioned, hash uint64) (SetResult, error) {
+	f, err := ParseFleet(v.Text)
+	if err != nil {
+		problems := Problems{{Line: 1, Key: FleetName, Reason: err.Error()}}
+		return SetResult{}, &DocumentError{Service: v.Service, Epoch: v.Epoch, Problems: problems}
+	}
+	p := &InForce{
+		Service: v.Service, Epoch: v.Epoch, Hash: hash, Text: slices.Clone(v.Text), Since: t.now(),
+		Document: &Document{Service: Service{Name: v.Service}},
+	}
+	p.fleet = newFleetTable(f, p, t.defaults)
+	t.replace(map[string]*InForce{p.Service: p})
+	return SetResult{Changed: true, Policies: []*InForce{p}}, nil
+}
+
 // obstacle returns a host of p that another service has in force, apart from
 // the services that are replaced together with p.
 func (t *Table) obstacle(p *InForce, together map[string]*InForce) (host, holder string) {
@@ -270,7 +316,46 @@
 }
 
 // Get returns the policy in force of a service, or nil.
-func (t *Table) Get(service string) *InForce { return t.snapshot.Load().byService[service] }
+func (t *Table) Get(service string) *InForce {
+	s := t.snapshot.Load()
+	if f := s.fleet(); f != nil && service != FleetName {
+		return f.services[service]
+	}
+	return s.byService[service]
+}
+
+func (s *snapshot) fleet() *fleetTable {
+	if p := s.byService[FleetName]; p != nil {
+		return p.fleet
+	}
+	return nil
+}
+
+// Match returns the route of a request. host is in lower case without a port;
+// path is as the caller sent it, without the query.
+func (t *Table) Match(host, method, path string) (Match, error) {
+	s := t.snapshot.Load()
+	if f := s.fleet(); f != nil {
+		return f.match(host, path)
+	}
+	p := s.byHost[host]
+	if p == nil {
+		return Match{}, ErrUnknownHost
+	}
+	route, ok := p.Document.Match(method, path)
+	if !ok {
+		return Match{}, ErrNoRoute
+	}
+	return Match{Route: route, Version: p.Epoch, Targets: []MatchTarget{{Policy: p, Weight: 1}}}, nil
+}
+
+// CallerLimits returns the limits of the fleet document in force, or zero.
+func (t *Table) CallerLimits() CallerLimits {
+	if f := t.snapshot.Load().fleet(); f != nil {
+		return f.limits
+	}
+	return CallerLimits{}
+}
 
 // Known returns the highest epoch that the table has of a service: in force or
 // held back. It is 0 if there is none.
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
 	"wigeonspring.example/wigeonspring/internal/state/strict"
 )
 
@@ -32,6 +33,8 @@
 	Drain      Drain      `toml:"drain"`
 	Output     Output     `toml:"output"`
 	Limits     Limits     `toml:"limits"`
+	Backend    Backend    `toml:"backend"`
+	Fleet      Fleet      `toml:"fleet"`
 }
 
 // Node says which node this is and where it runs.
@@ -39,6 +42,7 @@
 	ID            string `toml:"id" required:"true" allowed:"1 to 63 letters, digits and the characters . _ -" doc:"Identity of the node across restarts, unique in the fleet."`
 	FailureDomain string `toml:"failure_domain" required:"true" allowed:"1 to 63 letters, digits and the characters . _ -" doc:"Failure domain of the VM."`
 	Region        string `toml:"region" required:"true" allowed:"1 to 63 letters, digits and the characters . _ -" doc:"Region of the VM."`
+	LocalService  string `toml:"local_service" allowed:"\"\" or 1 to 63 letters, digits and the characters . _ -" doc:"Service of the backend server on the VM. Backend servers are told it as the origin of the requests that arrive at this node."`
 }
 
 // Listen holds the addresses that the node listens on. Other nodes reach it at
@@ -47,6 +51,9 @@
 	CallerListen   string `toml:"caller_listen" required:"true" allowed:"IP:port or :port" doc:"Address for callers, HTTP over TCP."`
 	PeerListen     string `toml:"peer_listen" required:"true" allowed:"IP:port with the IP address of one interface" doc:"Address for other nodes and for the announcements of backend servers: HTTP over TCP, and gossip over UDP on the same port."`
 	OperatorListen string `toml:"operator_listen" allowed:"IP:port with the IP address of one interface" doc:"Address for operators, HTTP over TCP."`
+	AnnounceListen string `toml:"announce_listen" allowed:"\"\" (none) or IP:port" doc:"Address for announcements of the VM's backend server in the platform's form. Needs platform.form."`
+	ReadyListen    string `toml:"ready_listen" allowed:"\"\" (none) or IP:port" doc:"Address at which the platform asks whether the node takes requests. Needs platform.form."`
+	MetricsListen  string `toml:"metrics_listen" allowed:"\"\" (none) or IP:port" doc:"Address of the metrics as text, without a token."`
 	PeerAdvertise  string `toml:"peer_advertise" allowed:"\"\" (the same as peer_listen) or IP:port" doc:"Address under which other nodes reach peer_listen, if it differs."`
 }
 
@@ -59,6 +66,7 @@
 type Platform struct {
 	Address string   `toml:"address" required:"true" allowed:"an http or https URL with a host" doc:"Address of the platform's object API."`
 	Timeout Duration `toml:"timeout" allowed:"100ms to 1m" doc:"Time after which a call counts as unanswered."`
+	Form    string   `toml:"form" allowed:"\"\" (the project's own) or \"objects\"" doc:"Form in which the platform, callers and backend servers speak."`
 }
 
 // Membership sets the cost and the speed of failure detection between nodes.
@@ -70,9 +78,23 @@
 
 // Drain bounds a graceful shutdown.
 type Drain struct {
+	Notice  Duration `toml:"notice" allowed:"0s to 1m" doc:"Time after SIGTERM in which the node still takes requests while it says that it is not ready."`
 	Timeout Duration `toml:"timeout" allowed:"0s to 10m" doc:"Time that requests in flight have to finish after SIGTERM."`
 }
 
+// Backend sets how the node treats the backend servers that it owns.
+type Backend struct {
+	Lease Duration `toml:"lease" allowed:"1s to 10m" doc:"Time for which an announcement keeps a backend server with its node. Above 3 s only if no other node can reach the backend server."`
+}
+
+// Fleet completes the policies of a fleet document.
+type Fleet struct {
+	FloorPercent int `toml:"floor_percent" allowed:"0 to 100" doc:"Share of a service's backend servers that ejection leaves in service."`
+	RetryPercent int `toml:"retry_percent" allowed:"0 to 100" doc:"Share of a service's requests that a node may repeat within 10 s."`
+	RetryMinimum int `toml:"retry_minimum" allowed:"0 to 100" doc:"Repeats within 10 s that a node may always make for a service."`
+	FreeRefusals int `toml:"free_refusals" allowed:"0 to 100" doc:"Refusals by owners, before anything reached a backend server, after which a request is tried elsewhere without counting as a repeat."`
+}
+
 // Output says where the node reports what it does.
 type Output struct {
 	LogLevel string `toml:"log_level" allowed:"\"debug\", \"info\", \"warn\" or \"error\"" doc:"Lowest level of the log lines on standard error."`
@@ -95,9 +117,11 @@
 			ProbeInterval: Duration(time.Second),
 			SyncInterval:  Duration(time.Minute),
 		},
-		Drain:  Drain{Timeout: Duration(30 * time.Second)},
-		Output: Output{LogLevel: "info"},
-		Limits: Limits{MaxPeerConnections: 128, ControlBytesPerSecond: 3072, ControlBurstBytes: 16384},
+		Drain:   Drain{Timeout: Duration(30 * time.Second)},
+		Backend: Backend{Lease: Duration(registry.LeaseDuration)},
+		Fleet:   Fleet{FloorPercent: 70, RetryPercent: 10, RetryMinimum: 3},
+		Output:  Output{LogLevel: "info"},
+		Limits:  Limits{MaxPeerConnections: 128, ControlBytesPerSecond: 3072, ControlBurstBytes: 16384},
 	}
 }
 
@@ -190,6 +214,9 @@
 	return s, nil
 }
 
+// FormObjects selects the form of an object store with kinds and names.
+const FormObjects = "objects"
+
 var (
 	namePattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,63}$`)
 	// tokenPattern holds what fits into an Authorization header.
@@ -204,6 +231,17 @@
 	"listen.caller_listen":            anyAddress,
 	"listen.peer_listen":              specificAddress,
 	"listen.operator_listen":          specificAddress,
+	"node.local_service":              func(v any) bool { return v == "" || name(v) },
+	"listen.announce_listen":          optionalAddress,
+	"listen.ready_listen":             optionalAddress,
+	"listen.metrics_listen":           optionalAddress,
+	"platform.form":                   func(v any) bool { return v == "" || v == FormObjects },
+	"drain.notice":                    between(0, time.Minute),
+	"backend.lease":                   between(time.Second, 10*time.Minute),
+	"fleet.floor_percent":             count(0, 100),
+	"fleet.retry_percent":             count(0, 100),
+	"fleet.retry_minimum":             count(0, 100),
+	"fleet.free_refusals":             count(0, 100),
 	"listen.peer_advertise":           func(v any) bool { return v == "" || specificAddress(v) },
 	"operator.token":                  func(v any) bool { return v == "" || tokenPattern.MatchString(v.(string)) },
 	"platform.address":                webURL,
@@ -228,6 +266,8 @@
 	return func(v any) bool { return time.Duration(v.(Duration)) >= low && time.Duration(v.(Duration)) <= high }
 }
 
+func optionalAddress(v any) bool { return v == "" || specificAddress(v) }
+
 func specificAddress(v any) bool {
 	a, err := netip.ParseAddrPort(v.(string))
 	return err == nil && !a.Addr().IsUnspecified()
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -37,6 +37,8 @@
 type Options struct {
 	Settings *settings.Settings
 	Log      *zap.Logger
+	// Adapter connects the node to a platform of another form; nil for none.
+	Adapter *Adapter
 	// TraceWriter receives spans if the settings select "stdout".
 	TraceWriter io.Writer
 }
@@ -89,10 +91,14 @@
 }
 
 // listeners are the bound addresses of a node.
-type listeners struct{ caller, peer, operator net.Listener }
+type listeners struct {
+	caller, peer, operator net.Listener
+	// announce, ready and metrics are nil unless the settings name them.
+	announce, ready, metrics net.Listener
+}
 
 func (l *listeners) close() {
-	for _, ln := range []net.Listener{l.caller, l.peer, l.operator} {
+	for _, ln := range []net.Listener{l.caller, l.peer, l.operator, l.announce, l.ready, l.metrics} {
 		if ln != nil {
 			ln.Close()
 		}
@@ -112,7 +118,13 @@
 		{"listen for callers", s.Listen.CallerListen, &l.caller},
 		{"listen for nodes", s.Listen.PeerListen, &l.peer},
 		{"listen for operators", s.Listen.OperatorListen, &l.operator},
+		{"listen for announcements", s.Listen.AnnounceListen, &l.announce},
+		{"listen for readiness checks", s.Listen.ReadyListen, &l.ready},
+		{"listen for metrics", s.Listen.MetricsListen, &l.metrics},
 	} {
+		if bind.addr == "" {
+			continue
+		}
 		if *bind.to, err = net.Listen("tcp", bind.addr); err != nil {
 			return l, fault.New(bind.step, bind.addr, err)
 		}
@@ -124,7 +136,7 @@
 // error nothing stays bound.
 func New(ctx context.Context, opts Options) (*Node, error) {
 	s := opts.Settings
-	records := newRecords(time.Now())
+	records := newRecords(time.Now(), time.Duration(s.Backend.Lease))
 	l, err := listen(s)
 	if err != nil {
 		return nil, err
@@ -172,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	n.platform = platform.NewHTTP(platform.Options{URL: s.Platform.Address, Timeout: time.Duration(s.Platform.Timeout)})
+	n.platform = n.platformClient()
 	n.assemblePolicies()
 	n.assembleProxy()
 	if err := n.assembleGossip(); err != nil {
@@ -200,6 +212,7 @@
 		Incarnations: n.incarnations,
 		Leases:       n.records.leases,
 		Backends:     n.backends,
+		Dialect:      n.dialect(),
 		Observe:      n.observe,
 		Events:       n.bus,
 		Logger:       n.log,
@@ -215,12 +228,16 @@
 			FailureDomain: s.Node.FailureDomain,
 			Region:        s.Node.Region,
 		}),
-		Peers:     n.peers,
-		Owner:     n.owner,
-		KeepBytes: keepBytes,
-		Events:    n.bus,
-		Logger:    n.log,
-		Tracing:   n.tracing,
+		Peers:        n.peers,
+		Owner:        n.owner,
+		KeepBytes:    keepBytes,
+		Dialect:      n.dialect(),
+		LocalService: s.Node.LocalService,
+		FreeRefusals: s.Fleet.FreeRefusals,
+		RetryMinimum: s.Fleet.RetryMinimum,
+		Events:       n.bus,
+		Logger:       n.log,
+		Tracing:      n.tracing,
 	})
 }
 
@@ -231,6 +248,9 @@
 		FailureDomain: s.Node.FailureDomain,
 		Start:         time.Now(),
 		Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Linearizable:  n.opts.Adapter != nil,
+		MaxBackoff:    n.maxBackoff(),
+		Defaults:      n.serviceDefaults(),
 	})
 	n.policies = core.Table()
 	n.sync = policysync.New(policysync.Options{
@@ -245,6 +265,27 @@
 	})
 }
 
+// adapterBackoff bounds the wait after errors of a platform whose rates allow every
+// watcher of the fleet to ask this often.
+const adapterBackoff = 2 * time.Second
+
+func (n *Node) maxBackoff() time.Duration {
+	if n.opts.Adapter != nil {
+		return adapterBackoff
+	}
+	return 0
+}
+
+// serviceDefaults returns what the settings state for the services of a fleet
+// document.
+func (n *Node) serviceDefaults() policy.ServiceDefaults {
+	f := n.opts.Settings.Fleet
+	d := policy.DefaultServiceDefaults()
+	d.FloorShare = float64(f.FloorPercent) / 100
+	d.Limits.RetryPercent = float64(f.RetryPercent)
+	return d
+}
+
 // ID implements control.Node.
 func (n *Node) ID() registry.NodeID { return registry.NodeID(n.opts.Settings.Node.ID) }
 
@@ -258,7 +299,7 @@
 func (n *Node) Snapshot() *registry.Snapshot { return n.directory.Snapshot() }
 
 // Ready implements control.Node.
-func (n *Node) Ready() bool { return n.sync.Status().Ready && !n.stopping.Load() }
+func (n *Node) Ready() bool { return n.takesRequests() && !n.stopping.Load() }
 
 // CallerAddr returns the bound address for callers.
 func (n *Node) CallerAddr() string { return n.listeners.caller.Addr().String() }
@@ -327,8 +368,14 @@
 }
 
 // policyInForce applies the limits of a policy to the backend servers of its
-// service.
+// services.
 func (n *Node) policyInForce(p *policy.InForce) {
+	for _, s := range p.Services() {
+		n.servicePolicyInForce(s)
+	}
+}
+
+func (n *Node) servicePolicyInForce(p *policy.InForce) {
 	service := registry.ServiceID(p.Service)
 	n.health.SetWeight(service, p.Document.Service.DetectionWeight)
 	for _, o := range n.records.leases.Owned() {
--- a/internal/transport/node/records.go
+++ b/internal/transport/node/records.go
@@ -26,9 +26,9 @@
 
 // newRecords returns records without backend servers. now is before the node
 // listens: a pause from then on counts for announcements that wait in a backlog.
-func newRecords(now time.Time) *records {
+func newRecords(now time.Time, lease time.Duration) *records {
 	r := &records{
-		leases:   ownership.New(ownership.Options{}),
+		leases:   ownership.New(ownership.Options{Lease: lease}),
 		verdicts: make(map[registry.BackendID]verdict),
 		drained:  make(map[registry.BackendID]bool),
 	}
@@ -105,6 +105,9 @@
 		n.lose(ownership.Lost{Backend: a.Backend, Service: a.Service, Reason: ownership.Released})
 		return res
 	}
+	if res.Replaced != nil {
+		n.lose(*res.Replaced)
+	}
 	n.take(a, res)
 	return res
 }
--- a/internal/transport/node/records_test.go
+++ b/internal/transport/node/records_test.go
@@ -13,7 +13,7 @@
 // first announcement that goes unnoticed.
 func TestRecordsOfLeases(t *testing.T) {
 	start := time.Now()
-	r := newRecords(start)
+	r := newRecords(start, 0)
 	a := ownership.Announcement{Backend: "b1", Service: "booking", Slots: 5, Incarnation: 1}
 	if res := r.leases.Announce(start.Add(registry.LeaseDuration), a); res.Reason != ownership.Stale {
 		t.Errorf("announcement after a pause of the lease duration: %+v", res)
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -93,7 +93,11 @@
 	}
 	peers := peer.NewServer(n.peerHandler())
 	servers := []*http.Server{caller, peers, operator}
-	for i, ln := range []net.Listener{n.listeners.caller, n.listeners.peer, n.listeners.operator} {
+	bound := []net.Listener{n.listeners.caller, n.listeners.peer, n.listeners.operator}
+	for _, extra := range n.extraServers() {
+		servers, bound = append(servers, extra.server), append(bound, extra.listener)
+	}
+	for i, ln := range bound {
 		group.Go(func() error {
 			err := servers[i].Serve(ln)
 			if errors.Is(err, http.ErrServerClosed) {
@@ -105,10 +109,36 @@
 	return servers
 }
 
+type extraServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// extraServers returns the servers of the listeners that the settings may leave out.
+func (n *Node) extraServers() []extraServer {
+	var list []extraServer
+	add := func(ln net.Listener, h http.Handler) {
+		list = append(list, extraServer{listener: ln, server: &http.Server{
+			Handler: h, ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: operatorReadTimeout,
+			IdleTimeout: callerIdleTimeout, MaxHeaderBytes: callerMaxHeader,
+		}})
+	}
+	if n.opts.Adapter != nil && n.listeners.announce != nil {
+		add(n.listeners.announce, n.opts.Adapter.Announcements(n.Announce))
+	}
+	if n.opts.Adapter != nil && n.listeners.ready != nil {
+		add(n.listeners.ready, n.opts.Adapter.Ready(n.Ready))
+	}
+	if n.listeners.metrics != nil {
+		add(n.listeners.metrics, expvar.Handler())
+	}
+	return list
+}
+
 // serveCaller refuses requests as not run until the node knows that its policies
 // are not behind.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
-	if !n.sync.Status().Ready {
+	if !n.takesRequests() {
 		w.Header().Set(header.Outcome, header.NotRun)
 		w.Header().Set(header.Reason, reasonStarted)
 		w.Header().Set("Retry-After", "1")
@@ -182,6 +212,14 @@
 	return fault.Newf("drain backend server", string(id), "not owned by this node")
 }
 
+// awaitNotice keeps serving while the platform learns from the readiness check
+// that the node leaves, because callers go on sending requests until then.
+func (n *Node) awaitNotice(ctx context.Context) {
+	if notice := time.Duration(n.opts.Settings.Drain.Notice); notice > 0 {
+		sleep(ctx, notice)
+	}
+}
+
 // shutDown stops gracefully: new work is refused as not run, requests in flight
 // end, peers learn that the node leaves, and the leases are released.
 func (n *Node) shutDown(servers []*http.Server) {
@@ -189,6 +227,7 @@
 	n.log.Info("shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.opts.Settings.Drain.Timeout))
 	defer cancel()
+	n.awaitNotice(ctx)
 	n.records.leases.Stop()
 	if err := n.gossip.Leave(ctx); err != nil {
 		n.log.Warn("cannot announce the departure", zap.Error(err))
--- a/internal/transport/node/seeds.go
+++ b/internal/transport/node/seeds.go
@@ -30,8 +30,31 @@
 	// seedDelay is the longest wait before a node registers itself, so that a
 	// fleet that starts as a whole spreads its writes.
 	seedDelay = 10 * time.Second
+	// Where the platform's store is the only way to find other nodes, nodes register
+	// at once and read until they know others: quickSeedDelay spreads 2,100 reads
+	// and the writes of 12 failure domains over half a second.
+	quickSeedDelay    = 500 * time.Millisecond
+	quickSeedAttempts = 20
+	quickSeedRetry    = 300 * time.Millisecond
+	maxQuickSeedRetry = 2 * time.Second
 )
 
+// seedPace says how fast a node registers and looks for others.
+type seedPace struct {
+	delay, retry, maxRetry, rejoin time.Duration
+	attempts                       int
+}
+
+func (n *Node) seedPace() seedPace {
+	if n.opts.Adapter != nil && len(n.opts.Settings.Membership.Seeds) == 0 {
+		return seedPace{
+			delay: quickSeedDelay, retry: quickSeedRetry, maxRetry: maxQuickSeedRetry,
+			rejoin: quickSeedRetry, attempts: quickSeedAttempts,
+		}
+	}
+	return seedPace{delay: seedDelay, retry: seedTimeout, maxRetry: maxSeedRetry, rejoin: time.Second, attempts: seedAttempts}
+}
+
 type seed struct {
 	Node registry.NodeID `json:"node"`
 	Addr string          `json:"addr"`
@@ -39,20 +62,34 @@
 
 // learnSeeds gives the seed addresses of the platform to the membership. It
 // repeats a failed read with a growing delay; the seeds of the settings serve
-// until then.
+// until then. Without seeds in the settings it reads on until the node knows
+// another failure domain.
 func (n *Node) learnSeeds(ctx context.Context) error {
-	for delay := seedTimeout; ; delay = min(2*delay, maxSeedRetry) {
+	pace := n.seedPace()
+	for delay := pace.retry; ; delay = min(2*delay, pace.maxRetry) {
 		addrs, err := n.readSeeds(ctx)
-		if err == nil && n.gossip.AddSeeds(addrs) {
+		switch {
+		case err != nil:
+			n.log.Warn("cannot read seeds from the platform", zap.Error(err))
+		case n.gossip.AddSeeds(addrs) && (n.opts.Adapter == nil || n.knowsOtherDomain()):
 			return nil
 		}
-		n.log.Warn("cannot read seeds from the platform", zap.Error(err))
 		if !sleep(ctx, delay/2+rand.N(delay)) {
 			return nil
 		}
 	}
 }
 
+// knowsOtherDomain reports whether a node of another failure domain is alive.
+func (n *Node) knowsOtherDomain() bool {
+	for _, m := range n.directory.Snapshot().Nodes() {
+		if m.Status == registry.Alive && m.FailureDomain != n.opts.Settings.Node.FailureDomain {
+			return true
+		}
+	}
+	return false
+}
+
 // readSeeds reads the seed addresses of all failure domains in one call.
 func (n *Node) readSeeds(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
@@ -87,17 +124,18 @@
 // registerSeed adds this node to the seeds of its failure domain if fewer than
 // maxSeeds of the entries are alive. Entries of dead nodes are replaced.
 func (n *Node) registerSeed(ctx context.Context) error {
-	if !sleep(ctx, rand.N(seedDelay)) {
+	pace := n.seedPace()
+	if !sleep(ctx, rand.N(pace.delay)) {
 		return nil
 	}
 	key := seedPrefix + n.opts.Settings.Node.FailureDomain
-	for range seedAttempts {
+	for range pace.attempts {
 		err := n.tryRegisterSeed(ctx, key)
 		if err == nil || ctx.Err() != nil {
 			return nil
 		}
 		n.log.Info("cannot register as seed", zap.Error(err))
-		if !sleep(ctx, time.Second+rand.N(seedDelay)) {
+		if !sleep(ctx, pace.rejoin+rand.N(pace.delay)) {
 			return nil
 		}
 	}
--- a/internal/transport/node/view.go
+++ b/internal/transport/node/view.go
@@ -52,7 +52,7 @@
 	if p == nil {
 		return ejection.ServiceView{}, false
 	}
-	v := ejection.ServiceView{Floor: p.Document.Service.Floor}
+	v := ejection.ServiceView{}
 	n.eachAlive(service, own, func(_ registry.NodeID, b *registry.Backend) {
 		switch {
 		case b.Serving():
@@ -62,6 +62,7 @@
 			v.Ejected++
 		}
 	})
+	v.Floor = p.Document.Service.FloorOf(v.Serving + v.Ejected)
 	return v, true
 }
 
@@ -72,7 +73,6 @@
 		return floor.View{}, false
 	}
 	v := floor.View{
-		Floor:   p.Document.Service.Floor,
 		Ejected: make(map[registry.BackendID]bool),
 		Own:     make(map[registry.BackendID]bool),
 		Nodes:   n.nodeViews.get(n.directory.Snapshot()),
@@ -93,6 +93,7 @@
 			v.Ejected[b.ID] = true
 		}
 	})
+	v.Floor = p.Document.Service.FloorOf(v.Serving + len(v.Ejected))
 	return v, true
 }
 
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -62,6 +62,10 @@
 		RequestID: c.id, Backend: target.Backend, Service: c.service, Route: c.route.Name,
 		Incarnation: target.Owner.Incarnation, Left: left, AnswerWithin: answerWithin,
 		Attempt: len(c.tried), Caller: c.caller, Region: in.opt.Region, Baseline: baseline,
+		Rank: c.route.Rank, Idempotent: c.route.Idempotent,
+	}
+	if !c.objective.IsZero() {
+		hop.Objective = max(c.objective.Sub(now), 0)
 	}
 	if target.Locality == routing.OtherRegion {
 		c.publish(event.RequestSpilled, target.Locality.String())
@@ -187,6 +191,7 @@
 	case header.Answered:
 		r.Response = resp
 	case header.NotRun:
+		r.Arrived = r.Reason == reasonBackendRefused
 	case header.Unknown:
 		r.Timeout = resp.StatusCode == http.StatusGatewayTimeout
 	default:
--- a/internal/transport/proxy/backends.go
+++ b/internal/transport/proxy/backends.go
@@ -71,6 +71,10 @@
 		o = nil
 	}
 	if o == nil {
+		ramp, warm := b.opt.Ramp, b.opt.Warm
+		if a.WarmupStated {
+			ramp, warm = a.Warmup, a.Warmup <= 0
+		}
 		o = &owned{
 			id: a.Backend, service: a.Service, address: a.Address, incarnation: a.Incarnation,
 			pool: backend.NewPool(backend.Options{
@@ -78,7 +82,7 @@
 			}),
 			keeper: newKeeper(admission.NewGate(admission.Options{
 				Slots: slots, QueueLimit: limits.Queue, CallerInFlight: limits.CallerInFlight,
-				Ramp: b.opt.Ramp, Warm: b.opt.Warm,
+				Ramp: ramp, Warm: warm,
 			}, b.opt.Now()), b.opt.Now),
 		}
 		b.byID[a.Backend] = o
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -31,7 +32,9 @@
 	id       string
 	start    time.Time
 	deadline time.Time
-	span     trace.Span
+	// objective is when an answer stops being fully useful; zero if not stated.
+	objective time.Time
+	span      trace.Span
 
 	request *http.Request
 	body    *callerBody
@@ -58,7 +61,8 @@
 	limits := c.policy.Document.Service.Limits
 	budget := in.budget(c.service, limits.RetryPercent)
 	plan := retry.NewPlan(retry.Options{
-		Idempotent: c.route.Idempotent, MaxAttempts: limits.MaxAttempts,
+		Idempotent: c.route.Idempotent, MaxAttempts: cmp.Or(c.route.MaxAttempts, limits.MaxAttempts),
+		FreeRefusals: in.opt.FreeRefusals,
 		// An attempt that starts within the margin could not be answered in time.
 		Deadline: c.deadline.Add(-2 * margin(c.deadline.Sub(c.start))),
 	})
@@ -83,7 +87,7 @@
 		if in.off.sentIsFinal && state == retry.Sent {
 			state = retry.NotSent
 		}
-		d := plan.Next(in.opt.Now(), budget, retry.AttemptResult{State: state, Shed: t.shed()})
+		d := plan.Next(in.opt.Now(), budget, retry.AttemptResult{State: state, Shed: t.shed(), Arrived: t.reply.Arrived})
 		if d.Action == retry.Retry && !t.leavesBody() {
 			d = plan.GiveUp(reasonBodyConsumed)
 		}
@@ -196,6 +200,7 @@
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h[header.RequestID] = []string{c.id}
+	header.Set(h, c.in.opt.Dialect.RequestID, c.id)
 	h[header.Outcome] = []string{outcome}
 	h[header.Reason] = []string{reason}
 	if c.shed && outcome == header.NotRun {
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -33,9 +33,10 @@
 	grace = time.Second
 )
 
-// Policies finds the policy in force for a host. *policy.Table implements it.
+// Policies finds the route of a request in the policies in force. *policy.Table
+// implements it.
 type Policies interface {
-	ByHost(host string) *policy.InForce
+	Match(host, method, path string) (policy.Match, error)
 }
 
 // IngressOptions configures an Ingress. Directory, Policies, Balancer, Peers and
@@ -49,6 +50,18 @@
 	Peers     *peer.Pool
 	// Owner runs the requests whose backend server this node owns.
 	Owner *Owner
+	// Dialect names the headers of callers; the default is the project's own.
+	Dialect *header.Dialect
+	// LocalService is the service on this VM, which backend servers are told as
+	// the origin of the requests that arrive here.
+	LocalService string
+	// FreeRefusals is the number of refusals by owners, before anything was sent
+	// to a backend server, after which a request is tried elsewhere without drawing
+	// on the retry budget or the number of attempts.
+	FreeRefusals int
+	// RetryMinimum is the number of retries in 10 s that a service is always
+	// allowed; 0 selects the default.
+	RetryMinimum int
 	// KeepBytes is the largest body of known length, at most 64 KB, that is kept in
 	// memory for a request that is not idempotent. Such a body is sent to the owner
 	// without waiting for its interim response, which saves one round trip between
@@ -66,6 +79,7 @@
 	opt     IngressOptions
 	tracer  trace.Tracer
 	budgets sync.Map // registry.ServiceID -> *retry.Budget
+	splits  routing.Splitter
 	rngs    sync.Pool
 	drainer
 
@@ -78,6 +92,9 @@
 
 // NewIngress returns an ingress that accepts requests.
 func NewIngress(o IngressOptions) *Ingress {
+	if o.Dialect == nil {
+		o.Dialect = header.OwnDialect()
+	}
 	if o.Events == nil {
 		o.Events = event.Discard{}
 	}
@@ -101,7 +118,7 @@
 
 // ServeHTTP implements http.Handler.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{in: in, w: w, id: header.NewRequestID(), start: in.opt.Now()}
+	c := &call{in: in, w: w, start: in.opt.Now()}
 	c.control = http.NewResponseController(w)
 	// Replaces the limit of the previous request on the connection.
 	_ = c.control.SetWriteDeadline(c.start.Add(defaultTimeout))
@@ -133,19 +150,24 @@
 // request cannot be passed on.
 func (c *call) prepare(r *http.Request) bool {
 	in := c.in
-	p := in.opt.Policies.ByHost(hostName(r.Host))
-	if p == nil {
+	if !c.identify(r) {
+		return c.refuse(http.StatusBadRequest, reasonBadID, false)
+	}
+	m, err := in.opt.Policies.Match(hostName(r.Host), r.Method, r.URL.EscapedPath())
+	switch {
+	case errors.Is(err, policy.ErrUnknownHost):
 		return c.refuse(http.StatusNotFound, reasonUnknownHost, false)
+	case err != nil:
+		return c.refuse(http.StatusNotFound, reasonNoRoute, false)
 	}
-	c.policy, c.service = p, registry.ServiceID(p.Service)
+	rng := in.rngs.Get().(*rand.Rand)
+	p := m.Targets[in.splits.Choose(rng, m)].Policy
+	in.rngs.Put(rng)
+	route := m.Route
+	c.policy, c.service, c.route = p, registry.ServiceID(p.Service), route
 	if r.Header.Get("Upgrade") != "" && strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade") {
 		return c.refuse(http.StatusNotImplemented, reasonUpgradeUnsupp, false)
 	}
-	route, ok := p.Document.Match(r.Method, r.URL.Path)
-	if !ok {
-		return c.refuse(http.StatusNotFound, reasonNoRoute, false)
-	}
-	c.route = route
 	if c.span.IsRecording() {
 		c.span.SetAttributes(attribute.String("wigeonspring.request_id", c.id),
 			attribute.String("wigeonspring.service", p.Service), attribute.String("wigeonspring.route", route.Name),
@@ -158,7 +180,7 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if s := r.Header.Get(header.DeadlineMillis); s != "" {
+	if s := r.Header.Get(in.opt.Dialect.Deadline); s != "" {
 		left, err := header.ParseDeadline(s)
 		if err != nil {
 			return c.refuse(http.StatusBadRequest, reasonBadDeadline, false)
@@ -166,13 +188,34 @@
 		timeout = min(timeout, left)
 	}
 	c.deadline = c.start.Add(timeout)
+	if route.Objective > 0 {
+		c.objective = c.start.Add(time.Duration(route.Objective))
+	}
 	c.caller = header.CallerName(r.Header.Get(header.Caller))
 	header.StripInternal(r.Header)
 	header.StripHopByHop(r.Header)
+	header.Set(r.Header, in.opt.Dialect.CallerService, in.opt.LocalService)
 	c.request = r
 	return c.takeBody(r)
 }
 
+// identify sets the identifier of the request. It reports false if the caller
+// must send one and did not.
+func (c *call) identify(r *http.Request) bool {
+	d := c.in.opt.Dialect
+	if !d.AdoptRequestID {
+		c.id = header.NewRequestID()
+		return true
+	}
+	id := r.Header.Get(d.RequestID)
+	if !header.UsableRequestID(id) {
+		c.id = header.NewRequestID()
+		return false
+	}
+	c.id = id
+	return true
+}
+
 // takeBody prepares the body of the request for its attempts.
 func (c *call) takeBody(r *http.Request) bool {
 	limit := c.policy.Document.Service.Limits.MaxBodyBytes
@@ -222,6 +265,6 @@
 		budget.SetPercent(percent)
 		return budget
 	}
-	b, _ := in.budgets.LoadOrStore(id, retry.NewBudget(retry.BudgetOptions{Percent: percent}))
+	b, _ := in.budgets.LoadOrStore(id, retry.NewBudget(retry.BudgetOptions{Percent: percent, Minimum: in.opt.RetryMinimum}))
 	return b.(*retry.Budget)
 }
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/url"
 	"sync"
@@ -47,6 +48,8 @@
 	Incarnations func() (first, current uint64)
 	Leases       Leases
 	Backends     *Backends
+	// Dialect names the headers of backend servers; the default is the project's own.
+	Dialect *header.Dialect
 	// Observe receives every exchange with a backend server. It must not block.
 	Observe func(evidence.Observation)
 	Events  event.Sink
@@ -71,6 +74,9 @@
 
 // NewOwner returns an owner that accepts requests.
 func NewOwner(o OwnerOptions) *Owner {
+	if o.Dialect == nil {
+		o.Dialect = header.OwnDialect()
+	}
 	if o.Observe == nil {
 		o.Observe = func(evidence.Observation) {}
 	}
@@ -189,6 +195,9 @@
 	if err != nil {
 		return x.failed(err, leased, sent, load)
 	}
+	if o.opt.Dialect.ProvesNotRun(resp.Response) {
+		return x.refused(resp, load)
+	}
 	x.answered(resp)
 	return &reply{Outcome: header.Answered, Load: load, Response: resp.Response}
 }
@@ -197,8 +206,11 @@
 func (o *Owner) outgoing(ctx context.Context, a *attempt, address string) *http.Request {
 	in := a.Request
 	h := in.Header
-	v := [...]string{a.RequestID, header.FormatDeadline(a.Deadline.Sub(o.opt.Now())), header.FormatAttempt(a.Attempt)}
-	h[header.RequestID], h[header.DeadlineMillis], h[header.Attempt] = v[0:1:1], v[1:2:2], v[2:3:3]
+	d := o.opt.Dialect
+	header.Set(h, d.RequestID, a.RequestID)
+	header.Set(h, d.Deadline, header.FormatDeadline(a.Deadline.Sub(o.opt.Now())))
+	header.Set(h, d.ExpectedInstance, string(a.Backend))
+	h[header.Attempt] = []string{header.FormatAttempt(a.Attempt)}
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // Keeps net/http from adding its own.
 	}
@@ -313,6 +325,21 @@
 	return &reply{Outcome: header.Unknown, Reason: reason, Timeout: kind == evidence.Timeout, Load: load}
 }
 
+// refusalBytes bounds the body of a refusal that is read so that the connection
+// can be used again.
+const refusalBytes = 4 << 10
+
+// refused ends an exchange whose backend server stated that it did not run the
+// request.
+func (x *exchange) refused(resp *backend.Answer, load *evidence.Load) *reply {
+	_, _ = io.CopyN(io.Discard, resp.Body, refusalBytes)
+	_ = resp.Body.Close()
+	x.end(evidence.Shed, reasonBackendRefused, 0)
+	r := notRun(reasonBackendRefused, load)
+	r.Arrived = true
+	return r
+}
+
 // answered prepares the answer: its body ends the exchange.
 func (x *exchange) answered(resp *backend.Answer) {
 	x.latency = max(x.owner.opt.Now().Sub(x.start)-resp.UploadWait(), 1)
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -24,12 +24,15 @@
 	reasonWrongID       = "request_id_mismatch"
 	reasonUnknownHost   = "unknown_host"
 	reasonNoRoute       = "no_route"
+	reasonBadID         = "invalid_request_id"
 	reasonBadDeadline   = "invalid_deadline"
 	reasonBodyTooLarge  = "request_body_too_large"
 	reasonBodyCut       = "request_body_cut"
 	reasonAnswerCut     = "answer_cut"
 	reasonOwnerSilent   = "owner_did_not_answer"
 	reasonUpgradeUnsupp = "upgrade_not_supported"
+	// reasonBackendRefused: the backend server stated that it did not run the request.
+	reasonBackendRefused = "backend_refused"
 )
 
 // reply is the owner's answer to an attempt.
@@ -39,6 +42,8 @@
 	Reason  string
 	// Timeout marks an unknown outcome due to the deadline.
 	Timeout bool
+	// Arrived marks a refusal by the backend server itself; the request reached it.
+	Arrived bool
 	// Load is the load of the backend server, or nil.
 	Load *evidence.Load
 	// Response is the backend server's answer; nil unless answered. Its body must
