--- a/internal/coordination/distribution/core.go
+++ b/internal/coordination/distribution/core.go
@@ -97,6 +97,10 @@
 	// Linearizable says that a listing of the platform reflects every write that
 	// was acknowledged before, so that it confirms a starting node without a peer.
 	Linearizable bool
+	// WatchWait is the waiting time of a watch on the platform; 0 selects 10 s. It
+	// bounds how late a change is noticed if the platform loses it for a watch that
+	// waits.
+	WatchWait time.Duration
 	// MaxBackoff bounds the wait after platform errors; 0 selects 30 s.
 	MaxBackoff time.Duration
 	// Defaults complete the services of a fleet document.
@@ -158,6 +162,9 @@
 		AcceptLowerEpochs: o.Disabled.EpochCheck,
 		Defaults:          o.Defaults,
 	})
+	if c.o.WatchWait == 0 {
+		c.o.WatchWait = watchWait
+	}
 	if c.o.MaxBackoff == 0 {
 		c.o.MaxBackoff = backoffHigh
 	}
--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -67,8 +67,8 @@
 	s.request = &PlatformRequest{ID: s.lastID}
 	s.deadline = c.now.Add(platformTimeout)
 	if s.listed {
-		s.request.Watch, s.request.Since, s.request.Wait = true, s.revision, watchWait
-		s.deadline = s.deadline.Add(watchWait)
+		s.request.Watch, s.request.Since, s.request.Wait = true, s.revision, c.o.WatchWait
+		s.deadline = s.deadline.Add(c.o.WatchWait)
 	}
 	c.out.Platform = s.request
 }
@@ -83,6 +83,7 @@
 	if errors.Is(r.Err, platform.ErrCompacted) {
 		// A platform that refuses its own revisions must not be asked in a loop.
 		s.listed, s.retryAt = false, c.now.Add(c.jitter(backoffLow))
+		c.event(event.PlatformCompacted, "", "listing again", event.Field{Key: "revision", Value: fmt.Sprint(s.revision)})
 		return
 	}
 	if r.Err != nil {
--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -123,6 +123,9 @@
 	MaxAttempts int
 	// Deadline is the caller's deadline; zero means none.
 	Deadline time.Time
+	// Objective is when an answer stops being fully useful; zero means that none is
+	// stated.
+	Objective time.Time
 	// FreeRefusals is the number of attempts that may end before anything reached
 	// a backend server without counting as attempts or retries. Such an attempt
 	// adds no load to the service.
@@ -181,6 +184,9 @@
 		return time.Time{}
 	}
 	left := p.opt.Deadline.Sub(now)
+	if !p.opt.Objective.IsZero() {
+		return p.answerByObjective(now, left)
+	}
 	limit := left / 2
 	if typical.Samples >= minSamples {
 		limit = max(left/minShare, typicalFactor*typical.Median)
@@ -191,6 +197,16 @@
 	return now.Add(limit)
 }
 
+// answerByObjective lets an attempt take the time in which its answer is fully
+// useful, if about as much is left for another one.
+func (p *Plan) answerByObjective(now time.Time, left time.Duration) time.Time {
+	limit := p.opt.Objective.Sub(now)
+	if limit <= 0 || 2*limit > left {
+		return time.Time{}
+	}
+	return p.opt.Objective
+}
+
 // Next records the end of an attempt and decides what follows. The first call
 // counts the request in the budget and each Retry takes one retry from it, also
 // after a refusal, so that overload is not amplified. After a final decision Next
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -34,6 +34,7 @@
 	RetryBudgetSpent   Kind = "retry_budget_spent"
 	PlatformDown       Kind = "platform_down"
 	PlatformUp         Kind = "platform_up"
+	PlatformCompacted  Kind = "platform_compacted"
 	InvariantViolation Kind = "invariant_violation"
 )
 
--- a/internal/transport/backend/conn.go
+++ b/internal/transport/backend/conn.go
@@ -118,6 +118,7 @@
 	unsolicited := n > 0 && !c.written
 	c.mu.Unlock()
 	if unsolicited && !c.pool.off.unsolicited {
+		c.pool.stray()
 		return 0, errUnsolicited
 	}
 	return n, err
--- a/internal/transport/backend/exchange.go
+++ b/internal/transport/backend/exchange.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/fault"
-	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/evidence"
 )
 
@@ -45,15 +44,16 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // Do sends the request on one connection and never repeats it. id is the request
-// identifier, which an answer must repeat if it names one. allowed is asked once,
+// identifier, which an answer must repeat if it names one. repeatable says that the
+// request may run again if its answer is lost. allowed is asked once,
 // directly before the first byte can be written. The caller reads the body of the
 // answer and closes it; errors, also those of the body, are of type *Error.
 //
 // http.Transport.RoundTrip is not used: it repeats a request on a new connection
 // when a reused one fails and the method or an Idempotency-Key header suggests
 // that this is safe. An http.ClientConn is bound to one connection and cannot.
-func (p *Pool) Do(ctx context.Context, req *http.Request, id string, allowed func() bool) (*Answer, error) {
-	c, err := p.get(ctx)
+func (p *Pool) Do(ctx context.Context, req *http.Request, id string, repeatable bool, allowed func() bool) (*Answer, error) {
+	c, err := p.get(ctx, repeatable)
 	if err != nil {
 		return nil, dialError(ctx, err)
 	}
@@ -76,11 +76,12 @@
 		x.abandon()
 		return nil, x.classify(err, untouched)
 	}
-	if got := resp.Header.Get(header.RequestID); got != "" && got != id && !p.off.requestID {
+	if got := resp.Header.Get(p.opt.IDHeader); got != "" && got != id && !p.off.requestID {
 		x.abandon()
+		p.stray()
 		return nil, x.fail(evidence.Reset, ReasonMismatch, errors.New("the answer belongs to another request"))
 	}
-	if unframed(req, resp) {
+	if resp.StatusCode < 200 || !p.opt.CloseDelimited && unframed(req, resp) {
 		x.abandon()
 		return nil, x.fail(evidence.Truncated, ReasonNoLength, errors.New("the end of the answer cannot be recognized"))
 	}
@@ -106,8 +107,7 @@
 // unframed reports whether the answer ends only with the connection, so that a
 // truncated answer would look complete.
 func unframed(req *http.Request, resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead ||
-		resp.StatusCode < 200
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead
 }
 
 func dialError(ctx context.Context, err error) *Error {
--- a/internal/transport/backend/exchange_test.go
+++ b/internal/transport/backend/exchange_test.go
@@ -66,7 +66,7 @@
 
 // get sends a request and reads the whole answer.
 func get(ctx context.Context, p *Pool, req *http.Request, id string) (string, error) {
-	a, err := p.Do(ctx, req, id, yes)
+	a, err := p.Do(ctx, req, id, false, yes)
 	if err != nil {
 		return "", err
 	}
@@ -278,7 +278,7 @@
 func TestWithdrawnPermissionSendsNothing(t *testing.T) {
 	s := serveScript(t, func(_ int, r *http.Request, c net.Conn) bool { return ok(c, "") })
 	p := newTestPool(t, s.addr, 1)
-	_, err := p.Do(context.Background(), newRequest(t, "GET", "/no", ""), "", func() bool { return false })
+	_, err := p.Do(context.Background(), newRequest(t, "GET", "/no", ""), "", false, func() bool { return false })
 	var e *Error
 	if !errors.As(err, &e) || !e.NotSent || e.Reason != ReasonWithdrawn {
 		t.Fatalf("error %v", err)
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/fault"
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
 )
 
 // Defaults of a Pool.
@@ -34,8 +35,18 @@
 	MaxConns    int
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
+	// IDHeader is the header in which an answer repeats the request identifier; the
+	// default is the project's own.
+	IDHeader string
+	// CloseDelimited accepts answers that end with their connection.
+	CloseDelimited bool
 }
 
+// distrust is how long after an answer that belongs to no request a connection is
+// not reused for a request that must not be repeated: a late second answer would
+// take the place of its own.
+const distrust = 10 * time.Second
+
 // Pool holds the connections to one backend server. It is safe for concurrent
 // use.
 type Pool struct {
@@ -50,6 +61,8 @@
 	idle    []idleConn
 	waiters []chan struct{}
 	closed  bool
+	// straySince is when an answer that belongs to no request was seen last.
+	straySince time.Time
 
 	off mechanismsOff
 }
@@ -70,6 +83,7 @@
 	o.MaxConns = max(o.MaxConns, 1)
 	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.IDHeader = cmp.Or(o.IDHeader, header.RequestID)
 	p := &Pool{opt: o, max: o.MaxConns}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -111,11 +125,31 @@
 	}
 }
 
+// stray notes an answer that belongs to no request.
+func (p *Pool) stray() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.straySince = time.Now()
+}
+
+// distrusted reports whether connections must not be reused for a request that
+// must not be repeated. The caller holds the lock.
+func (p *Pool) distrusted() bool {
+	return !p.straySince.IsZero() && time.Since(p.straySince) < distrust
+}
+
 // get returns a connection for one exchange: the idle one that was used last, or
-// a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// a new one. repeatable is false if the loss of an answer cannot be made good.
+func (p *Pool) get(ctx context.Context, repeatable bool) (*conn, error) {
 	for {
 		p.mu.Lock()
+		if len(p.idle) > 0 && !repeatable && p.distrusted() {
+			old := p.idle[0].conn
+			p.idle = p.idle[1:]
+			p.mu.Unlock()
+			_ = old.client.Close()
+			continue
+		}
 		if n := len(p.idle); n > 0 {
 			c := p.idle[n-1].conn
 			p.idle = p.idle[:n-1]
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -204,7 +204,11 @@
 
 func (n *Node) assembleProxy() {
 	s := n.opts.Settings
-	n.backends = proxy.NewBackends(proxy.BackendsOptions{Trials: s.Backend.Detector == settings.DetectorTrials})
+	n.backends = proxy.NewBackends(proxy.BackendsOptions{
+		Trials:         s.Backend.Detector == settings.DetectorTrials,
+		IDHeader:       n.dialect().RequestID,
+		CloseDelimited: n.opts.Adapter != nil,
+	})
 	n.peers = peer.NewPool(peer.Options{MaxPeers: s.Limits.MaxPeerConnections})
 	n.owner = proxy.NewOwner(proxy.OwnerOptions{
 		Self:         n.ID(),
@@ -249,6 +253,7 @@
 		Start:         time.Now(),
 		Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Linearizable:  n.opts.Adapter != nil,
+		WatchWait:     n.watchWait(),
 		MaxBackoff:    n.maxBackoff(),
 		Defaults:      n.serviceDefaults(),
 	})
@@ -269,6 +274,18 @@
 // watcher of the fleet to ask this often.
 const adapterBackoff = 2 * time.Second
 
+// adapterWatchWait keeps a change that a waiting watch was not told within the
+// bound for a configuration: two watchers for each of 12 failure domains make 12
+// reads/s of a platform that allows 2,000.
+const adapterWatchWait = 2 * time.Second
+
+func (n *Node) watchWait() time.Duration {
+	if n.opts.Adapter != nil {
+		return adapterWatchWait
+	}
+	return 0
+}
+
 func (n *Node) maxBackoff() time.Duration {
 	if n.opts.Adapter != nil {
 		return adapterBackoff
--- a/internal/transport/proxy/backends.go
+++ b/internal/transport/proxy/backends.go
@@ -20,6 +20,9 @@
 	IdleTimeout time.Duration
 	// Ramp is the duration of the cold start ramp; see admission.Options.
 	Ramp time.Duration
+	// IDHeader and CloseDelimited are those of the connections; see backend.Options.
+	IDHeader       string
+	CloseDelimited bool
 	// Trials makes a backend server that fails suspect at once and tests it with
 	// idempotent requests; see package suspicion.
 	Trials bool
@@ -85,6 +88,7 @@
 			id: a.Backend, service: a.Service, address: a.Address, incarnation: a.Incarnation,
 			pool: backend.NewPool(backend.Options{
 				Addr: a.Address, MaxConns: slots + 1, DialTimeout: b.opt.DialTimeout, IdleTimeout: b.opt.IdleTimeout,
+				IDHeader: b.opt.IDHeader, CloseDelimited: b.opt.CloseDelimited,
 			}),
 			keeper: newKeeper(admission.NewGate(admission.Options{
 				Slots: slots, QueueLimit: limits.Queue, CallerInFlight: limits.CallerInFlight,
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -67,7 +67,7 @@
 	budget := in.budget(c.service, limits.RetryPercent)
 	plan := retry.NewPlan(retry.Options{
 		Idempotent: c.route.Idempotent, MaxAttempts: cmp.Or(c.route.MaxAttempts, limits.MaxAttempts),
-		FreeRefusals: in.opt.FreeRefusals,
+		Objective: c.objective, FreeRefusals: in.opt.FreeRefusals,
 		// An attempt that starts within the margin could not be answered in time.
 		Deadline: c.deadline.Add(-2 * margin(c.deadline.Sub(c.start))),
 	})
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -196,7 +196,7 @@
 	ctx, answerBegan := limitAnswer(ctx, a.AnswerBy)
 	defer answerBegan()
 	defer x.watch()()
-	resp, err := b.pool.Do(ctx, o.outgoing(ctx, a, b.address), a.RequestID, func() bool {
+	resp, err := b.pool.Do(ctx, o.outgoing(ctx, a, b.address), a.RequestID, a.Idempotent, func() bool {
 		// The lease may have lapsed in the queue or while connecting.
 		now := o.opt.Now()
 		leased = o.opt.Leases.Holds(now, a.Backend) || o.off.lease
