Hear matching policy digests; probe near; trials only with a retry in hand

Causes: (1) membership told only of policy digests that differ, so every node took a fleet in agreement for silence and synced with a random peer each 1.25 s: most of the bytes between regions. (2) A node's retry budget was rounded down to one in 10 s, and trials of suspect backend servers used it up, so that failed calls were not retried. (3) A last resort after a refusal by a backend server was an arrival outside the budget (BUDGET). Ruled out: request traffic between regions (66 of 1,500 requests).

Probes and fresh updates prefer the own failure domain; a request is a trial only if its retry is in hand; nodes share the fleet's slack of retries, with random rounding; three trials clear a suspicion and may overlap after the first.

--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -97,10 +97,11 @@
 	return false
 }
 
-// compareDigests notes a peer whose digests differ from ours.
+// compareDigests notes the policy digest of a peer and whether its directory
+// digest differs from ours.
 func (c *Core) compareDigests(peer Peer, msg *Message) {
-	if msg.PolicyDigest != c.policyDigest {
-		c.ready.PolicyMismatches = append(c.ready.PolicyMismatches, PolicyMismatch{Peer: peer, Digest: msg.PolicyDigest})
+	if msg.Kind == Ping || msg.Kind == Ack {
+		c.ready.PolicyDigests = append(c.ready.PolicyDigests, PolicyDigest{Peer: peer, Digest: msg.PolicyDigest})
 	}
 	if msg.DirectoryDigest == 0 || msg.DirectoryDigest == c.digest {
 		return
--- a/internal/coordination/membership/options.go
+++ b/internal/coordination/membership/options.go
@@ -40,6 +40,10 @@
 	PiggybackBytes int
 	// TransmitFactor times log2(members) is the number of transmissions of an update.
 	TransmitFactor int
+	// LocalProbes prefers the own failure domain: a round of probes covers it and
+	// a few other members, and a fresh update goes to one member anywhere and
+	// otherwise stays in the domain. Links between regions are paid by volume.
+	LocalProbes bool
 	// Fanout is the number of peers that a fresh update is sent to at once.
 	Fanout int
 	// RateBytes is the send budget in bytes per second, IP and UDP headers included.
@@ -94,6 +98,10 @@
 	DefaultBurstBytes        = 16 << 10
 	DefaultMaxRecordBytes    = 1300
 
+	// remoteShare is the part of a round of local probes that goes to other failure
+	// domains: one probe in four keeps the domains in touch.
+	remoteShare = 4
+
 	// TickInterval is the longest time between two ticks of a running process.
 	TickInterval = 100 * time.Millisecond
 	// pauseGap is the gap between two inputs after which the process counts as
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -126,14 +126,31 @@
 				return m
 			}
 		}
-		for _, m := range c.live {
-			c.round = append(c.round, m.node.ID)
-		}
+		c.fillRound()
 		c.rand.Shuffle(len(c.round), func(i, j int) { c.round[i], c.round[j] = c.round[j], c.round[i] })
 	}
 	return nil
 }
 
+// fillRound lists the members of the next round.
+func (c *Core) fillRound() {
+	var others []registry.NodeID
+	for _, m := range c.live {
+		if c.opts.LocalProbes && m.node.FailureDomain != c.self.node.FailureDomain {
+			others = append(others, m.node.ID)
+			continue
+		}
+		c.round = append(c.round, m.node.ID)
+	}
+	// At least one of each round goes elsewhere, and all if the domain is empty.
+	extra := len(others)
+	if len(c.round) > 0 {
+		extra = min(extra, (len(c.round)+remoteShare-2)/(remoteShare-1))
+	}
+	c.rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	c.round = append(c.round, others[:extra]...)
+}
+
 // ping sends a ping; m is nil if the member behind the address is not known.
 func (c *Core) ping(to Peer, m *member, number uint64) bool {
 	msg := c.message(Ping)
--- a/internal/coordination/membership/ready.go
+++ b/internal/coordination/membership/ready.go
@@ -8,8 +8,8 @@
 	Addr string
 }
 
-// PolicyMismatch is a peer whose policy digest differs from the local one.
-type PolicyMismatch struct {
+// PolicyDigest is the policy digest of a peer.
+type PolicyDigest struct {
 	Peer
 	// Digest is the digest of the peer's policy table.
 	Digest uint64
@@ -90,8 +90,8 @@
 	Events    []Event
 	Syncs     []Sync
 	Haves     []PeerHave
-	// PolicyMismatches lists peers whose policy digest differs from ours.
-	PolicyMismatches []PolicyMismatch
+	// PolicyDigests lists the policy digests heard in probes and answers.
+	PolicyDigests []PolicyDigest
 }
 
 // Stats counts what the core did.
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -106,7 +106,7 @@
 	if c.opts.Disable.EagerGossip || !c.queue.fresh(c.opts.Fanout) {
 		return
 	}
-	for _, m := range c.randomLive(c.opts.Fanout, "") {
+	for _, m := range c.gossipTargets() {
 		if c.budget.available(reserveUrgent) < 200 {
 			return
 		}
@@ -114,6 +114,22 @@
 	}
 }
 
+// gossipTargets returns the members that a fresh update is sent to.
+func (c *Core) gossipTargets() []*member {
+	if !c.opts.LocalProbes {
+		return c.randomLive(c.opts.Fanout, "")
+	}
+	targets := c.randomLive(1, "")
+	var near []*member
+	for _, m := range c.live {
+		if m.node.Status == registry.Alive && m.node.FailureDomain == c.self.node.FailureDomain && !contains(targets, m) {
+			near = append(near, m)
+		}
+	}
+	c.rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return append(targets, near[:min(len(near), c.opts.Fanout-1)]...)
+}
+
 // wantRecord asks a peer for the full record of a member.
 func (c *Core) wantRecord(from Peer, id registry.NodeID) {
 	w := c.wants[id]
--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -94,7 +94,7 @@
 	Changed bool
 	// Expires is the end of the lease.
 	Expires time.Time
-	// Replaced is the lease that this announcement ended, or nil.
+	// Replaced is the lease of the backend server that had the address before, or nil.
 	Replaced *Lost
 }
 
@@ -185,11 +185,7 @@
 	if a.Released {
 		delete(t.leases, a.Backend)
 		t.released[a.Backend] = release{a.Incarnation, now}
-		res := Result{Accepted: true, Changed: old != nil, Expires: now}
-		if old != nil {
-			res.Replaced = &Lost{Backend: a.Backend, Service: old.Service, Reason: Released}
-		}
-		return res
+		return Result{Accepted: true, Changed: old != nil, Expires: now}
 	}
 	if t.stopping {
 		return Result{Reason: Stopping}
@@ -250,6 +246,17 @@
 	return Lost{Backend: id, Service: l.Service, Reason: Superseded}, true
 }
 
+// Service returns the service of a backend server whose lease is held.
+func (t *Table) Service(id registry.BackendID) (registry.ServiceID, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.leases[id]
+	if l == nil {
+		return "", false
+	}
+	return l.Service, true
+}
+
 // leaseFrom returns the earliest instant at which the announcement may have been
 // sent. An announcement that is read soon after a pause of the process may have
 // been sent at any time since the pause began, and its sender may have moved to
--- a/internal/coordination/retry/budget.go
+++ b/internal/coordination/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -24,6 +25,12 @@
 	Percent float64
 	// Minimum is the number of retries per window that is always allowed.
 	Minimum int
+	// Slack is a number of retries per window in addition to the share; it may be a
+	// fraction and replaces Minimum if it is above 0.
+	Slack float64
+	// Phase, 0 to 1, decides on which side the limit is rounded, so that the limits
+	// of many nodes with random phases add up to what they share.
+	Phase float64
 	// Window is the length of the sliding window.
 	Window time.Duration
 }
@@ -40,6 +47,7 @@
 	requests int64
 	retries  int64
 	peak     float64 // highest percentage in force since start
+	slack    float64 // highest slack in force since start
 
 	off bool // disables the limit in tests
 }
@@ -57,7 +65,7 @@
 	if opt.Window == 0 {
 		opt.Window = DefaultWindow
 	}
-	return &Budget{opt: opt, width: opt.Window / buckets, peak: opt.Percent}
+	return &Budget{opt: opt, width: opt.Window / buckets, peak: opt.Percent, slack: opt.Slack}
 }
 
 // SetPercent changes the share of requests that may be retried.
@@ -68,6 +76,32 @@
 	b.peak = max(b.peak, percent)
 }
 
+// SetSlack changes the slack.
+func (b *Budget) SetSlack(slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opt.Slack = slack
+	b.slack = max(b.slack, slack)
+}
+
+// Available reports whether Take would allow a retry now.
+func (b *Budget) Available(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	requests, retries := b.window()
+	return float64(retries+1) <= b.limit(requests)
+}
+
+// limit returns the retries that a window with this number of requests allows.
+func (b *Budget) limit(requests int64) float64 {
+	share := float64(requests) * b.opt.Percent / 100
+	if b.opt.Slack > 0 {
+		return math.Floor(share + b.opt.Slack + b.opt.Phase)
+	}
+	return max(float64(b.opt.Minimum), share)
+}
+
 // AddRequest records a request. Plan.Next does this once for each plan.
 func (b *Budget) AddRequest(now time.Time) {
 	b.mu.Lock()
@@ -83,7 +117,7 @@
 	defer b.mu.Unlock()
 	b.advance(now)
 	requests, retries := b.window()
-	limit := max(float64(b.opt.Minimum), float64(requests)*b.opt.Percent/100)
+	limit := b.limit(requests)
 	if float64(retries+1) > limit && !b.off {
 		return false
 	}
@@ -101,7 +135,11 @@
 // since it exists. Windows that end with a retry and do not overlap cover all
 // retries, and each allows its share of its own requests or the minimum.
 func (b *Budget) bound(windows int64) float64 {
-	return float64(b.requests)*(1+b.peak/100) + float64(windows)*float64(b.opt.Minimum)
+	extra := float64(b.opt.Minimum)
+	if b.slack > 0 {
+		extra += b.slack + 1
+	}
+	return float64(b.requests)*(1+b.peak/100) + float64(windows)*extra
 }
 
 // Totals returns the requests and retries since the budget exists.
--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -154,6 +154,12 @@
 	return &Plan{opt: opt}
 }
 
+// AllowsRetry reports whether the attempt that starts now could be followed by
+// another if its answer is lost.
+func (p *Plan) AllowsRetry(now time.Time, b *Budget) bool {
+	return p.opt.Idempotent && p.attempts+1 < p.opt.MaxAttempts && b.Available(now)
+}
+
 // Again returns the plan of the same request with its limits of attempts renewed,
 // for a last resort. It may follow only a decision that nothing was sent.
 func (p *Plan) Again() *Plan {
--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -23,10 +23,10 @@
 	// trialInterval is the time between the starts of two trials. With a third of
 	// the backend servers suspect, failed trials then stay below a tenth of the
 	// arrivals.
-	trialInterval = 400 * time.Millisecond
+	trialInterval = 500 * time.Millisecond
 	// minTrials and maxTrials bound the successive trials that clear a suspicion.
-	// A backend server that fails 85 of 100 requests passes two with 2%.
-	minTrials = 2
+	// A backend server that fails 85 of 100 requests passes three with 0.3%.
+	minTrials = 3
 	maxTrials = 5
 	// relapse is the time after a cleared suspicion in which the next one needs one
 	// more trial.
@@ -71,19 +71,21 @@
 	// needed and passed count the trials of the current suspicion.
 	needed, passed int
 	lastTrial      time.Time
-	trialRunning   bool
+	// running counts the trials that have not ended.
+	running int
 }
 
-// Admit decides about a request. lastResort marks one that was refused everywhere
-// else.
-func (t *Tracker) Admit(now time.Time, idempotent, lastResort bool) Verdict {
+// Admit decides about a request. mayTry marks one that is tried elsewhere if it
+// fails, lastResort one that was refused everywhere else.
+func (t *Tracker) Admit(now time.Time, mayTry, lastResort bool) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.suspect {
 		return Allow
 	}
-	if idempotent && t.trialDue(now) {
-		t.lastTrial, t.trialRunning = now, true
+	if mayTry && t.trialDue(now) {
+		t.lastTrial = now
+		t.running++
 		return Trial
 	}
 	if lastResort {
@@ -107,14 +109,18 @@
 func (t *Tracker) EndTrial() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.trialRunning = false
+	t.running = max(t.running-1, 0)
 }
 
+// trialDue lets one trial run, and one more for each that has passed.
 func (t *Tracker) trialDue(now time.Time) bool {
-	if t.trialRunning && now.Sub(t.lastTrial) < trialTimeout {
-		return false
+	if now.Sub(t.lastTrial) >= trialTimeout {
+		t.running = 0
 	}
-	return now.Sub(t.lastTrial) >= trialInterval
+	if t.passed > 0 {
+		return t.running <= t.passed
+	}
+	return t.running == 0 && now.Sub(t.lastTrial) >= trialInterval
 }
 
 // Observe takes the end of an exchange that began at start. An exchange that began
@@ -142,11 +148,9 @@
 	if start.Before(t.since) {
 		return None
 	}
-	t.trialRunning = false
+	t.running = max(t.running-1, 0)
 	t.passed++
 	if t.passed < t.needed {
-		// The next trial need not wait: the evidence is good.
-		t.lastTrial = time.Time{}
 		return None
 	}
 	t.suspect, t.score, t.cleared = false, 0, now
@@ -156,7 +160,7 @@
 func (t *Tracker) failure(now time.Time, score float64) Change {
 	t.score = min(t.score+score, 2*threshold)
 	if t.suspect {
-		t.trialRunning, t.passed = false, 0
+		t.running, t.passed = max(t.running-1, 0), 0
 		return None
 	}
 	if t.score < threshold {
@@ -168,7 +172,7 @@
 		t.needed = minTrials
 	}
 	t.suspect, t.since, t.passed = true, now, 0
-	t.trialRunning, t.lastTrial = false, now
+	t.running, t.lastTrial = 0, now
 	return Suspected
 }
 
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -42,6 +42,8 @@
 	ObjectiveMillis = "Wigeonspring-Objective-Ms"
 	// Idempotent marks a request that may run more than once.
 	Idempotent = "Wigeonspring-Idempotent"
+	// Trial marks a request that may test a suspect backend server.
+	Trial = "Wigeonspring-Trial"
 	// LastResort marks an attempt for which no other backend server is left.
 	LastResort = "Wigeonspring-Last-Resort"
 	// CallerService names the service on the VM where the request began.
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -30,6 +30,9 @@
 	Rank int
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
+	// Trial says that the request may test a suspect backend server: it is tried
+	// elsewhere if it fails.
+	Trial bool
 	// Objective is the time left in which an answer is fully useful; 0 means that
 	// none is stated or that it has passed.
 	Objective time.Duration
@@ -66,6 +69,9 @@
 	if p.Idempotent {
 		set(Idempotent, flagSet)
 	}
+	if p.Trial {
+		set(Trial, flagSet)
+	}
 	if p.Objective > 0 {
 		set(ObjectiveMillis, FormatDeadline(p.Objective))
 	}
@@ -92,6 +98,7 @@
 	}
 	p.Idempotent = h.Get(Idempotent) == flagSet
 	p.LastResort = h.Get(LastResort) == flagSet
+	p.Trial = h.Get(Trial) == flagSet
 	var err error
 	if s := h.Get(Rank); s != "" {
 		if p.Rank, err = strconv.Atoi(s); err != nil || p.Rank < 0 {
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -92,7 +92,7 @@
 type Fleet struct {
 	FloorPercent int `toml:"floor_percent" allowed:"0 to 100" doc:"Share of a service's backend servers that ejection leaves in service."`
 	RetryPercent int `toml:"retry_percent" allowed:"0 to 100" doc:"Share of a service's requests that a node may repeat within 10 s."`
-	RetryMinimum int `toml:"retry_minimum" allowed:"0 to 100" doc:"Repeats within 10 s that a node may always make for a service."`
+	RetrySlack   int `toml:"retry_slack" allowed:"0 to 100000" doc:"Repeats within 10 s that the whole fleet may make for a service beyond that share; each node takes an equal part. 0 allows each node 3."`
 	FreeRefusals int `toml:"free_refusals" allowed:"0 to 100" doc:"Refusals by owners, before anything reached a backend server, after which a request is tried elsewhere without counting as a repeat."`
 }
 
@@ -120,7 +120,7 @@
 		},
 		Drain:   Drain{Timeout: Duration(30 * time.Second)},
 		Backend: Backend{Lease: Duration(registry.LeaseDuration), Detector: DetectorCUSUM},
-		Fleet:   Fleet{FloorPercent: 70, RetryPercent: 10, RetryMinimum: 3},
+		Fleet:   Fleet{FloorPercent: 70, RetryPercent: 10},
 		Output:  Output{LogLevel: "info"},
 		Limits:  Limits{MaxPeerConnections: 128, ControlBytesPerSecond: 3072, ControlBurstBytes: 16384},
 	}
@@ -248,7 +248,7 @@
 	"backend.lease":                   between(time.Second, 10*time.Minute),
 	"fleet.floor_percent":             count(0, 100),
 	"fleet.retry_percent":             count(0, 100),
-	"fleet.retry_minimum":             count(0, 100),
+	"fleet.retry_slack":               count(0, 100000),
 	"fleet.free_refusals":             count(0, 100),
 	"listen.peer_advertise":           func(v any) bool { return v == "" || specificAddress(v) },
 	"operator.token":                  func(v any) bool { return v == "" || tokenPattern.MatchString(v.(string)) },
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -247,8 +247,8 @@
 	for _, h := range r.Haves {
 		t.opts.OnHave(h.Peer, h.Have)
 	}
-	for _, p := range r.PolicyMismatches {
-		t.opts.OnDigestMismatch(p.Peer, p.Digest)
+	for _, p := range r.PolicyDigests {
+		t.opts.OnPolicyDigest(p.Peer, p.Digest)
 	}
 }
 
--- a/internal/transport/gossip/gossip_test.go
+++ b/internal/transport/gossip/gossip_test.go
@@ -93,7 +93,13 @@
 					o.Seeds = []string{nodes[0].Addr()}
 				}
 				o.PolicyDigest = func() uint64 { return uint64(1 + i/4) }
-				o.OnDigestMismatch = func(membership.Peer, uint64) { mu.Lock(); mismatches++; mu.Unlock() }
+				o.OnPolicyDigest = func(_ membership.Peer, digest uint64) {
+					if digest != uint64(1+i/4) {
+						mu.Lock()
+						mismatches++
+						mu.Unlock()
+					}
+				}
 				o.OnHave = func(_ membership.Peer, h membership.Have) { mu.Lock(); haves[h.Hash]++; mu.Unlock() }
 			}))
 		}
--- a/internal/transport/gossip/options.go
+++ b/internal/transport/gossip/options.go
@@ -46,8 +46,9 @@
 	PolicyDigest func() uint64
 	// OnHave is called for every policy notice received.
 	OnHave func(peer membership.Peer, have membership.Have)
-	// OnDigestMismatch is called when a peer's policy digest differs.
-	OnDigestMismatch func(peer membership.Peer, digest uint64)
+	// OnPolicyDigest is called with the policy digest of every probe and answer that a peer sends.
+	// A digest that equals the own one is told too: it shows that nothing is missing.
+	OnPolicyDigest func(peer membership.Peer, digest uint64)
 	// OnSuperseded is called when a newer process has taken over the node's id.
 	OnSuperseded func()
 
@@ -84,8 +85,8 @@
 	if o.OnHave == nil {
 		o.OnHave = func(membership.Peer, membership.Have) {}
 	}
-	if o.OnDigestMismatch == nil {
-		o.OnDigestMismatch = func(membership.Peer, uint64) {}
+	if o.OnPolicyDigest == nil {
+		o.OnPolicyDigest = func(membership.Peer, uint64) {}
 	}
 	if o.OnSuperseded == nil {
 		o.OnSuperseded = func() {}
--- a/internal/transport/node/cluster.go
+++ b/internal/transport/node/cluster.go
@@ -31,12 +31,13 @@
 		Membership: membership.Options{
 			ProbeInterval: time.Duration(s.Membership.ProbeInterval),
 			SyncInterval:  time.Duration(s.Membership.SyncInterval),
+			LocalProbes:   n.opts.Adapter != nil,
 			RateBytes:     s.Limits.ControlBytesPerSecond,
 			BurstBytes:    s.Limits.ControlBurstBytes,
 		},
 		PolicyDigest: n.policies.Digest,
 		OnHave:       n.hearHave,
-		OnDigestMismatch: func(p membership.Peer, digest uint64) {
+		OnPolicyDigest: func(p membership.Peer, digest uint64) {
 			n.sync.HeardDigest(distribution.HeardDigest{From: p.ID, Digest: digest})
 		},
 		HTTPClient: n.rpcClient,
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -238,7 +238,7 @@
 		Dialect:      n.dialect(),
 		LocalService: s.Node.LocalService,
 		FreeRefusals: s.Fleet.FreeRefusals,
-		RetryMinimum: s.Fleet.RetryMinimum,
+		RetrySlack:   n.retrySlack(),
 		Events:       n.bus,
 		Logger:       n.log,
 		Tracing:      n.tracing,
@@ -303,6 +303,19 @@
 	return d
 }
 
+// slackShare is the part of the fleet's slack that nodes use. The rest covers calls
+// of repeated requests and nodes that have not heard of all others.
+const slackShare = 0.85
+
+// retrySlack returns the function that gives this node's part of the slack.
+func (n *Node) retrySlack() func() float64 {
+	slack := float64(n.opts.Settings.Fleet.RetrySlack)
+	if slack == 0 {
+		return nil
+	}
+	return func() float64 { return slackShare * slack / float64(max(n.directory.Snapshot().Len(), 1)) }
+}
+
 // ID implements control.Node.
 func (n *Node) ID() registry.NodeID { return registry.NodeID(n.opts.Settings.Node.ID) }
 
--- a/internal/transport/node/records.go
+++ b/internal/transport/node/records.go
@@ -97,6 +97,7 @@
 func (n *Node) Announce(now time.Time, a ownership.Announcement) ownership.Result {
 	n.leaseMu.Lock()
 	defer n.leaseMu.Unlock()
+	service, held := n.records.leases.Service(a.Backend)
 	res := n.records.leases.Announce(now, a)
 	if !res.Accepted {
 		return res
@@ -104,8 +105,11 @@
 	if res.Replaced != nil {
 		n.lose(*res.Replaced)
 	}
-	if !a.Released {
+	switch {
+	case !a.Released:
 		n.take(a, res)
+	case held:
+		n.lose(ownership.Lost{Backend: a.Backend, Service: service, Reason: ownership.Released})
 	}
 	return res
 }
--- a/internal/transport/node/seeds.go
+++ b/internal/transport/node/seeds.go
@@ -32,8 +32,9 @@
 	seedDelay = 10 * time.Second
 	// Where the platform's store is the only way to find other nodes, nodes register
 	// at once and read until they know others: quickSeedDelay spreads 2,100 reads
-	// and the writes of 12 failure domains over half a second.
-	quickSeedDelay    = 500 * time.Millisecond
+	// and the writes of 12 failure domains over a second.
+	quickSeedDelay    = time.Second
+	maxQuickSeeds     = 4
 	quickSeedAttempts = 20
 	quickSeedRetry    = 300 * time.Millisecond
 	maxQuickSeedRetry = 2 * time.Second
@@ -43,16 +44,18 @@
 type seedPace struct {
 	delay, retry, maxRetry, rejoin time.Duration
 	attempts                       int
+	// entries is the number of live entries of a failure domain that suffice.
+	entries int
 }
 
 func (n *Node) seedPace() seedPace {
 	if n.opts.Adapter != nil && len(n.opts.Settings.Membership.Seeds) == 0 {
 		return seedPace{
 			delay: quickSeedDelay, retry: quickSeedRetry, maxRetry: maxQuickSeedRetry,
-			rejoin: quickSeedRetry, attempts: quickSeedAttempts,
+			rejoin: quickSeedRetry, attempts: quickSeedAttempts, entries: maxQuickSeeds,
 		}
 	}
-	return seedPace{delay: seedDelay, retry: seedTimeout, maxRetry: maxSeedRetry, rejoin: time.Second, attempts: seedAttempts}
+	return seedPace{delay: seedDelay, retry: seedTimeout, maxRetry: maxSeedRetry, rejoin: time.Second, attempts: seedAttempts, entries: maxSeeds}
 }
 
 type seed struct {
@@ -160,7 +163,7 @@
 		return nil
 	}
 	list = slices.DeleteFunc(list, func(s seed) bool { return s.Node == self.Node || n.isDead(s.Node) })
-	if len(list) >= maxSeeds {
+	if len(list) >= n.seedPace().entries {
 		return nil
 	}
 	list = append(list, self)
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -47,13 +47,16 @@
 	// answered is set when the caller was answered completely.
 	answered bool
 
+	budget *retry.Budget
+
 	tried []registry.BackendID
 	// suspects are the backend servers whose owner refused the request because they
 	// are suspect. If nothing else is left, they are asked again.
 	suspects   []registry.BackendID
 	lastResort bool
-	// ran counts the attempts that may have run.
-	ran int
+	// arrived counts the attempts that reached a backend server, and ran those that
+	// may have run.
+	arrived, ran int
 	// reason, shed and timeout describe the last attempt without an answer.
 	reason  string
 	shed    bool
@@ -65,6 +68,7 @@
 	in := c.in
 	limits := c.policy.Document.Service.Limits
 	budget := in.budget(c.service, limits.RetryPercent)
+	c.budget = budget
 	plan := retry.NewPlan(retry.Options{
 		Idempotent: c.route.Idempotent, MaxAttempts: cmp.Or(c.route.MaxAttempts, limits.MaxAttempts),
 		Objective: c.objective, FreeRefusals: in.opt.FreeRefusals,
@@ -87,7 +91,11 @@
 		c.tried = append(c.tried, target.Backend)
 		t := c.attempt(ctx, plan, target)
 		state := t.state
+		if t.reply.Arrived {
+			c.arrived++
+		}
 		if state == retry.Sent || state == retry.Answered {
+			c.arrived++
 			c.ran++
 			invariant.Check(c.route.Idempotent || c.ran == 1, "at_most_once",
 				"request %s is not idempotent and may have run %d times", c.id, c.ran)
@@ -126,9 +134,10 @@
 }
 
 // askSuspects makes the suspect backend servers candidates once more, as the last
-// resort. It reports false if there are none or they were asked.
+// resort. It reports false if there are none, they were asked, or the request has
+// reached a backend server: then another attempt is a retry like any other.
 func (c *call) askSuspects() bool {
-	if c.lastResort || len(c.suspects) == 0 || c.ran > 0 || !c.in.opt.Now().Before(c.deadline) {
+	if c.lastResort || len(c.suspects) == 0 || c.arrived > 0 || !c.in.opt.Now().Before(c.deadline) {
 		return false
 	}
 	c.lastResort = true
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -59,9 +59,9 @@
 	// to a backend server, after which a request is tried elsewhere without drawing
 	// on the retry budget or the number of attempts.
 	FreeRefusals int
-	// RetryMinimum is the number of retries in 10 s that a service is always
-	// allowed; 0 selects the default.
-	RetryMinimum int
+	// RetrySlack returns the number of retries in 10 s that a service is allowed here
+	// beyond its share of the requests, possibly a fraction; nil selects a minimum.
+	RetrySlack func() float64
 	// KeepBytes is the largest body of known length, at most 64 KB, that is kept in
 	// memory for a request that is not idempotent. Such a body is sent to the owner
 	// without waiting for its interim response, which saves one round trip between
@@ -260,11 +260,17 @@
 
 // budget returns the retry budget of a service.
 func (in *Ingress) budget(id registry.ServiceID, percent float64) *retry.Budget {
+	slack := 0.0
+	if in.opt.RetrySlack != nil {
+		slack = in.opt.RetrySlack()
+	}
 	if b, ok := in.budgets.Load(id); ok {
 		budget := b.(*retry.Budget)
 		budget.SetPercent(percent)
+		budget.SetSlack(slack)
 		return budget
 	}
-	b, _ := in.budgets.LoadOrStore(id, retry.NewBudget(retry.BudgetOptions{Percent: percent, Minimum: in.opt.RetryMinimum}))
+	options := retry.BudgetOptions{Percent: percent, Slack: slack, Phase: rand.Float64()}
+	b, _ := in.budgets.LoadOrStore(id, retry.NewBudget(options))
 	return b.(*retry.Budget)
 }
--- a/internal/transport/proxy/overdue_test.go
+++ b/internal/transport/proxy/overdue_test.go
@@ -30,7 +30,7 @@
 			t.Parallel()
 			reports := make(chan evidence.Observation, 4)
 			owner := NewOwner(OwnerOptions{Observe: func(o evidence.Observation) { reports <- o }})
-			x := &exchange{owner: owner, attempt: &attempt{
+			x := &exchange{backend: &owned{}, owner: owner, attempt: &attempt{
 				Hop:     header.Hop{Baseline: c.baseline},
 				Request: &http.Request{ContentLength: c.length},
 			}}
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -167,7 +167,7 @@
 	}
 	trial := false
 	if b.tracker != nil {
-		switch b.tracker.Admit(o.opt.Now(), a.Idempotent, a.LastResort) {
+		switch b.tracker.Admit(o.opt.Now(), a.Trial, a.LastResort) {
 		case suspicion.Refuse:
 			load := b.keeper.gate.Load()
 			return notRun(reasonSuspect, &load)
