Send small documents with the policy notice

A notice is one datagram, and it arrives where a call and its answer do not, so documents up to 4 KB go along, compressed to one datagram. The transport now also sends a notice to the peers that the core chose; it sent the answer to a peer that lags to random members instead.

--- a/internal/coordination/distribution/core.go
+++ b/internal/coordination/distribution/core.go
@@ -16,6 +16,10 @@
 )
 
 const (
+	// maxNoticeText is the size up to which a document goes with the notice. The
+	// transport compresses it to about a third and leaves out one that does not fit
+	// a datagram.
+	maxNoticeText = 4 << 10
 	// pushFanout peers of the failure domain hear of a new epoch from each node.
 	pushFanout = 4
 	// syncTimeout and pullTimeout bound the calls to a peer. They leave room for a
@@ -192,7 +196,7 @@
 		c.reply(&in.Replies[i])
 	}
 	for _, h := range in.Heard {
-		c.want(h.Have, h.From, syncRetries)
+		c.heard(h)
 	}
 	for _, d := range in.Digests {
 		c.heardDigest(d)
--- a/internal/coordination/distribution/messages.go
+++ b/internal/coordination/distribution/messages.go
@@ -81,12 +81,16 @@
 type Datagram struct {
 	To   registry.NodeID
 	Have Have
+	// Text is the document, if it is small enough to go with the notice.
+	Text []byte
 }
 
 // Heard is a Have from a peer.
 type Heard struct {
 	From registry.NodeID
 	Have Have
+	// Text is the document, or empty.
+	Text []byte
 }
 
 // HeardDigest is the digest of a peer's table, from a probe or its answer.
--- a/internal/coordination/distribution/push.go
+++ b/internal/coordination/distribution/push.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/state/policy"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
@@ -20,11 +21,30 @@
 	c.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	peers = peers[:min(len(peers), pushFanout)]
 	for _, id := range peers {
-		c.out.Datagrams = append(c.out.Datagrams, Datagram{To: id, Have: h})
+		c.notify(id, h)
 	}
 	return peers
 }
 
+// notify tells a peer of an epoch that is in force here. A small document goes
+// along, because a peer whose calls or their answers are lost still hears
+// datagrams.
+func (c *Core) notify(to registry.NodeID, h Have) {
+	d := Datagram{To: to, Have: h}
+	if p := c.table.Get(h.Service); p != nil && p.Epoch == h.Epoch && len(p.Text) <= maxNoticeText {
+		d.Text = p.Text
+	}
+	c.out.Datagrams = append(c.out.Datagrams, d)
+}
+
+// heard takes in the notice of a peer.
+func (c *Core) heard(h Heard) {
+	if len(h.Text) > 0 && c.missing(h.Have) && policy.Hash(h.Text) == h.Have.Hash {
+		c.offer(policy.Versioned{Service: h.Have.Service, Epoch: h.Have.Epoch, Text: h.Text}, "notice of peer "+string(h.From))
+	}
+	c.want(h.Have, h.From, syncRetries)
+}
+
 // repeatPushes pushes the epochs that are still in force a second time.
 func (c *Core) repeatPushes() {
 	for len(c.repeats) > 0 && !c.now.Before(c.repeats[0].due) {
--- a/internal/coordination/distribution/sim_test.go
+++ b/internal/coordination/distribution/sim_test.go
@@ -194,7 +194,7 @@
 	for _, d := range out.Datagrams {
 		s.pushes++
 		s.datagram(n.index, s.index(d.To), func() {
-			s.step(s.nodes[s.index(d.To)], Input{Heard: []Heard{{n.member.ID, d.Have}}})
+			s.step(s.nodes[s.index(d.To)], Input{Heard: []Heard{{n.member.ID, d.Have, d.Text}}})
 		})
 	}
 	for _, c := range out.Calls {
--- a/internal/coordination/distribution/sync.go
+++ b/internal/coordination/distribution/sync.go
@@ -128,7 +128,7 @@
 	for _, p := range c.table.All() {
 		if told < maxPushback && r.Differs[bucket(p.Service)] && p.Epoch > theirs[p.Service].Epoch {
 			told++
-			c.out.Datagrams = append(c.out.Datagrams, Datagram{To: cl.To, Have: Have{p.Service, p.Epoch, p.Hash}})
+			c.notify(cl.To, Have{p.Service, p.Epoch, p.Hash})
 		}
 	}
 	// While the node starts, every peer that it syncs with is evidence.
--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -239,25 +239,17 @@
 // SetPolicyDigest sets the digest of the policy table that probes carry.
 func (c *Core) SetPolicyDigest(d uint64) { c.policyDigest = d }
 
-// ShareHave sends a policy notice to at most k random live members of the own
-// failure domain, or of the fleet if the domain has no other member.
-func (c *Core) ShareHave(now time.Time, have Have, k int) {
+// ShareHave sends a policy notice to members that are not dead.
+func (c *Core) ShareHave(now time.Time, have Have, to []registry.NodeID) {
 	c.observe(now)
-	var peers []*member
-	for _, m := range c.live {
-		if m.node.Status == registry.Alive && m.node.FailureDomain == c.self.node.FailureDomain {
-			peers = append(peers, m)
+	for _, id := range to {
+		m := c.members[id]
+		if m == nil || m == c.self || m.node.Status == registry.Dead {
+			continue
 		}
-	}
-	if len(peers) == 0 {
-		peers = c.randomLive(k, "")
-	}
-	for i := 0; i < k && i < len(peers); i++ {
-		j := i + c.rand.IntN(len(peers)-i)
-		peers[i], peers[j] = peers[j], peers[i]
 		msg := c.message(Gossip)
 		msg.Have = []Have{have}
-		c.send(peers[i].peer(), msg, 0)
+		c.send(m.peer(), msg, 0)
 	}
 }
 
--- a/internal/coordination/membership/message.go
+++ b/internal/coordination/membership/message.go
@@ -31,6 +31,8 @@
 	Service registry.ServiceID
 	Epoch   uint64
 	Hash    string
+	// Text is the compressed document, or empty if it is too large for a datagram.
+	Text []byte
 }
 
 // RecordPart is a piece of a full record that does not fit one datagram.
@@ -99,7 +101,7 @@
 }
 
 func haveBytes(h *Have) int {
-	return 3 + stringBytes(len(h.Service)) + varintBytes + stringBytes(len(h.Hash))
+	return 3 + stringBytes(len(h.Service)) + varintBytes + stringBytes(len(h.Hash)) + stringBytes(len(h.Text))
 }
 
 // RecordBytes bounds the encoded size of a full record.
--- a/internal/protocol/cluster/codec.go
+++ b/internal/protocol/cluster/codec.go
@@ -88,12 +88,12 @@
 
 // PolicyVersion encodes a policy notice.
 func PolicyVersion(h membership.Have) *clusterpb.PolicyVersion {
-	return &clusterpb.PolicyVersion{Service: string(h.Service), Epoch: h.Epoch, Hash: h.Hash}
+	return &clusterpb.PolicyVersion{Service: string(h.Service), Epoch: h.Epoch, Hash: h.Hash, Text: h.Text}
 }
 
 // Have decodes a policy notice.
 func Have(p *clusterpb.PolicyVersion) membership.Have {
-	return membership.Have{Service: registry.ServiceID(p.GetService()), Epoch: p.GetEpoch(), Hash: p.GetHash()}
+	return membership.Have{Service: registry.ServiceID(p.GetService()), Epoch: p.GetEpoch(), Hash: p.GetHash(), Text: p.GetText()}
 }
 
 // EncodeSyncRequest converts a sync request.
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -131,10 +131,10 @@
 	return t.calls.Offer(func() { t.core.AddSeeds(time.Now(), seeds) })
 }
 
-// SendHave sends a policy notice to k random peers of the same failure domain.
-// It does not block; false means that the ring was full.
-func (t *Transport) SendHave(have membership.Have, k int) bool {
-	return t.calls.Offer(func() { t.core.ShareHave(time.Now(), have, k) })
+// SendHave sends a policy notice to some members. It does not block; false means
+// that the ring was full.
+func (t *Transport) SendHave(have membership.Have, to []registry.NodeID) bool {
+	return t.calls.Offer(func() { t.core.ShareHave(time.Now(), have, to) })
 }
 
 // Self returns the published record of the local node.
--- a/internal/transport/node/cluster.go
+++ b/internal/transport/node/cluster.go
@@ -135,12 +135,13 @@
 	return m.PeerAddr, nil
 }
 
-func (n *Node) sendHave(h distribution.Have, k int) {
+func (n *Node) sendHave(h distribution.Have, text []byte, to []registry.NodeID) {
 	n.gossip.SendHave(membership.Have{
 		Service: registry.ServiceID(h.Service),
 		Epoch:   h.Epoch,
 		Hash:    policy.FormatHash(h.Hash),
-	}, k)
+		Text:    packNotice(text),
+	}, to)
 }
 
 func (n *Node) hearHave(p membership.Peer, h membership.Have) {
@@ -149,7 +150,11 @@
 		n.log.Debug("malformed hash in a policy notice", zap.String("peer", string(p.ID)))
 		return
 	}
-	n.sync.Heard(distribution.Heard{From: p.ID, Have: distribution.Have{
+	text, err := unpackNotice(h.Text)
+	if err != nil {
+		n.log.Warn("malformed document in a policy notice", zap.String("peer", string(p.ID)), zap.Error(err))
+	}
+	n.sync.Heard(distribution.Heard{From: p.ID, Text: text, Have: distribution.Have{
 		Service: string(h.Service),
 		Epoch:   h.Epoch,
 		Hash:    hash,
--- a/internal/transport/policysync/runner.go
+++ b/internal/transport/policysync/runner.go
@@ -36,9 +36,9 @@
 	Members func() []distribution.Member
 	// Address returns the peer address of a node.
 	Address func(registry.NodeID) (string, error)
-	// SendHave sends a notice to k random peers of the own failure domain. It
-	// does not block.
-	SendHave func(h distribution.Have, k int)
+	// SendHave sends a notice, with the document unless it is empty, to some peers.
+	// It does not block.
+	SendHave func(h distribution.Have, text []byte, to []registry.NodeID)
 	// InForce is called for every policy that was put in force.
 	InForce    func(*policy.InForce)
 	Events     event.Sink
@@ -130,15 +130,16 @@
 	wake.Reset(max(time.Until(out.Wake), 0))
 }
 
-// sendNotices sends each notice to as many peers as the core chose. The gossip
-// transport picks the peers itself, from the same failure domain.
+// sendNotices sends each notice to the peers that the core chose.
 func (r *Runner) sendNotices(datagrams []distribution.Datagram) {
-	count := make(map[distribution.Have]int)
+	peers := make(map[distribution.Have][]registry.NodeID)
+	texts := make(map[distribution.Have][]byte)
 	for _, d := range datagrams {
-		count[d.Have]++
+		peers[d.Have] = append(peers[d.Have], d.To)
+		texts[d.Have] = d.Text
 	}
-	for have, k := range count {
-		r.opts.SendHave(have, k)
+	for have, to := range peers {
+		r.opts.SendHave(have, texts[have], to)
 	}
 }
 
