Leave room for a permit holder when degrading without a permit

Cause of the known red case of the e2e gray test (platform down): servers whose owners had no permit were degraded first, count 0.1 against the floor, and the one permit of the outage could not be used (9.3 - 1 < 9). A degradation after a refused permit now leaves room for one ejection; where the floor forbids any ejection nothing changes.

--- a/internal/coordination/ejection/core_test.go
+++ b/internal/coordination/ejection/core_test.go
@@ -232,3 +232,26 @@
 		c.Observe(o)
 	}
 }
+
+// Guards against soft degradation, for which no permit is needed, that uses up the
+// capacity above the floor, so that the holder of a permit can eject nothing: in an
+// outage of the platform no gray backend server would be ejected at all.
+func TestDegradationLeavesRoomForThePermitHolder(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		capacity float64
+		want     []Action
+	}{
+		{"one degraded already", 11.1, []Action{Degrade}},
+		{"two degraded already", 10.2, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, 9)
+			b.serve(12, c.capacity)
+			b.observe(10, evidence.Timeout)
+			b.tick(Suspect)
+			b.core.PermitRefused(b.now, "b1", ReasonNoAnswer)
+			b.tick(c.want...)
+		})
+	}
+}
--- a/internal/coordination/ejection/tick.go
+++ b/internal/coordination/ejection/tick.go
@@ -92,6 +92,9 @@
 	case s.refused != "":
 		reason := s.refused
 		s.refused = ""
+		if !c.roomForHolder(s, left) {
+			return out
+		}
 		return c.degrade(now, s, left, reason, out)
 	case !s.asked.IsZero():
 		if s.state == Healthy {
@@ -206,6 +209,18 @@
 	return ok && v.Serving-1 >= v.Floor && v.Capacity-s.weight() >= float64(v.Floor)-1e-9
 }
 
+// roomForHolder reports whether s may be degraded without a permit. One ejection
+// must stay possible then, because another owner may hold a permit for it, as in
+// an outage of the platform, and a degraded server counts little against the floor.
+// Where the floor forbids any ejection, there is nothing to leave room for.
+func (c *Core) roomForHolder(s *server, left View) bool {
+	v, ok := left[s.service]
+	if !ok || v.Serving-1 < v.Floor {
+		return true
+	}
+	return v.Capacity-(s.weight()-DegradedWeight)-1 >= float64(v.Floor)-1e-9
+}
+
 func (s *server) weight() float64 {
 	if s.state == Degraded {
 		return DegradedWeight
