Make the last resort a trial and remember suspects at the ingress node

They are trials now, at most one at a time for each backend server; if most of a service is suspect nothing is refused.

--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -26,6 +26,9 @@
 	// PeerExclusion is how long an owner is avoided after a failure of the
 	// connection to it.
 	PeerExclusion = 5 * time.Second
+	// SuspectMemory is how long a report that a backend server is suspect counts. A
+	// suspicion lasts a second at least; asking the owner again costs a round trip.
+	SuspectMemory = 700 * time.Millisecond
 	// DefaultSpillPercent and DefaultSpillBytesPerSecond are the limits of
 	// traffic to other regions for a policy that states none. The balancer takes
 	// the limits of a request as they are: 0 means no such traffic.
@@ -111,6 +114,9 @@
 	BodyBytes int64
 	// Tried lists the backend servers of earlier attempts.
 	Tried []registry.BackendID
+	// AvoidSuspects leaves out backend servers whose owner said lately that they are
+	// suspect, unless nothing else is left.
+	AvoidSuspects bool
 }
 
 // Target is a chosen backend server. Each Target is passed to Done exactly once.
@@ -212,7 +218,12 @@
 	if e := b.exclusions.Load(); e != nil && now.Before(e.last) {
 		p.excluded = e
 	}
+	p.avoid = r.AvoidSuspects
 	t, reason := p.pick()
+	if reason != "" && p.avoid {
+		p.avoid = false
+		t, reason = p.pick()
+	}
 	if reason != "" && p.excluded != nil {
 		// An excluded owner is better than no owner: the failure may have been
 		// brief, and a failed connection attempt costs little.
@@ -346,6 +357,8 @@
 	rng      *rand.Rand
 	r        *Request
 	excluded *exclusions
+	// avoid leaves out suspects.
+	avoid bool
 }
 
 // pick chooses the level and the backend server in it. It returns a reason if
@@ -397,6 +410,9 @@
 			tried = true
 			continue
 		}
+		if p.avoid && p.now.Before(c.stat.suspectUntil) {
+			continue
+		}
 		cands = append(cands, c)
 	}
 	p.s.scratch = cands
--- a/internal/coordination/routing/service.go
+++ b/internal/coordination/routing/service.go
@@ -173,6 +173,8 @@
 	others, queued, slots int
 	weight                float64
 	reportedAt            time.Time
+	// suspectUntil is set by a report of weight 0.
+	suspectUntil time.Time
 
 	sampledAt  time.Time // latest sample
 	baseline   evidence.Baseline
@@ -185,6 +187,10 @@
 	st.others = max(0, l.InUse-st.inUse)
 	st.queued, st.slots, st.weight = l.Queued, l.Slots, l.Weight
 	st.reportedAt = now
+	st.suspectUntil = time.Time{}
+	if l.Weight == 0 {
+		st.suspectUntil = now.Add(SuspectMemory)
+	}
 }
 
 // trust is the share of the latest report that still counts, 1 to 0.
--- a/internal/coordination/suspicion/doc.go
+++ b/internal/coordination/suspicion/doc.go
@@ -12,6 +12,9 @@
 // requests are let through one at a time as trials: if one fails, it is tried
 // elsewhere and nobody notices. Successful trials clear the suspicion.
 //
-// Nothing is refused that has nowhere else to go, so a suspicion removes no
-// capacity and needs no agreement between owners.
+// A request that has nowhere else to go may be a trial too, so that a service
+// without idempotent requests recovers as well. Where most backend servers of a
+// service are suspect, none is better than another and nothing is refused, so that
+// suspicion never takes a service below half of its capacity, without an agreement
+// between owners.
 package suspicion
--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -41,7 +41,7 @@
 
 // Verdicts.
 const (
-	// Allow: the backend server is trusted, or nothing else is left.
+	// Allow: the backend server is trusted, or no more suspect than the others.
 	Allow Verdict = iota
 	// Trial: the request tests a suspect backend server. Its end is reported by
 	// Observe like that of any other.
@@ -75,12 +75,13 @@
 	running int
 }
 
-// Admit decides about a request. mayTry marks one that is tried elsewhere if it
-// fails, lastResort one that was refused everywhere else.
-func (t *Tracker) Admit(now time.Time, mayTry, lastResort bool) Verdict {
+// Admit decides about a request. mayTry marks one that may be a trial: it is tried
+// elsewhere if it fails, or nothing else is left for it. common says that most
+// backend servers of the service are suspect, so that none is better than another.
+func (t *Tracker) Admit(now time.Time, mayTry, common bool) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.suspect {
+	if !t.suspect || common {
 		return Allow
 	}
 	if mayTry && t.trialDue(now) {
@@ -88,18 +89,16 @@
 		t.running++
 		return Trial
 	}
-	if lastResort {
-		return Allow
-	}
 	return Refuse
 }
 
 // Waiting decides about a request that was allowed and then waited. It refuses
-// one that must not be repeated if the backend server became suspect meanwhile.
-func (t *Tracker) Waiting(idempotent, lastResort bool) Verdict {
+// one that must not be repeated if the backend server became suspect meanwhile,
+// unless it is a trial.
+func (t *Tracker) Waiting(idempotent, trial, common bool) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.suspect && !idempotent && !lastResort {
+	if t.suspect && !idempotent && !trial && !common {
 		return Refuse
 	}
 	return Allow
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -31,13 +31,13 @@
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
 	// Trial says that the request may test a suspect backend server: it is tried
-	// elsewhere if it fails.
+	// elsewhere if it fails, or has nowhere else to go.
 	Trial bool
 	// Objective is the time left in which an answer is fully useful; 0 means that
 	// none is stated or that it has passed.
 	Objective time.Duration
-	// LastResort says that the ingress node knows no better backend server.
-	LastResort bool
+	// CommonFault says that most backend servers of the service are suspect.
+	CommonFault bool
 }
 
 // flagSet is the value of a header that is either absent or set.
@@ -75,8 +75,8 @@
 	if p.Objective > 0 {
 		set(ObjectiveMillis, FormatDeadline(p.Objective))
 	}
-	if p.LastResort {
-		set(LastResort, flagSet)
+	if p.CommonFault {
+		set(CommonFault, flagSet)
 	}
 }
 
@@ -97,7 +97,7 @@
 		return p, fmt.Errorf("%s, %s: missing", Backend, Service)
 	}
 	p.Idempotent = h.Get(Idempotent) == flagSet
-	p.LastResort = h.Get(LastResort) == flagSet
+	p.CommonFault = h.Get(CommonFault) == flagSet
 	p.Trial = h.Get(Trial) == flagSet
 	var err error
 	if s := h.Get(Rank); s != "" {
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -37,7 +37,9 @@
 	// 32 at a time do not answer within 2 s.
 	operatorWriteTimeout = 3 * time.Minute
 	// closeTimeout bounds the closing of listeners after the drain.
-	closeTimeout  = 2 * time.Second
+	closeTimeout = 2 * time.Second
+	// cutTimeout bounds the closing of listeners if the drain timed out.
+	cutTimeout    = 100 * time.Millisecond
 	reasonStarted = "node_not_ready"
 )
 
@@ -239,7 +241,12 @@
 		n.log.Warn("nodes' requests were cut off by the drain timeout", zap.Error(err))
 	}
 	n.records.leases.ReleaseAll()
-	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
+	// What the drain could not finish is not waited for again.
+	wait := closeTimeout
+	if ctx.Err() != nil {
+		wait = cutTimeout
+	}
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), wait)
 	defer cancelClose()
 	for _, s := range servers {
 		if err := s.Shutdown(closeCtx); err != nil {
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -65,9 +65,9 @@
 		RequestID: c.id, Backend: target.Backend, Service: c.service, Route: c.route.Name,
 		Incarnation: target.Owner.Incarnation, Left: left, AnswerWithin: answerWithin,
 		Attempt: len(c.tried), Caller: c.caller, Region: in.opt.Region, Baseline: baseline,
-		Rank: c.route.Rank, Idempotent: c.route.Idempotent, LastResort: c.lastResort,
+		Rank: c.route.Rank, Idempotent: c.route.Idempotent, CommonFault: c.commonFault,
 		// A failed trial is made good by a retry.
-		Trial: c.route.Idempotent && c.body.repeatable() && plan.AllowsRetry(now, c.budget),
+		Trial: c.lastResort || c.route.Idempotent && c.body.repeatable() && plan.AllowsRetry(now, c.budget),
 	}
 	if !c.objective.IsZero() {
 		hop.Objective = max(c.objective.Sub(now), 0)
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -51,9 +51,10 @@
 
 	tried []registry.BackendID
 	// suspects are the backend servers whose owner refused the request because they
-	// are suspect. If nothing else is left, they are asked again.
-	suspects   []registry.BackendID
-	lastResort bool
+	// are suspect. If nothing else is left, they are asked again: as a last resort,
+	// or freely if commonFault says that most of the service is suspect.
+	suspects                []registry.BackendID
+	lastResort, commonFault bool
 	// arrived counts the attempts that reached a backend server, and ran those that
 	// may have run.
 	arrived, ran int
@@ -141,6 +142,8 @@
 		return false
 	}
 	c.lastResort = true
+	known := len(c.in.opt.Directory.Snapshot().Service(c.service))
+	c.commonFault = 2*len(c.suspects) > known
 	c.tried = slices.DeleteFunc(c.tried, func(id registry.BackendID) bool { return slices.Contains(c.suspects, id) })
 	return true
 }
@@ -151,6 +154,7 @@
 	defer in.rngs.Put(rng)
 	return in.opt.Balancer.Pick(in.opt.Now(), rng, in.opt.Directory.Snapshot(), routing.Request{
 		Service: c.service, Route: c.route, Limits: limits, BodyBytes: c.body.length, Tried: c.tried,
+		AvoidSuspects: !c.lastResort && !(c.route.Idempotent && c.budget.Available(in.opt.Now())),
 	})
 }
 
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -167,9 +167,10 @@
 	}
 	trial := false
 	if b.tracker != nil {
-		switch b.tracker.Admit(o.opt.Now(), a.Trial, a.LastResort) {
+		switch b.tracker.Admit(o.opt.Now(), a.Trial, a.CommonFault) {
 		case suspicion.Refuse:
 			load := b.keeper.gate.Load()
+			load.Weight = 0
 			return notRun(reasonSuspect, &load)
 		case suspicion.Trial:
 			trial = true
@@ -184,11 +185,11 @@
 		}
 		return notRun(reason, &load)
 	}
-	return o.dispatch(ctx, a, b, ticket, &load)
+	return o.dispatch(ctx, a, b, ticket, trial, &load)
 }
 
 // dispatch runs an admitted attempt on its backend server.
-func (o *Owner) dispatch(ctx context.Context, a *attempt, b *owned, ticket uint64, load *evidence.Load) *reply {
+func (o *Owner) dispatch(ctx context.Context, a *attempt, b *owned, ticket uint64, trial bool, load *evidence.Load) *reply {
 	x := &exchange{owner: o, attempt: a, backend: b, ticket: ticket}
 	ctx, x.span = o.tracer.Start(ctx, "backend exchange", clientSpan...)
 	leased, trusted, sent := true, true, false
@@ -201,7 +202,7 @@
 		now := o.opt.Now()
 		leased = o.opt.Leases.Holds(now, a.Backend) || o.off.lease
 		if t := b.tracker; t != nil {
-			trusted = t.Waiting(a.Idempotent, a.LastResort) == suspicion.Allow
+			trusted = t.Waiting(a.Idempotent, trial, a.CommonFault) == suspicion.Allow
 		}
 		sent = leased && trusted && ctx.Err() == nil
 		if sent {
