--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -179,6 +179,7 @@
 	h[header.RequestID] = []string{c.id}
 	h[header.Outcome] = []string{header.Answered}
 	c.describe(header.Answered, resp.StatusCode)
+	c.noteFailure(resp.StatusCode)
 	c.w.WriteHeader(resp.StatusCode)
 	n, readErr, writeErr := copyBody(c.w, resp)
 	if readErr != nil || writeErr != nil {
@@ -236,6 +237,7 @@
 	invariant.Check(outcome != header.NotRun || c.ran == 0, "not_run_is_true",
 		"request %s is reported as not run after %d attempts that may have run", c.id, c.ran)
 	c.describe(outcome, status)
+	c.noteFailure(status)
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h[header.RequestID] = []string{c.id}
@@ -252,6 +254,14 @@
 	c.answered = true
 }
 
+// noteFailure remembers a failure for the backend server on this VM, which may have
+// made the request.
+func (c *call) noteFailure(status int) {
+	if status >= http.StatusInternalServerError && c.in.opt.Owner != nil {
+		c.in.opt.Owner.failed.add(c.start, c.in.opt.Now())
+	}
+}
+
 func (c *call) describe(outcome string, status int) {
 	if c.span == nil || !c.span.IsRecording() {
 		return
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -64,6 +64,8 @@
 type Owner struct {
 	opt    OwnerOptions
 	tracer trace.Tracer
+	// failed are the requests that failed at the ingress of this node.
+	failed failedCalls
 	drainer
 
 	off ownerOff
@@ -334,6 +336,9 @@
 		// that took longer than is useful.
 		kind = evidence.Overdue
 	}
+	if kind == evidence.ServerError && x.owner.failed.explain(x.start, now) {
+		kind = evidence.Canceled
+	}
 	if kind == evidence.Canceled || kind == evidence.Shed {
 		t.EndTrial()
 	}
