--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -23,7 +23,7 @@
 	// trialInterval is the time between the starts of two trials. With a third of
 	// the backend servers suspect, failed trials then stay below a tenth of the
 	// arrivals.
-	trialInterval = 500 * time.Millisecond
+	trialInterval = 200 * time.Millisecond
 	// minTrials and maxTrials bound the successive trials that clear a suspicion.
 	// A backend server that fails 85 of 100 requests passes three with 0.3%.
 	minTrials = 3
