--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -96,6 +96,8 @@
 	Ticket uint64
 	// Caller is the team that sent the request.
 	Caller string
+	// Rank orders requests that compete for a slot, 0 first.
+	Rank int
 	// Deadline is the time by which the answer is needed; zero means none.
 	Deadline time.Time
 	// Remote marks a request from another region.
@@ -180,7 +182,10 @@
 		return Refused, reason
 	}
 	g.arrivals++
-	e := &entry{Request: r, caller: g.caller(r.Caller), arrival: g.arrivals}
+	e := &entry{
+		Request: r, caller: g.caller(r.Caller), arrival: g.arrivals,
+		due: g.now.Add(time.Duration(r.Rank) * rankAdvance),
+	}
 	if len(g.inFlight) < g.slots() && g.mayRun(e.caller) {
 		e.decided++
 		g.start(e)
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
@@ -12,6 +13,8 @@
 	Request
 	caller  *caller
 	arrival uint64
+	// due is the arrival time put back by the rank; see rankAdvance.
+	due time.Time
 	// decided counts the decisions about the ticket.
 	decided  int
 	admitted bool
@@ -41,8 +44,15 @@
 	return g.opt.CallerInFlight <= 0 || c.inFlight < g.opt.CallerInFlight
 }
 
-// next returns the queue index of the request that is admitted next, or -1. The
-// caller with the fewest requests in flight goes first, then the one with the
+// rankAdvance is how much earlier a request may have arrived and still let one of
+// the next lower rank go first. Calls, which hold up a slot elsewhere, and the work
+// that operators put first overtake the rest of a queue that is a few services
+// deep, but a request of a high rank is not put off for ever.
+const rankAdvance = 300 * time.Millisecond
+
+// next returns the queue index of the request that is admitted next, or -1. Among
+// requests of different ranks the earlier one goes first, with an advance for the
+// lower rank. Within a rank, the caller with the fewest requests in flight goes first, then the one with the
 // fewest admissions from the queue, then the earliest deadline. With one slot all
 // callers in the queue have none in flight, and without the second rule a caller
 // with short deadlines would keep all others waiting.
@@ -52,13 +62,20 @@
 		if !g.mayRun(e.caller) {
 			continue
 		}
-		if best < 0 || goesBefore(e.caller, g.queue[best].caller) {
+		if best < 0 || e.goesBefore(g.queue[best]) {
 			best = i
 		}
 	}
 	return best
 }
 
+func (e *entry) goesBefore(o *entry) bool {
+	if e.Rank != o.Rank {
+		return e.due.Before(o.due)
+	}
+	return goesBefore(e.caller, o.caller)
+}
+
 func goesBefore(a, b *caller) bool {
 	if a.inFlight != b.inFlight {
 		return a.inFlight < b.inFlight
@@ -118,10 +135,18 @@
 	g.forget(c)
 }
 
-// displace makes room for e by refusing the newest entry of the caller with the
-// most queued entries, e included. It returns false if e is that entry; callers
-// with equally many entries keep theirs.
+// displace makes room for e by refusing the entry that would go last, e included.
+// Among entries of the rank of e it is the newest of the caller with the most
+// queued entries. It returns false if e is that entry; callers with equally many
+// entries keep theirs.
 func (g *Gate) displace(e *entry) bool {
+	if i := g.last(); g.queue[i].Rank != e.Rank {
+		if g.queue[i].due.Before(e.due) {
+			return false
+		}
+		g.decide(i, false, QueueFull)
+		return true
+	}
 	most, entries := e.caller, e.caller.queued+1
 	for _, q := range g.queue {
 		if q.caller != e.caller && q.caller.queued > entries {
@@ -135,6 +160,17 @@
 	return true
 }
 
+// last returns the index of the entry with the latest due time.
+func (g *Gate) last() int {
+	last := 0
+	for i, q := range g.queue {
+		if q.due.After(g.queue[last].due) {
+			last = i
+		}
+	}
+	return last
+}
+
 func (g *Gate) newestOf(c *caller) int {
 	newest := -1
 	for i, q := range g.queue {
--- /dev/null
+++ b/internal/coordination/admission/rank_test.go
@@ -0,0 +1,76 @@
+package admission
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against calls that wait behind new work. The pattern: every slot of a
+// service is held by a request that waits for its call to another service, and the
+// queue there is full of new work of lower importance.
+func TestRankOrdersTheQueue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGate(Options{Slots: 1, QueueLimit: 4, Warm: true}, now)
+	ticket := uint64(0)
+	offer := func(rank int) (uint64, Verdict) {
+		ticket++
+		v, _ := g.Offer(now, Request{Ticket: ticket, Rank: rank, Deadline: now.Add(time.Minute)})
+		return ticket, v
+	}
+	running, v := offer(2)
+	if v != Admitted {
+		t.Fatalf("first request %s", v)
+	}
+	browse1, _ := offer(2)
+	browse2, _ := offer(2)
+	booking1, _ := offer(1)
+	booking2, _ := offer(1)
+	if _, v := offer(2); v != Refused {
+		t.Fatalf("request of the highest rank at a full queue: %s", v)
+	}
+	call, v := offer(0)
+	if v != Queued {
+		t.Fatalf("call at a full queue: %s", v)
+	}
+	grants := g.Ready(now)
+	if len(grants) != 1 || grants[0].Ticket != browse2 && grants[0].Ticket != browse1 || grants[0].Admitted || grants[0].Reason != QueueFull {
+		t.Fatalf("displaced: %+v, want a request of the highest rank", grants)
+	}
+	left := browse1 + browse2 - grants[0].Ticket
+	for _, want := range []uint64{call, booking1, booking2, left} {
+		g.Release(now, running, 0)
+		grants := g.Ready(now)
+		if len(grants) != 1 || grants[0].Ticket != want || !grants[0].Admitted {
+			t.Fatalf("granted %+v, want ticket %d", grants, want)
+		}
+		running = want
+	}
+}
+
+// Guards against work of a high rank that is put off for ever by a steady stream of
+// lower ranks: the pattern of browsing behind bookings in the rush.
+func TestHighRankIsNotStarved(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := NewGate(Options{Slots: 1, QueueLimit: 8, Warm: true}, now)
+	g.Offer(now, Request{Ticket: 1, Deadline: now.Add(time.Minute)})
+	const browse = 2
+	g.Offer(now, Request{Ticket: browse, Rank: 2, Deadline: now.Add(time.Minute)})
+	running := uint64(1)
+	for ticket := uint64(3); ticket < 30; ticket++ {
+		now = now.Add(100 * time.Millisecond)
+		g.Offer(now, Request{Ticket: ticket, Rank: 1, Deadline: now.Add(time.Minute)})
+		g.Release(now, running, 0)
+		for _, grant := range g.Ready(now) {
+			if grant.Ticket == browse {
+				if !grant.Admitted {
+					t.Fatalf("refused: %s", grant.Reason)
+				}
+				return
+			}
+			if grant.Admitted {
+				running = grant.Ticket
+			}
+		}
+	}
+	t.Fatal("never admitted")
+}
--- a/internal/coordination/suspicion/suspicion_test.go
+++ b/internal/coordination/suspicion/suspicion_test.go
@@ -18,9 +18,9 @@
 	age     time.Duration
 	change  Change
 	// admit asks for a request and expects the verdict.
-	admit              bool
+	admit          bool
 	mayTry, common bool
-	verdict            Verdict
+	verdict        Verdict
 }
 
 func seen(kind evidence.Kind, change Change) step { return step{observe: &kind, change: change} }
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -229,11 +229,14 @@
 	n.log.Info("shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.opts.Settings.Drain.Timeout))
 	defer cancel()
-	n.awaitNotice(ctx)
+	// The work of other nodes goes elsewhere at once, so that what runs here ends
+	// before the platform kills the process.
+	n.owner.Stop()
 	n.records.leases.Stop()
 	if err := n.gossip.Leave(ctx); err != nil {
 		n.log.Warn("cannot announce the departure", zap.Error(err))
 	}
+	n.awaitNotice(ctx)
 	if err := n.ingress.Drain(ctx); err != nil {
 		n.log.Warn("callers' requests were cut off by the drain timeout", zap.Error(err))
 	}
--- a/internal/transport/proxy/drain.go
+++ b/internal/transport/proxy/drain.go
@@ -33,9 +33,11 @@
 	}
 }
 
-// drain refuses new requests and waits for those in flight.
-func (d *drainer) drain(ctx context.Context) error {
+// refuse refuses new requests. The returned channel is closed when none is in
+// flight any more.
+func (d *drainer) refuse() <-chan struct{} {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if !d.draining {
 		d.draining = true
 		d.empty = make(chan struct{})
@@ -43,8 +45,12 @@
 			close(d.empty)
 		}
 	}
-	empty := d.empty
-	d.mu.Unlock()
+	return d.empty
+}
+
+// drain refuses new requests and waits for those in flight.
+func (d *drainer) drain(ctx context.Context) error {
+	empty := d.refuse()
 	select {
 	case <-empty:
 		return nil
--- a/internal/transport/proxy/gate.go
+++ b/internal/transport/proxy/gate.go
@@ -34,13 +34,14 @@
 
 // admit waits for a slot. The slot is returned with release. A reason is
 // returned if the request was refused; it holds no slot then.
-func (k *keeper) admit(ctx context.Context, caller string, deadline time.Time, remote bool) (ticket uint64, reason string) {
+func (k *keeper) admit(ctx context.Context, r admission.Request) (ticket uint64, reason string) {
 	ticket = k.tickets.Add(1)
+	r.Ticket = ticket
 	granted := make(chan admission.Grant, 1)
 	k.mu.Lock()
 	k.waiters[ticket] = granted // Registered first: another goroutine may collect the grant.
 	k.mu.Unlock()
-	verdict, why := k.gate.Offer(k.now(), admission.Request{Ticket: ticket, Caller: caller, Deadline: deadline, Remote: remote})
+	verdict, why := k.gate.Offer(k.now(), r)
 	k.pump()
 	if verdict != admission.Queued {
 		k.mu.Lock()
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/admission"
 	"wigeonspring.example/wigeonspring/internal/coordination/suspicion"
 	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
@@ -98,6 +99,9 @@
 	return &Owner{opt: o, tracer: o.Tracing.Tracer(tracerName)}
 }
 
+// Stop refuses new requests as not run.
+func (o *Owner) Stop() { o.refuse() }
+
 // Drain refuses new requests as not run and waits until those in flight have
 // ended or ctx ends.
 func (o *Owner) Drain(ctx context.Context) error { return o.drain(ctx) }
@@ -178,8 +182,9 @@
 			trial = true
 		}
 	}
-	remote := a.Region != o.opt.Region
-	ticket, reason := b.keeper.admit(ctx, a.Caller, a.answerBy(), remote)
+	ticket, reason := b.keeper.admit(ctx, admission.Request{
+		Caller: a.Caller, Rank: a.Rank, Deadline: a.answerBy(), Remote: a.Region != o.opt.Region,
+	})
 	load := b.keeper.gate.Load()
 	if reason != "" {
 		if trial {
