Log placements and retries within a budget; serve latency histograms

A line for each decision that touches a request: placement (with load known, age of the report and policy epoch), retry, replacement, refusal, failure. Each kind has 20 lines/s and 200 at once; what is beyond is counted. Lines go through a ring to standard output and never wait for the reader (test with a full pipe). metrics_listen serves counters and latency histograms as text.

--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -18,6 +18,7 @@
 	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/state/settings"
 	"wigeonspring.example/wigeonspring/internal/transport/backend"
+	"wigeonspring.example/wigeonspring/internal/transport/logging"
 	"wigeonspring.example/wigeonspring/internal/transport/node"
 	"wigeonspring.example/wigeonspring/platform"
 )
@@ -108,7 +109,8 @@
 	return platform.NewAdapter(s.Platform.Address, time.Duration(s.Platform.Timeout), log)
 }
 
-// newLogger returns a logger of JSON lines on standard output.
+// newLogger returns a logger of JSON lines on standard output, which waits for no
+// reader.
 func newLogger(s *settings.Settings) (*zap.Logger, zap.AtomicLevel, error) {
 	var none zap.AtomicLevel
 	parsed, err := zapcore.ParseLevel(s.Output.LogLevel)
@@ -116,16 +118,8 @@
 		return nil, none, err
 	}
 	level := zap.NewAtomicLevelAt(parsed)
-	cfg := zap.NewProductionConfig()
-	cfg.Level = level
-	cfg.Sampling = nil
-	cfg.OutputPaths = []string{"stdout"}
-	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	cfg.DisableCaller = true
-	cfg.DisableStacktrace = true
-	log, err := cfg.Build()
-	if err != nil {
-		return nil, none, err
-	}
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), logging.NewWriter(os.Stdout), level))
 	return log.With(zap.String("node", s.Node.ID), zap.String("failure_domain", s.Node.FailureDomain)), level, nil
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -125,6 +125,10 @@
 	Service  registry.ServiceID
 	Owner    *registry.Node
 	Locality Locality
+	// InUse and Queued are what the ingress node knew of the load when it chose, and
+	// ReportAge is the age of the owner's report; negative if there was none.
+	InUse, Queued int
+	ReportAge     time.Duration
 
 	attempt *attempt
 }
@@ -503,8 +507,13 @@
 		a.charged = p.s.spill.spend(p.now, a.body, p.v.local())
 		p.b.chargeNode(p.now, a.charged)
 	}
+	t := Target{InUse: c.stat.inUse, Queued: c.stat.queued, ReportAge: -1}
+	if !c.stat.reportedAt.IsZero() {
+		t.ReportAge = p.now.Sub(c.stat.reportedAt)
+	}
 	c.stat.inUse++
-	return Target{Backend: backend.ID, Service: p.r.Service, Owner: c.member.Owner, Locality: level, attempt: a}
+	t.Backend, t.Service, t.Owner, t.Locality, t.attempt = backend.ID, p.r.Service, c.member.Owner, level, a
+	return t
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/internal/transport/events/bus.go
+++ b/internal/transport/events/bus.go
@@ -9,6 +9,7 @@
 
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
+	"golang.org/x/time/rate"
 
 	"wigeonspring.example/wigeonspring/internal/fault"
 	"wigeonspring.example/wigeonspring/internal/ring"
@@ -18,7 +19,11 @@
 // Topic is the watermill topic of decisions.
 const Topic = "decisions"
 
-var drops = expvar.NewMap("event_drops")
+var (
+	drops = expvar.NewMap("event_drops")
+	// suppressed counts the events beyond the budget of their kind.
+	suppressed = expvar.NewMap("events_suppressed")
+)
 
 // Options configures a Bus.
 type Options struct {
@@ -26,6 +31,10 @@
 	Node string
 	// Capacity is the length of each ring; the default is 1024.
 	Capacity int
+	// Rate and Burst bound the events of one kind in a second and at once; 0 means no
+	// bound. Events beyond them are counted and dropped, so that a storm of one kind
+	// neither fills the log nor hides the others.
+	Rate, Burst int
 }
 
 // Bus accepts events and delivers them to the handlers of a watermill router.
@@ -33,6 +42,8 @@
 	opts   Options
 	in     *ring.Ring[event.Event]
 	router *message.Router
+	// budgets holds a *rate.Limiter for each kind.
+	budgets sync.Map
 
 	mu          sync.Mutex
 	subscribers []*subscriber
@@ -58,11 +69,26 @@
 	if e.Time.IsZero() {
 		e.Time = time.Now()
 	}
+	if !b.withinBudget(e.Kind) {
+		suppressed.Add(string(e.Kind), 1)
+		return
+	}
 	if !b.in.Offer(e) {
 		drops.Add("bus", 1)
 	}
 }
 
+func (b *Bus) withinBudget(kind event.Kind) bool {
+	if b.opts.Rate == 0 {
+		return true
+	}
+	limiter, ok := b.budgets.Load(kind)
+	if !ok {
+		limiter, _ = b.budgets.LoadOrStore(kind, rate.NewLimiter(rate.Limit(b.opts.Rate), b.opts.Burst))
+	}
+	return limiter.(*rate.Limiter).Allow()
+}
+
 // Handle adds a consumer. Each consumer has a goroutine and a ring of its own.
 func (b *Bus) Handle(name string, consume func(event.Event)) {
 	s := &subscriber{name: name, ring: ring.New[*message.Message](b.opts.Capacity)}
--- /dev/null
+++ b/internal/transport/logging/writer_test.go
@@ -0,0 +1,53 @@
+package logging
+
+import (
+	"bytes"
+	"os"
+	"testing"
+	"time"
+)
+
+// Guards against a reader that stops reading and thereby blocks requests.
+func TestFullPipeBlocksNobody(t *testing.T) {
+	r, pipe, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	w := NewWriter(pipe)
+	before := dropped.Value()
+	line := bytes.Repeat([]byte("x"), 1000)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 4 * ringLines {
+			if _, err := w.Write(line); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a log line waits for the reader")
+	}
+	if dropped.Value() == before {
+		t.Fatal("no dropped line is counted")
+	}
+	w.Close()
+	pipe.Close()
+}
+
+// Guards against lines that are lost although the reader keeps up.
+func TestLinesAreWrittenInOrder(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	for _, line := range []string{"a\n", "b\n", "c\n"} {
+		_, _ = w.Write([]byte(line))
+	}
+	w.Close()
+	w.Wait()
+	if out.String() != "a\nb\nc\n" {
+		t.Fatalf("%q", out.String())
+	}
+}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -43,6 +43,13 @@
 	TraceWriter io.Writer
 }
 
+// eventRate and eventBurst bound the decisions of one kind that are logged: at 300 B
+// a line, 6 KB/s for each kind.
+const (
+	eventRate  = 20
+	eventBurst = 200
+)
+
 // explainEvents is the number of decisions kept in memory for explanations.
 const explainEvents = 4096
 
@@ -168,7 +175,7 @@
 func (n *Node) assemble(ctx context.Context) error {
 	s := n.opts.Settings
 	var err error
-	if n.bus, err = events.New(events.Options{Node: s.Node.ID}); err != nil {
+	if n.bus, err = events.New(events.Options{Node: s.Node.ID, Rate: eventRate, Burst: eventBurst}); err != nil {
 		return err
 	}
 	n.bus.Handle("log", events.Logger(n.log))
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -19,6 +19,7 @@
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 	"wigeonspring.example/wigeonspring/internal/transport/console"
 	"wigeonspring.example/wigeonspring/internal/transport/control"
+	"wigeonspring.example/wigeonspring/internal/transport/metrics"
 	"wigeonspring.example/wigeonspring/internal/transport/peer"
 )
 
@@ -132,7 +133,7 @@
 		add(n.listeners.ready, n.opts.Adapter.Ready(n.Ready))
 	}
 	if n.listeners.metrics != nil {
-		add(n.listeners.metrics, expvar.Handler())
+		add(n.listeners.metrics, metrics.Handler())
 	}
 	return list
 }
@@ -183,6 +184,7 @@
 	controlHandler := n.control.Handler()
 	r.Mount(strings.TrimSuffix(controlHandler.PathPrefix(), "/"), controlHandler)
 	r.Handle("/debug/vars", expvar.Handler())
+	r.Handle("/metrics", metrics.Handler())
 	r.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !n.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -126,6 +126,7 @@
 			return
 		}
 		t.replaced.Store(true)
+		c.publish(event.RequestReplaced, reasonReplaced, event.Field{Key: "after", Value: after.String()})
 		cancel(errReplaced)
 	})
 	return limited, func() { timer.Stop() }
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -22,6 +22,7 @@
 	"wigeonspring.example/wigeonspring/internal/state/event"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/metrics"
 	"wigeonspring.example/wigeonspring/internal/transport/peer"
 )
 
@@ -90,6 +91,7 @@
 			return
 		}
 		c.tried = append(c.tried, target.Backend)
+		c.publishPlacement(target)
 		t := c.attempt(ctx, plan, target)
 		state := t.state
 		if t.reply.Arrived {
@@ -117,6 +119,9 @@
 		}
 		t.done(0)
 		c.note(t)
+		if d.Action == retry.Retry {
+			c.publish(event.RequestRetried, string(d.Reason), event.Field{Key: "after", Value: c.reason})
+		}
 		if t.reply.Reason == reasonSuspect {
 			c.suspects = append(c.suspects, target.Backend)
 		}
@@ -262,7 +267,11 @@
 	}
 }
 
+// latencies are the times from the arrival of a request to the header of its answer.
+var latencies = metrics.NewHistograms("request")
+
 func (c *call) describe(outcome string, status int) {
+	latencies.Observe(outcome, c.in.opt.Now().Sub(c.start))
 	if c.span == nil || !c.span.IsRecording() {
 		return
 	}
@@ -270,10 +279,28 @@
 		attribute.Int("http.response.status_code", status), attribute.Int("wigeonspring.attempts", len(c.tried)))
 }
 
-func (c *call) publish(kind event.Kind, reason string) {
+// publishPlacement reports where an attempt goes and what was known of the load
+// there.
+func (c *call) publishPlacement(t routing.Target) {
+	age := "none"
+	if t.ReportAge >= 0 {
+		age = t.ReportAge.Round(time.Millisecond).String()
+	}
+	c.publish(event.RequestPlaced, t.Locality.String(),
+		event.Field{Key: "attempt", Value: strconv.Itoa(len(c.tried))},
+		event.Field{Key: "owner", Value: string(t.Owner.ID)},
+		event.Field{Key: "route", Value: c.route.Name},
+		event.Field{Key: "policy_epoch", Value: strconv.FormatUint(c.policy.Epoch, 10)},
+		event.Field{Key: "in_use", Value: strconv.Itoa(t.InUse)},
+		event.Field{Key: "queued", Value: strconv.Itoa(t.Queued)},
+		event.Field{Key: "report_age", Value: age},
+	)
+}
+
+func (c *call) publish(kind event.Kind, reason string, evidence ...event.Field) {
 	e := event.Event{
 		Time: c.in.opt.Now(), Kind: kind, Node: string(c.in.opt.Self), Service: string(c.service),
-		RequestID: c.id, Reason: reason,
+		RequestID: c.id, Reason: reason, Evidence: evidence,
 	}
 	if n := len(c.tried); n > 0 {
 		e.Backend = string(c.tried[n-1])
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -24,6 +24,7 @@
 	"wigeonspring.example/wigeonspring/internal/state/evidence"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 	"wigeonspring.example/wigeonspring/internal/transport/backend"
+	"wigeonspring.example/wigeonspring/internal/transport/metrics"
 )
 
 const tracerName = "wigeonspring.example/wigeonspring/internal/transport/proxy"
@@ -323,6 +324,7 @@
 
 // report hands the evidence of the exchange to the detector.
 func (x *exchange) report(kind evidence.Kind, now time.Time, latency time.Duration) {
+	exchanges.Observe(kind.String(), latency)
 	a := x.attempt
 	if t := x.backend.tracker; t != nil {
 		x.track(t, kind, now)
@@ -334,6 +336,10 @@
 	})
 }
 
+// exchanges are the times from the first byte to the end of an exchange with a
+// backend server.
+var exchanges = metrics.NewHistograms("exchange")
+
 // track gives the evidence to the tracker and publishes what it changed.
 func (x *exchange) track(t *suspicion.Tracker, kind evidence.Kind, now time.Time) {
 	if a := x.attempt; kind == evidence.Canceled && a.Idempotent && a.Objective > 0 && now.Sub(x.start) >= a.Objective {
