Fill the directory of a restarted node at once

Cause: a node without seeds in its settings counts as joined; peers probe it before it has read the seeds of the platform, and then nothing filled its directory for 2 s or more.

--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -75,6 +75,10 @@
 	digest   uint64
 
 	joined     bool
+	// filled is set once the directory was taken over from another member, or the
+	// tries for it are used up. A node that starts without seeds has nobody to ask
+	// until it hears of a member.
+	filled     bool
 	superseded bool
 	// outdated lists members of whom the sender of the message in hand holds an
 	// old version; the next message to it carries ours.
@@ -231,7 +235,7 @@
 			c.opts.Seeds = append(c.opts.Seeds, s)
 		}
 	}
-	if len(c.live) == 0 && len(c.opts.Seeds) > 0 {
+	if (len(c.live) == 0 || !c.filled) && len(c.opts.Seeds) > 0 {
 		c.joined, c.fillTries, c.nextFill = false, 0, now
 	}
 }
--- a/internal/coordination/membership/sync.go
+++ b/internal/coordination/membership/sync.go
@@ -36,10 +36,14 @@
 	if c.syncing {
 		return
 	}
+	if c.joined && !c.filled && len(c.live) > 0 {
+		// A peer was heard of before any seed was known.
+		c.joined, c.fillTries, c.nextFill = false, 0, c.now
+	}
 	if !c.joined {
 		if !c.now.Before(c.nextFill) {
 			c.nextFill = c.now.Add(fillRetry + c.jitter(fillRetry))
-			c.startSync(Peer{Addr: c.opts.Seeds[c.rand.IntN(len(c.opts.Seeds))]}, true)
+			c.startSync(c.fillPeer(), true)
 		}
 		return
 	}
@@ -69,6 +73,21 @@
 	}
 }
 
+// fillPeer returns the peer to fill the directory from: a member that was heard of,
+// because a seed may be gone, and on further tries a seed.
+func (c *Core) fillPeer() Peer {
+	n := len(c.opts.Seeds)
+	if c.fillTries == 0 || n == 0 {
+		for _, m := range c.randomLive(1, "") {
+			return m.peer()
+		}
+	}
+	if n == 0 {
+		return Peer{}
+	}
+	return Peer{Addr: c.opts.Seeds[c.rand.IntN(n)]}
+}
+
 func (c *Core) startSync(peer Peer, fill bool) {
 	if c.syncing || peer.Addr == "" || peer.Addr == c.self.node.PeerAddr {
 		return
@@ -217,7 +236,7 @@
 		}
 		reason = "no seed reachable"
 	}
-	c.joined = true
+	c.joined, c.filled = true, true
 	// Transmissions before the fill had no members to go to.
 	c.queue.add(c.self.node.ID, true)
 	c.event(EventFilled, c.self, reason)
