--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -88,10 +88,6 @@
 	return fmt.Sprintf("no backend server for service %q, route %q: %s", r.Service, r.Route, r.Reason)
 }
 
-// Shed reports whether the refusal is due to overload, so that the caller should
-// try again later (Retry-After).
-func (r *Refusal) Shed() bool { return r.Reason == SpillLimited || r.Reason == AllTried }
-
 // Options configures a Balancer.
 type Options struct {
 	// Self is the ingress node.
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -20,10 +20,10 @@
 	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 	"wigeonspring.example/wigeonspring/internal/transport/metrics"
-	"wigeonspring.example/wigeonspring/internal/transport/peer"
 )
 
 // call is one request of a caller.
@@ -61,8 +61,9 @@
 	arrived, ran int
 	// reason, shed and timeout describe the last attempt without an answer.
 	reason  string
-	shed    bool
 	timeout bool
+	// load is the latest load that an owner reported with a refusal, or nil.
+	load *evidence.Load
 }
 
 // run makes attempts until one is final and answers the caller.
@@ -85,7 +86,7 @@
 		if err != nil {
 			var refusal *routing.Refusal
 			if errors.As(err, &refusal) && c.reason == "" {
-				c.reason, c.shed = string(refusal.Reason), refusal.Shed()
+				c.reason = string(refusal.Reason)
 			}
 			c.report(plan.GiveUp(retry.NoTarget))
 			return
@@ -166,12 +167,8 @@
 // note remembers why an attempt brought no answer.
 func (c *call) note(t *tried) {
 	c.reason, c.timeout = t.reply.Reason, t.reply.Timeout
-	switch c.reason {
-	case string(admission.QueueFull), string(admission.RemoteShareFull), string(admission.DeadlineTooShort),
-		peer.ReasonBusy, peer.ReasonLimit:
-		c.shed = true
-	default:
-		c.shed = false
+	if t.reply.Load != nil {
+		c.load = t.reply.Load
 	}
 }
 
@@ -230,8 +227,7 @@
 }
 
 // refuse answers a request that is not passed on. It returns false.
-func (c *call) refuse(status int, reason string, shed bool) bool {
-	c.shed = shed
+func (c *call) refuse(status int, reason string) bool {
 	c.publish(event.RequestRefused, reason)
 	c.write(status, header.NotRun, reason)
 	return false
@@ -249,8 +245,8 @@
 	header.Set(h, c.in.opt.Dialect.RequestID, c.id)
 	h[header.Outcome] = []string{outcome}
 	h[header.Reason] = []string{reason}
-	if c.shed && outcome == header.NotRun {
-		h.Set("Retry-After", "1")
+	if outcome == header.NotRun && status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", c.retryAfter())
 	}
 	text := outcome + ": " + reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
@@ -267,6 +263,19 @@
 	}
 }
 
+// retryAfter returns the value of the header that asks the caller back, in seconds.
+func (c *call) retryAfter() string {
+	in := c.in
+	rng := in.rngs.Get().(*rand.Rand)
+	defer in.rngs.Put(rng)
+	var median time.Duration
+	if c.load != nil {
+		median = in.opt.Balancer.Baseline(in.opt.Now(), c.service, "").Median
+	}
+	after := admission.ReturnAfter(c.load, median, rng)
+	return strconv.FormatFloat(after.Seconds(), 'f', 2, 64)
+}
+
 // latencies are the times from the arrival of a request to the header of its answer.
 var latencies = metrics.NewHistograms("request")
 
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -132,7 +132,7 @@
 	}()
 	if !in.enter() {
 		w.Header().Set("Connection", "close")
-		c.refuse(http.StatusServiceUnavailable, reasonStopping, true)
+		c.refuse(http.StatusServiceUnavailable, reasonStopping)
 		return
 	}
 	defer in.leave()
@@ -153,14 +153,14 @@
 func (c *call) prepare(r *http.Request) bool {
 	in := c.in
 	if !c.identify(r) {
-		return c.refuse(http.StatusBadRequest, reasonBadID, false)
+		return c.refuse(http.StatusBadRequest, reasonBadID)
 	}
 	m, err := in.opt.Policies.Match(hostName(r.Host), r.Method, r.URL.EscapedPath())
 	switch {
 	case errors.Is(err, policy.ErrUnknownHost):
-		return c.refuse(http.StatusNotFound, reasonUnknownHost, false)
+		return c.refuse(http.StatusNotFound, reasonUnknownHost)
 	case err != nil:
-		return c.refuse(http.StatusNotFound, reasonNoRoute, false)
+		return c.refuse(http.StatusNotFound, reasonNoRoute)
 	}
 	rng := in.rngs.Get().(*rand.Rand)
 	p := m.Targets[in.splits.Choose(rng, m)].Policy
@@ -168,7 +168,7 @@
 	route := m.Route
 	c.policy, c.service, c.route = p, registry.ServiceID(p.Service), route
 	if r.Header.Get("Upgrade") != "" && strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade") {
-		return c.refuse(http.StatusNotImplemented, reasonUpgradeUnsupp, false)
+		return c.refuse(http.StatusNotImplemented, reasonUpgradeUnsupp)
 	}
 	if c.span.IsRecording() {
 		c.span.SetAttributes(attribute.String("wigeonspring.request_id", c.id),
@@ -185,7 +185,7 @@
 	if s := r.Header.Get(in.opt.Dialect.Deadline); s != "" {
 		left, err := header.ParseDeadline(s)
 		if err != nil {
-			return c.refuse(http.StatusBadRequest, reasonBadDeadline, false)
+			return c.refuse(http.StatusBadRequest, reasonBadDeadline)
 		}
 		timeout = min(timeout, left)
 	}
@@ -222,7 +222,7 @@
 func (c *call) takeBody(r *http.Request) bool {
 	limit := c.policy.Document.Service.Limits.MaxBodyBytes
 	if limit > 0 && r.ContentLength > limit {
-		return c.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, false)
+		return c.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
 	}
 	if r.Body != nil && r.Body != http.NoBody {
 		// A caller that stops sending must not hold the connection for ever.
@@ -244,9 +244,9 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return c.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, false)
+		return c.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
 	case err != nil:
-		return c.refuse(http.StatusBadRequest, reasonBodyCut, false)
+		return c.refuse(http.StatusBadRequest, reasonBodyCut)
 	}
 	c.body = body
 	return true
