Keep work that is sure to end when a node stops; drop unused header names

A node that stops refused other nodes' work at once, also where the longest timeout of a route leaves time to finish it.

The load that backend servers state was read nowhere: their owner knows it exactly. A node that finds no other failure domain stops reading the seeds after 60 reads.

--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -74,7 +74,7 @@
 	buckets  [Buckets]uint64
 	digest   uint64
 
-	joined     bool
+	joined bool
 	// filled is set once the directory was taken over from another member, or the
 	// tries for it are used up. A node that starts without seeds has nobody to ask
 	// until it hears of a member.
--- a/internal/protocol/header/dialect.go
+++ b/internal/protocol/header/dialect.go
@@ -1,10 +1,6 @@
 package header
 
-import (
-	"net/http"
-
-	"wigeonspring.example/wigeonspring/internal/state/evidence"
-)
+import "net/http"
 
 // Dialect names the headers that callers and backend servers use. An empty name
 // means that the header is neither sent nor read. Names are in canonical form.
@@ -24,10 +20,6 @@
 	Instance         string
 	// NotRun marks an answer of a backend server that did not run the request.
 	NotRun string
-	// Load is the load that a backend server states with an answer, and ParseLoad
-	// reads it.
-	Load      string
-	ParseLoad func(string) (evidence.Load, bool)
 }
 
 // OwnDialect returns the project's own headers.
@@ -39,11 +31,6 @@
 		ExpectedInstance: ExpectedInstance,
 		Instance:         Instance,
 		NotRun:           BackendNotRun,
-		Load:             BackendLoad,
-		ParseLoad: func(s string) (evidence.Load, bool) {
-			l, err := ParseLoad(s)
-			return l, err == nil
-		},
 	}
 }
 
@@ -67,19 +54,3 @@
 	}
 	return d.ExpectedInstance != "" && resp.StatusCode == http.StatusMisdirectedRequest
 }
-
-// StatedLoad returns the load in the header of an answer, or nil.
-func (d *Dialect) StatedLoad(h http.Header) *evidence.Load {
-	if d.Load == "" || d.ParseLoad == nil {
-		return nil
-	}
-	value := h.Get(d.Load)
-	if value == "" {
-		return nil
-	}
-	l, ok := d.ParseLoad(value)
-	if !ok {
-		return nil
-	}
-	return &l
-}
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -52,10 +52,8 @@
 	// ExpectedInstance and Instance name backend servers; see Dialect.
 	ExpectedInstance = "Wigeonspring-Expected-Instance"
 	Instance         = "Wigeonspring-Instance"
-	// BackendNotRun marks an answer of a backend server that did not run the
-	// request, and BackendLoad the load that a backend server states.
+	// BackendNotRun marks an answer of a backend server that did not run the request.
 	BackendNotRun = "Wigeonspring-Backend-Not-Run"
-	BackendLoad   = "Wigeonspring-Backend-Load"
 )
 
 // Outcomes of a request.
--- a/internal/state/policy/fleet.go
+++ b/internal/state/policy/fleet.go
@@ -185,7 +185,9 @@
 
 // fleetTable is a fleet document prepared for look-ups.
 type fleetTable struct {
-	limits   CallerLimits
+	limits CallerLimits
+	// longest is the longest timeout of a route; 0 if a route has none.
+	longest  time.Duration
 	services map[string]*InForce
 	// hosts holds the routes of each host by prefix, so that a look-up costs as
 	// many steps as the path has segments, whatever the number of routes.
@@ -223,6 +225,9 @@
 	}
 	for i := range f.Routes {
 		r := &f.Routes[i]
+		if i == 0 || r.Timeout == 0 || t.longest > 0 && time.Duration(r.Timeout) > t.longest {
+			t.longest = time.Duration(r.Timeout)
+		}
 		m := &Match{Version: in.Epoch, Route: &Route{
 			Name: r.Name, Path: r.Prefix + "*", Idempotent: r.Idempotent, Timeout: r.Timeout,
 			Objective: r.Objective, Rank: r.Rank, MaxAttempts: r.MaxAttempts,
--- a/internal/state/policy/fleet_test.go
+++ b/internal/state/policy/fleet_test.go
@@ -66,6 +66,13 @@
 	if floor := booking.Document.Service.FloorOf(10); floor != 7 {
 		t.Fatalf("floor of 10 backend servers is %d, want 7", floor)
 	}
+	if longest := table.LongestTimeout(); longest != 4*time.Second {
+		t.Fatalf("longest timeout %s", longest)
+	}
+	setFleet(t, table, 4, strings.Replace(fleetDocument, `"timeout": "4s"`, `"timeout": "0s"`, 1))
+	if longest := table.LongestTimeout(); longest != 0 {
+		t.Fatalf("longest timeout %s with a route without one", longest)
+	}
 	if l := table.CallerLimits(); time.Duration(l.IdleTimeout) != 15*time.Second {
 		t.Fatalf("limits of callers %+v", l)
 	}
--- a/internal/state/policy/table.go
+++ b/internal/state/policy/table.go
@@ -349,6 +349,15 @@
 	return Match{Route: route, Version: p.Epoch, Targets: []MatchTarget{{Policy: p, Weight: 1}}}, nil
 }
 
+// LongestTimeout returns the longest time that a request may take by the fleet
+// document in force, or 0 if that is not bounded.
+func (t *Table) LongestTimeout() time.Duration {
+	if f := t.snapshot.Load().fleet(); f != nil {
+		return f.longest
+	}
+	return 0
+}
+
 // CallerLimits returns the limits of the fleet document in force, or zero.
 func (t *Table) CallerLimits() CallerLimits {
 	if f := t.snapshot.Load().fleet(); f != nil {
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -216,11 +216,21 @@
 	return fault.Newf("drain backend server", string(id), "not owned by this node")
 }
 
+// takeWorkThatEnds keeps the backend servers of this node in service for as long as
+// every request that begins now is sure to end before the drain times out.
+func (n *Node) takeWorkThatEnds(ctx context.Context) {
+	s := n.opts.Settings.Drain
+	longest := n.policies.LongestTimeout()
+	if spare := time.Duration(s.Timeout) - longest; longest > 0 && spare > 0 {
+		sleep(ctx, min(spare, time.Duration(s.Notice)))
+	}
+}
+
 // awaitNotice keeps serving while the platform learns from the readiness check
 // that the node leaves, because callers go on sending requests until then.
-func (n *Node) awaitNotice(ctx context.Context) {
-	if notice := time.Duration(n.opts.Settings.Drain.Notice); notice > 0 {
-		sleep(ctx, notice)
+func (n *Node) awaitNotice(ctx context.Context, since time.Time) {
+	if left := time.Duration(n.opts.Settings.Drain.Notice) - time.Since(since); left > 0 {
+		sleep(ctx, left)
 	}
 }
 
@@ -229,16 +239,18 @@
 func (n *Node) shutDown(servers []*http.Server) {
 	n.stopping.Store(true)
 	n.log.Info("shutting down")
+	since := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.opts.Settings.Drain.Timeout))
 	defer cancel()
-	// The work of other nodes goes elsewhere at once, so that what runs here ends
+	n.takeWorkThatEnds(ctx)
+	// The work of other nodes goes elsewhere from now on, so that what runs here ends
 	// before the platform kills the process.
 	n.owner.Stop()
 	n.records.leases.Stop()
 	if err := n.gossip.Leave(ctx); err != nil {
 		n.log.Warn("cannot announce the departure", zap.Error(err))
 	}
-	n.awaitNotice(ctx)
+	n.awaitNotice(ctx, since)
 	if err := n.ingress.Drain(ctx); err != nil {
 		n.log.Warn("callers' requests were cut off by the drain timeout", zap.Error(err))
 	}
--- a/internal/transport/node/seeds.go
+++ b/internal/transport/node/seeds.go
@@ -38,6 +38,9 @@
 	quickSeedAttempts = 20
 	quickSeedRetry    = 300 * time.Millisecond
 	maxQuickSeedRetry = 2 * time.Second
+	// maxSeedReads bounds the successful reads of a node that finds no other failure
+	// domain, because there may be none.
+	maxSeedReads = 60
 )
 
 // seedPace says how fast a node registers and looks for others.
@@ -69,12 +72,16 @@
 // another failure domain.
 func (n *Node) learnSeeds(ctx context.Context) error {
 	pace := n.seedPace()
+	reads := 0
 	for delay := pace.retry; ; delay = min(2*delay, pace.maxRetry) {
 		addrs, err := n.readSeeds(ctx)
+		if err == nil {
+			reads++
+		}
 		switch {
 		case err != nil:
 			n.log.Warn("cannot read seeds from the platform", zap.Error(err))
-		case n.gossip.AddSeeds(addrs) && (n.opts.Adapter == nil || n.knowsOtherDomain()):
+		case n.gossip.AddSeeds(addrs) && (n.opts.Adapter == nil || n.knowsOtherDomain() || reads >= maxSeedReads):
 			return nil
 		}
 		if !sleep(ctx, delay/2+rand.N(delay)) {
