--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -261,6 +261,9 @@
 			t.outcome = routing.Abandoned
 		}
 	}
+	if t.call.request.Context().Err() != nil {
+		t.reply.Reason = reasonCanceled
+	}
 	if t.outcome == routing.PeerFailed && !t.replaced.Load() && t.call.request.Context().Err() == nil && !t.call.body.failed.Load() {
 		t.call.in.opt.Logger.Warn("request to owner failed", zap.String("request_id", t.call.id),
 			zap.String("owner", string(t.target.Owner.ID)), zap.String("step", fault.Step(err)), zap.Error(err))
