Do not cut an answer that began; refuse no promise without proof; keep the last error

The end of an attempt and its replacement now exclude each other.

Found by reading: a backend server's 503, 429 or 408 without proof was passed on for a request that must not be repeated, which callers take as a promise.

--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -52,19 +52,25 @@
 	if opts.Check {
 		return 0
 	}
-	log, level, err := newLogger(s)
+	out := logging.NewWriter(os.Stdout)
+	defer out.CloseWithin(flushTimeout)
+	log, level, err := newLogger(s, out)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	defer func() { _ = log.Sync() }()
 	if err := serve(s, opts.Config, log, level); err != nil {
+		// The log waits for no reader; whoever started the daemon reads this.
+		fmt.Fprintln(os.Stderr, err)
 		log.Error("node failed", zap.Error(err))
 		return exitFailed
 	}
 	return 0
 }
 
+// flushTimeout bounds the wait for the last log lines at the end of the process.
+const flushTimeout = 100 * time.Millisecond
+
 // Settings of the garbage collector. A small heap grows to five times its live
 // size before it is collected, because frequent collections delay requests. Near
 // the memory limit, which leaves room below 64 MB for what the runtime does not
@@ -111,7 +117,7 @@
 
 // newLogger returns a logger of JSON lines on standard output, which waits for no
 // reader.
-func newLogger(s *settings.Settings) (*zap.Logger, zap.AtomicLevel, error) {
+func newLogger(s *settings.Settings, out zapcore.WriteSyncer) (*zap.Logger, zap.AtomicLevel, error) {
 	var none zap.AtomicLevel
 	parsed, err := zapcore.ParseLevel(s.Output.LogLevel)
 	if err != nil {
@@ -120,6 +126,6 @@
 	level := zap.NewAtomicLevelAt(parsed)
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), logging.NewWriter(os.Stdout), level))
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), out, level))
 	return log.With(zap.String("node", s.Node.ID), zap.String("failure_domain", s.Node.FailureDomain)), level, nil
 }
--- a/internal/protocol/header/dialect.go
+++ b/internal/protocol/header/dialect.go
@@ -18,6 +18,10 @@
 	// Instance the one that answers. Another backend server answers 421.
 	ExpectedInstance string
 	Instance         string
+	// StrictRefusals says that callers take 408, 429 and 503 as a promise that the
+	// request has not run and never will. Such an answer of a backend server without
+	// proof is not passed on for a request that must not be repeated.
+	StrictRefusals bool
 	// NotRun marks an answer of a backend server that did not run the request.
 	NotRun string
 }
@@ -54,3 +58,16 @@
 	}
 	return d.ExpectedInstance != "" && resp.StatusCode == http.StatusMisdirectedRequest
 }
+
+// PromisesFalsely reports whether callers would take an answer without proof as a
+// promise that the request has not run.
+func (d *Dialect) PromisesFalsely(resp *http.Response) bool {
+	if !d.StrictRefusals || d.ProvesNotRun(resp) {
+		return false
+	}
+	switch resp.StatusCode {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/transport/logging/writer.go
+++ b/internal/transport/logging/writer.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"io"
 	"sync"
+	"time"
 
 	"wigeonspring.example/wigeonspring/internal/ring"
 )
@@ -49,6 +50,20 @@
 	w.once.Do(func() { close(w.done) })
 }
 
+// CloseWithin closes the writer and waits at most d for the lines in the ring.
+func (w *Writer) CloseWithin(d time.Duration) {
+	w.Close()
+	ended := make(chan struct{})
+	go func() {
+		w.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(d):
+	}
+}
+
 // Wait returns once the goroutine has ended after Close.
 func (w *Writer) Wait() { w.wg.Wait() }
 
--- a/internal/transport/logging/writer_test.go
+++ b/internal/transport/logging/writer_test.go
@@ -34,7 +34,11 @@
 	if dropped.Value() == before {
 		t.Fatal("no dropped line is counted")
 	}
-	w.Close()
+	start := time.Now()
+	w.CloseWithin(50 * time.Millisecond)
+	if took := time.Since(start); took > time.Second {
+		t.Fatalf("closing waited %s for the reader", took)
+	}
 	pipe.Close()
 }
 
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -44,10 +44,10 @@
 	state   retry.State
 	outcome routing.Outcome
 	failed  bool
-	// replaced is set when the attempt was given up for another one.
-	replaced atomic.Bool
-	body     io.ReadCloser
-	over     bool
+	// fate decides between the end of the attempt and its replacement.
+	fate atomic.Int32
+	body io.ReadCloser
+	over bool
 }
 
 // attempt sends the request to the owner of the target.
@@ -76,14 +76,20 @@
 		c.publish(event.RequestSpilled, target.Locality.String())
 	}
 	t := &tried{call: c, target: target, begin: now, body: c.body.open()}
-	ctx, answerBegan := t.replaceable(ctx, plan)
-	defer answerBegan()
+	ctx, stop := t.replaceable(ctx, plan)
+	defer stop()
 	if target.Owner.ID == in.opt.Self {
 		t.runLocal(ctx, hop)
 	} else {
 		t.runPeer(ctx, hop)
 	}
 	t.latency = in.opt.Now().Sub(now)
+	replaced := !t.fate.CompareAndSwap(fateOpen, fateEnded)
+	if replaced && t.reply.Outcome == header.Answered {
+		// The answer began as the attempt was given up; its body cannot be read.
+		t.reply.close()
+		t.reply = &reply{Outcome: header.Unknown, Load: t.reply.Load}
+	}
 	switch t.reply.Outcome {
 	case header.Answered:
 		t.state = retry.Answered
@@ -97,7 +103,7 @@
 	default:
 		t.state = retry.Sent
 		t.failed = true
-		if t.replaced.Load() {
+		if replaced {
 			// The owner may be as well as any other.
 			t.outcome = routing.Completed
 			t.reply.Reason = reasonReplaced
@@ -111,8 +117,8 @@
 }
 
 // replaceable cancels an attempt that takes too long if another one can take its
-// place at that time. The returned function ends the limit once the answer began.
-func (t *tried) replaceable(ctx context.Context, plan *retry.Plan) (limited context.Context, began func()) {
+// place at that time. The returned function stops the timer.
+func (t *tried) replaceable(ctx context.Context, plan *retry.Plan) (limited context.Context, stop func()) {
 	c := t.call
 	after := plan.ReplaceAfter(t.begin, time.Duration(c.route.Objective))
 	if after == 0 || !c.body.repeatable() {
@@ -125,13 +131,23 @@
 		if in.stopping() || !plan.AllowsRetry(in.opt.Now(), c.budget) {
 			return
 		}
-		t.replaced.Store(true)
+		if !t.fate.CompareAndSwap(fateOpen, fateReplaced) {
+			return
+		}
 		c.publish(event.RequestReplaced, reasonReplaced, event.Field{Key: "after", Value: after.String()})
 		cancel(errReplaced)
 	})
 	return limited, func() { timer.Stop() }
 }
 
+// Fates of an attempt. Only one of the end and the replacement takes effect, so that
+// an answer that began is not cut.
+const (
+	fateOpen int32 = iota
+	fateEnded
+	fateReplaced
+)
+
 // errReplaced is the cause of the end of an attempt that another one replaces.
 var errReplaced = errors.New("attempt replaced by another one")
 
@@ -264,7 +280,7 @@
 	if t.call.request.Context().Err() != nil {
 		t.reply.Reason = reasonCanceled
 	}
-	if t.outcome == routing.PeerFailed && !t.replaced.Load() && t.call.request.Context().Err() == nil && !t.call.body.failed.Load() {
+	if t.outcome == routing.PeerFailed && t.fate.Load() != fateReplaced && t.call.request.Context().Err() == nil && !t.call.body.failed.Load() {
 		t.call.in.opt.Logger.Warn("request to owner failed", zap.String("request_id", t.call.id),
 			zap.String("owner", string(t.target.Owner.ID)), zap.String("step", fault.Step(err)), zap.Error(err))
 	}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -59,7 +59,7 @@
 	// arrived counts the attempts that reached a backend server, and ran those that
 	// may have run.
 	arrived, ran int
-	// reason, shed and timeout describe the last attempt without an answer.
+	// reason and timeout describe the last attempt without an answer.
 	reason  string
 	timeout bool
 	// load is the latest load that an owner reported with a refusal, or nil.
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -228,6 +228,9 @@
 	if o.opt.Dialect.ProvesNotRun(resp.Response) {
 		return x.refused(resp, load)
 	}
+	if !a.Idempotent && o.opt.Dialect.PromisesFalsely(resp.Response) {
+		return x.unproved(resp, load)
+	}
 	x.answered(resp)
 	return &reply{Outcome: header.Answered, Load: load, Response: resp.Response}
 }
@@ -408,6 +411,15 @@
 	return r
 }
 
+// unproved ends an exchange whose answer says, without proof, that the request has
+// not run.
+func (x *exchange) unproved(resp *backend.Answer, load *evidence.Load) *reply {
+	_, _ = io.CopyN(io.Discard, resp.Body, refusalBytes)
+	_ = resp.Body.Close()
+	x.end(evidence.ServerError, reasonUnproved, 0)
+	return &reply{Outcome: header.Unknown, Reason: reasonUnproved, Load: load}
+}
+
 // answered prepares the answer: its body ends the exchange.
 func (x *exchange) answered(resp *backend.Answer) {
 	x.latency = max(x.owner.opt.Now().Sub(x.start)-resp.UploadWait(), 1)
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -32,6 +32,9 @@
 	reasonOwnerSilent   = "owner_did_not_answer"
 	reasonUpgradeUnsupp = "upgrade_not_supported"
 	// reasonBackendRefused: the backend server stated that it did not run the request.
+	// reasonUnproved: the backend server refused without proof that it did not run
+	// the request.
+	reasonUnproved       = "backend_refusal_unproved"
 	reasonReplaced       = "attempt_replaced"
 	reasonSuspect        = "backend_suspect"
 	reasonBackendRefused = "backend_refused"
