--- a/internal/transport/events/store.go
+++ b/internal/transport/events/store.go
@@ -17,8 +17,13 @@
 // NewStore returns a store of the last capacity events.
 func NewStore(capacity int) *Store { return &Store{events: make([]event.Event, capacity)} }
 
-// Add keeps an event and forgets the oldest one if the store is full.
+// Add keeps an event and forgets the oldest one if the store is full. Placements
+// are left out: one for each request would push out the decisions about backend
+// servers within seconds; the log has them.
 func (s *Store) Add(e event.Event) {
+	if e.Kind == event.RequestPlaced {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.events[s.next] = e
