--- a/cmd/wigeonspringd/reload.go
+++ b/cmd/wigeonspringd/reload.go
@@ -24,25 +24,24 @@
 		case <-ctx.Done():
 			return
 		case <-hangups:
-			current = reload(path, current, log, level)
+			reload(path, current, log, level)
 		}
 	}
 }
 
-// reload returns the settings in force afterwards.
-func reload(path string, current *settings.Settings, log *zap.Logger, level zap.AtomicLevel) *settings.Settings {
+// reload applies the log level and names the other settings that differ from those
+// of the start.
+func reload(path string, current *settings.Settings, log *zap.Logger, level zap.AtomicLevel) {
 	next, err := settings.Load(path)
 	if err != nil {
 		log.Warn("settings not reloaded", zap.Error(err))
-		return current
+		return
 	}
 	parsed, err := zapcore.ParseLevel(next.Output.LogLevel)
 	if err != nil {
 		log.Warn("settings not reloaded", zap.Error(err))
-		return current
+		return
 	}
 	level.SetLevel(parsed)
 	log.Info("settings reloaded", zap.Strings("need_restart", settings.Changed(current, next, "output.log_level")))
-	current.Output.LogLevel = next.Output.LogLevel
-	return current
 }
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -52,10 +52,10 @@
 
 // next returns the queue index of the request that is admitted next, or -1. Among
 // requests of different ranks the earlier one goes first, with an advance for the
-// lower rank. Within a rank, the caller with the fewest requests in flight goes first, then the one with the
-// fewest admissions from the queue, then the earliest deadline. With one slot all
-// callers in the queue have none in flight, and without the second rule a caller
-// with short deadlines would keep all others waiting.
+// lower rank. Within a rank, the caller with the fewest requests in flight goes
+// first, then the one with the fewest admissions from the queue, then the earliest
+// deadline. With one slot all callers in the queue have none in flight, and without
+// the second rule a caller with short deadlines would keep all others waiting.
 func (g *Gate) next() int {
 	best := -1
 	for i, e := range g.queue {
--- a/internal/coordination/retry/fleet_test.go
+++ b/internal/coordination/retry/fleet_test.go
@@ -68,12 +68,12 @@
 // its place, and one that takes the time of its replacement.
 func TestReplacement(t *testing.T) {
 	objective := time.Second
-	options := Options{Idempotent: true, MaxAttempts: 2, Deadline: t0.Add(4 * time.Second), Objective: t0.Add(objective)}
+	options := Options{Idempotent: true, MaxAttempts: 2, Deadline: t0.Add(4 * time.Second), Objective: objective}
 	p := NewPlan(options)
-	if got := p.ReplaceAfter(t0, objective); got != objective {
+	if got := p.ReplaceAfter(t0); got != objective {
 		t.Fatalf("replaced after %s", got)
 	}
-	if got := p.ReplaceAfter(t0.Add(2500*time.Millisecond), objective); got != 0 {
+	if got := p.ReplaceAfter(t0.Add(2500 * time.Millisecond)); got != 0 {
 		t.Fatalf("replaced after %s with too little time left", got)
 	}
 	budget := NewBudget(BudgetOptions{Slack: 1})
@@ -86,7 +86,7 @@
 	}
 	once := options
 	once.Idempotent = false
-	if p := NewPlan(once); p.ReplaceAfter(t0, objective) != 0 || p.AllowsRetry(t0, NewBudget(BudgetOptions{})) {
+	if p := NewPlan(once); p.ReplaceAfter(t0) != 0 || p.AllowsRetry(t0, NewBudget(BudgetOptions{})) {
 		t.Fatal("a request that must not be repeated is replaced")
 	}
 }
--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -123,9 +123,9 @@
 	MaxAttempts int
 	// Deadline is the caller's deadline; zero means none.
 	Deadline time.Time
-	// Objective is when an answer stops being fully useful; zero means that none is
-	// stated.
-	Objective time.Time
+	// Objective is the time within which an answer of an attempt is fully useful; 0
+	// means that none is stated.
+	Objective time.Duration
 	// FreeRefusals is the number of attempts that may end before anything reached
 	// a backend server without counting as attempts or retries. Such an attempt
 	// adds no load to the service.
@@ -189,10 +189,10 @@
 	if !p.opt.Idempotent || p.attempts+1 >= p.opt.MaxAttempts || p.opt.Deadline.IsZero() {
 		return time.Time{}
 	}
-	left := p.opt.Deadline.Sub(now)
-	if !p.opt.Objective.IsZero() {
+	if p.opt.Objective > 0 {
 		return time.Time{} // See ReplaceAfter.
 	}
+	left := p.opt.Deadline.Sub(now)
 	limit := left / 2
 	if typical.Samples >= minSamples {
 		limit = max(left/minShare, typicalFactor*typical.Median)
@@ -208,14 +208,11 @@
 // answer is fully useful, if about as much is left for its replacement. Whether a
 // replacement is possible is decided then, by AllowsRetry: an attempt at work is
 // not given up for nothing.
-func (p *Plan) ReplaceAfter(now time.Time, objective time.Duration) time.Duration {
-	if !p.opt.Idempotent || p.opt.Objective.IsZero() || p.opt.Deadline.IsZero() {
-		return 0
-	}
-	if objective <= 0 || 2*objective > p.opt.Deadline.Sub(now) {
+func (p *Plan) ReplaceAfter(now time.Time) time.Duration {
+	if !p.opt.Idempotent || p.opt.Deadline.IsZero() || 2*p.opt.Objective > p.opt.Deadline.Sub(now) {
 		return 0
 	}
-	return objective
+	return p.opt.Objective
 }
 
 // Next records the end of an attempt and decides what follows. The first call
--- a/internal/coordination/routing/service.go
+++ b/internal/coordination/routing/service.go
@@ -193,6 +193,14 @@
 	}
 }
 
+// reportAge returns the age of the latest report, or -1 if there was none.
+func (st *stat) reportAge(now time.Time) time.Duration {
+	if st.reportedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(st.reportedAt)
+}
+
 // trust is the share of the latest report that still counts, 1 to 0.
 func (st *stat) trust(now time.Time) float64 {
 	if st.reportedAt.IsZero() {
--- /dev/null
+++ b/internal/state/platform/call.go
@@ -0,0 +1,94 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/fault"
+)
+
+// Caller makes the calls of a client over HTTP with bodies in JSON.
+type Caller struct {
+	// Base is the address of the platform without a trailing slash.
+	Base   string
+	Client *http.Client
+	// ContentType is set on calls with a body unless it is empty.
+	ContentType string
+	// MaxAnswerBytes bounds an answer; 0 means no bound.
+	MaxAnswerBytes int64
+}
+
+// Call is one call.
+type Call struct {
+	// Step names the call in errors.
+	Step, Method string
+	// Path includes the query.
+	Path    string
+	Body    []byte
+	Timeout time.Duration
+}
+
+// Do makes a call and decodes its answer unless into is nil. Every failure after
+// which a write may have taken effect is an ErrUnavailable: no answer, a cut or
+// unreadable answer, 429 and a status of the 5xx class.
+func (c *Caller) Do(ctx context.Context, call Call, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.Base+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return fault.New(call.Step, c.Base, err)
+	}
+	if call.Body != nil && c.ContentType != "" {
+		req.Header.Set("Content-Type", c.ContentType)
+	}
+	unavailable := func(err error) error {
+		return fault.New(call.Step, c.Base, fmt.Errorf("%w: %w", ErrUnavailable, err))
+	}
+	resp, err := c.Client.Do(req)
+	if err != nil {
+		return unavailable(err)
+	}
+	defer resp.Body.Close()
+	body := io.Reader(resp.Body)
+	if c.MaxAnswerBytes > 0 {
+		body = io.LimitReader(body, c.MaxAnswerBytes)
+	}
+	answer, err := io.ReadAll(body)
+	if err != nil {
+		return unavailable(err)
+	}
+	if resp.StatusCode/100 != 2 {
+		return fault.New(call.Step, c.Base, statusError(resp.StatusCode, answer))
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return unavailable(err)
+	}
+	return nil
+}
+
+func statusError(status int, answer []byte) error {
+	switch status {
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusGone:
+		return ErrCompacted
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	}
+	err := fmt.Errorf("status %d: %s", status, strings.TrimSpace(string(answer[:min(len(answer), 200)])))
+	if status >= 500 || status == http.StatusTooManyRequests {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return err
+}
--- a/internal/state/platform/http.go
+++ b/internal/state/platform/http.go
@@ -1,11 +1,7 @@
 package platform
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -46,9 +42,8 @@
 
 // HTTP is the Client over the platform's HTTP API.
 type HTTP struct {
-	base    string
+	caller  Caller
 	timeout time.Duration
-	client  *http.Client
 }
 
 var _ Client = (*HTTP)(nil)
@@ -61,11 +56,12 @@
 	if o.Transport == nil {
 		o.Transport = http.DefaultTransport.(*http.Transport).Clone()
 	}
-	return &HTTP{base: strings.TrimSuffix(o.URL, "/"), timeout: o.Timeout, client: &http.Client{Transport: o.Transport}}
+	caller := Caller{Base: strings.TrimSuffix(o.URL, "/"), Client: &http.Client{Transport: o.Transport}}
+	return &HTTP{caller: caller, timeout: o.Timeout}
 }
 
 // Close closes the idle connections.
-func (h *HTTP) Close() { h.client.CloseIdleConnections() }
+func (h *HTTP) Close() { h.caller.Client.CloseIdleConnections() }
 
 // Get implements Client.
 func (h *HTTP) Get(ctx context.Context, key string) (Object, error) {
@@ -84,7 +80,7 @@
 // Put implements Client.
 func (h *HTTP) Put(ctx context.Context, key string, value []byte, version uint64) (Object, error) {
 	if len(value) > MaxValueBytes {
-		return Object{}, fault.New("platform put", h.base, ErrTooLarge)
+		return Object{}, fault.New("platform put", h.caller.Base, ErrTooLarge)
 	}
 	var obj Object
 	err := h.call(ctx, "platform put", http.MethodPut, PathObject, versioned(key, version), value, h.timeout, &obj)
@@ -112,51 +108,6 @@
 	return url.Values{"key": {key}, "version": {strconv.FormatUint(version, 10)}}
 }
 
-// call sends one request. Every failure after which a write may have taken
-// effect is an ErrUnavailable: no answer, a cut or unreadable answer, and a
-// status of the 5xx class.
 func (h *HTTP) call(ctx context.Context, step, method, path string, query url.Values, body []byte, timeout time.Duration, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, h.base+path+"?"+query.Encode(), bytes.NewReader(body))
-	if err != nil {
-		return fault.New(step, h.base, err)
-	}
-	unavailable := func(err error) error {
-		return fault.New(step, h.base, fmt.Errorf("%w: %w", ErrUnavailable, err))
-	}
-	resp, err := h.client.Do(req)
-	if err != nil {
-		return unavailable(err)
-	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return unavailable(err)
-	}
-	switch resp.StatusCode {
-	case http.StatusOK:
-		if into == nil {
-			return nil
-		}
-		if err := json.Unmarshal(answer, into); err != nil {
-			return unavailable(err)
-		}
-		return nil
-	case http.StatusNotFound:
-		err = ErrNotFound
-	case http.StatusConflict:
-		err = ErrConflict
-	case http.StatusGone:
-		err = ErrCompacted
-	case http.StatusRequestEntityTooLarge:
-		err = ErrTooLarge
-	default:
-		text := strings.TrimSpace(string(answer[:min(len(answer), 200)]))
-		err = fmt.Errorf("status %d: %s", resp.StatusCode, text)
-		if resp.StatusCode >= 500 || resp.StatusCode == http.StatusTooManyRequests {
-			return unavailable(err)
-		}
-	}
-	return fault.New(step, h.base, err)
+	return h.caller.Do(ctx, Call{Step: step, Method: method, Path: path + "?" + query.Encode(), Body: body, Timeout: timeout}, into)
 }
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -255,16 +255,17 @@
 
 func (n *Node) assemblePolicies() {
 	s := n.opts.Settings
-	core := distribution.New(distribution.Options{
+	options := distribution.Options{
 		Self:          n.ID(),
 		FailureDomain: s.Node.FailureDomain,
 		Start:         time.Now(),
 		Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Linearizable:  n.opts.Adapter != nil,
-		WatchWait:     n.watchWait(),
-		MaxBackoff:    n.maxBackoff(),
 		Defaults:      n.serviceDefaults(),
-	})
+	}
+	if n.opts.Adapter != nil {
+		options.Linearizable, options.WatchWait, options.MaxBackoff = true, adapterWatchWait, adapterBackoff
+	}
+	core := distribution.New(options)
 	n.policies = core.Table()
 	n.sync = policysync.New(policysync.Options{
 		Core:       core,
@@ -287,20 +288,6 @@
 // reads/s of a platform that allows 2,000.
 const adapterWatchWait = 2 * time.Second
 
-func (n *Node) watchWait() time.Duration {
-	if n.opts.Adapter != nil {
-		return adapterWatchWait
-	}
-	return 0
-}
-
-func (n *Node) maxBackoff() time.Duration {
-	if n.opts.Adapter != nil {
-		return adapterBackoff
-	}
-	return 0
-}
-
 // serviceDefaults returns what the settings state for the services of a fleet
 // document.
 func (n *Node) serviceDefaults() policy.ServiceDefaults {
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -120,7 +120,7 @@
 // place at that time. The returned function stops the timer.
 func (t *tried) replaceable(ctx context.Context, plan *retry.Plan) (limited context.Context, stop func()) {
 	c := t.call
-	after := plan.ReplaceAfter(t.begin, time.Duration(c.route.Objective))
+	after := plan.ReplaceAfter(t.begin)
 	if after == 0 || !c.body.repeatable() {
 		return ctx, func() {}
 	}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -70,11 +70,10 @@
 func (c *call) run(ctx context.Context) {
 	in := c.in
 	limits := c.policy.Document.Service.Limits
-	budget := in.budget(c.service, limits.RetryPercent)
-	c.budget = budget
+	c.budget = in.budget(c.service, limits.RetryPercent)
 	plan := retry.NewPlan(retry.Options{
 		Idempotent: c.route.Idempotent, MaxAttempts: cmp.Or(c.route.MaxAttempts, limits.MaxAttempts),
-		Objective: c.objective, FreeRefusals: in.opt.FreeRefusals,
+		Objective: time.Duration(c.route.Objective), FreeRefusals: in.opt.FreeRefusals,
 		// An attempt that starts within the margin could not be answered in time.
 		Deadline: c.deadline.Add(-2 * margin(c.deadline.Sub(c.start))),
 	})
@@ -107,7 +106,7 @@
 		if in.off.sentIsFinal && state == retry.Sent {
 			state = retry.NotSent
 		}
-		d := plan.Next(in.opt.Now(), budget, retry.AttemptResult{State: state, Shed: t.shed(), Arrived: t.reply.Arrived})
+		d := plan.Next(in.opt.Now(), c.budget, retry.AttemptResult{State: state, Shed: t.shed(), Arrived: t.reply.Arrived})
 		if d.Action == retry.Retry && !t.leavesBody() {
 			d = plan.GiveUp(reasonBodyConsumed)
 		}
@@ -181,7 +180,6 @@
 	h[header.RequestID] = []string{c.id}
 	h[header.Outcome] = []string{header.Answered}
 	c.describe(header.Answered, resp.StatusCode)
-	c.noteFailure(resp.StatusCode)
 	c.w.WriteHeader(resp.StatusCode)
 	n, readErr, writeErr := copyBody(c.w, resp)
 	if readErr != nil || writeErr != nil {
@@ -238,7 +236,6 @@
 	invariant.Check(outcome != header.NotRun || c.ran == 0, "not_run_is_true",
 		"request %s is reported as not run after %d attempts that may have run", c.id, c.ran)
 	c.describe(outcome, status)
-	c.noteFailure(status)
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h[header.RequestID] = []string{c.id}
@@ -279,8 +276,10 @@
 // latencies are the times from the arrival of a request to the header of its answer.
 var latencies = metrics.NewHistograms("request")
 
+// describe records what the caller is about to be told.
 func (c *call) describe(outcome string, status int) {
 	latencies.Observe(outcome, c.in.opt.Now().Sub(c.start))
+	c.noteFailure(status)
 	if c.span == nil || !c.span.IsRecording() {
 		return
 	}
