--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -122,7 +122,7 @@
 	if f.t.Failed() {
 		for i := 1; i <= f.nodes; i++ {
 			if p := f.procs[nodeName(i)]; p != nil {
-				f.t.Logf("log of %s:\n%s", p.name, tail(p.stderr.String(), 40))
+				f.t.Logf("log of %s:\n%s\n%s", p.name, tail(p.stdout.String(), 40), tail(p.stderr.String(), 40))
 			}
 		}
 	}
