Read no plan from the timer of a replacement

Whether the attempt is the last one does not change while it runs, so the plan answers that before the timer starts; the timer asks the budget alone, which is safe for concurrent use. The event of the replacement read the list of tried backend servers, which the call may extend at that time, and now names the backend server of its own attempt.

Ruled out: a race in the test's own server (both stacks lie in the product).

--- a/internal/coordination/retry/fleet_test.go
+++ b/internal/coordination/retry/fleet_test.go
@@ -84,6 +84,11 @@
 	if p.AllowsRetry(t0, budget) {
 		t.Fatal("replacement without a budget")
 	}
+	last := options
+	last.MaxAttempts = 1
+	if got := NewPlan(last).ReplaceAfter(t0); got != 0 {
+		t.Fatalf("the last attempt is replaced after %s", got)
+	}
 	once := options
 	once.Idempotent = false
 	if p := NewPlan(once); p.ReplaceAfter(t0) != 0 || p.AllowsRetry(t0, NewBudget(BudgetOptions{})) {
--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -204,12 +204,15 @@
 }
 
 // ReplaceAfter returns how long the next attempt may take before it is replaced by
-// another one, or 0 if it may take all the time. It gets the time in which an
-// answer is fully useful, if about as much is left for its replacement. Whether a
-// replacement is possible is decided then, by AllowsRetry: an attempt at work is
-// not given up for nothing.
+// another one, or 0 if it may take all the time, as the last attempt may. It gets
+// the time in which an answer is fully useful, if about as much is left for its
+// replacement. At that time, the budget decides whether it is replaced: an attempt
+// at work is not given up for nothing.
 func (p *Plan) ReplaceAfter(now time.Time) time.Duration {
-	if !p.opt.Idempotent || p.opt.Deadline.IsZero() || 2*p.opt.Objective > p.opt.Deadline.Sub(now) {
+	if !p.opt.Idempotent || p.attempts+1 >= p.opt.MaxAttempts {
+		return 0
+	}
+	if p.opt.Deadline.IsZero() || 2*p.opt.Objective > p.opt.Deadline.Sub(now) {
 		return 0
 	}
 	return p.opt.Objective
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -116,8 +116,10 @@
 	return t
 }
 
-// replaceable cancels an attempt that takes too long if another one can take its
-// place at that time. The returned function stops the timer.
+// replaceable cancels an attempt that takes too long if the budget then has another
+// one to take its place. The returned function stops the timer. The timer may fire
+// as the attempt ends and must not touch what the call changes between attempts:
+// the plan and the list of backend servers that were tried.
 func (t *tried) replaceable(ctx context.Context, plan *retry.Plan) (limited context.Context, stop func()) {
 	c := t.call
 	after := plan.ReplaceAfter(t.begin)
@@ -128,13 +130,13 @@
 	timer := time.AfterFunc(after, func() {
 		in := c.in
 		// A node that stops may not give up what a backend server works on.
-		if in.stopping() || !plan.AllowsRetry(in.opt.Now(), c.budget) {
+		if in.stopping() || !c.budget.Available(in.opt.Now()) {
 			return
 		}
 		if !t.fate.CompareAndSwap(fateOpen, fateReplaced) {
 			return
 		}
-		c.publish(event.RequestReplaced, reasonReplaced, event.Field{Key: "after", Value: after.String()})
+		c.publishAt(t.target.Backend, event.RequestReplaced, reasonReplaced, event.Field{Key: "after", Value: after.String()})
 		cancel(errReplaced)
 	})
 	return limited, func() { timer.Stop() }
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -305,13 +305,19 @@
 	)
 }
 
+// publish reports a decision about the latest attempt.
 func (c *call) publish(kind event.Kind, reason string, evidence ...event.Field) {
-	e := event.Event{
-		Time: c.in.opt.Now(), Kind: kind, Node: string(c.in.opt.Self), Service: string(c.service),
-		RequestID: c.id, Reason: reason, Evidence: evidence,
-	}
+	var latest registry.BackendID
 	if n := len(c.tried); n > 0 {
-		e.Backend = string(c.tried[n-1])
+		latest = c.tried[n-1]
 	}
-	c.in.opt.Events.Publish(e)
+	c.publishAt(latest, kind, reason, evidence...)
+}
+
+// publishAt reports a decision about the attempt at a backend server.
+func (c *call) publishAt(id registry.BackendID, kind event.Kind, reason string, evidence ...event.Field) {
+	c.in.opt.Events.Publish(event.Event{
+		Time: c.in.opt.Now(), Kind: kind, Node: string(c.in.opt.Self), Service: string(c.service),
+		Backend: string(id), RequestID: c.id, Reason: reason, Evidence: evidence,
+	})
 }
