Sync directories at start and while the fleet changes

A mismatch of directory digests led to a sync only if the own digest had not changed for 2 s, which never happens while anything changes, and at most every 10 s. Where a whole fleet starts, the one fill of a node comes from a peer that knows little. The sync debt (1 KB/s) made further syncs wait.

Change: only a matching digest ends a mismatch; syncs every 2 s; a starting node syncs with seeds and members by turns until two syncs have found no difference, at most 10 s, outside of the send budget; the first change of the own record is published at once.

Ruled out: suspicion and exclusion of the owner (no such event), the subset of 12 (9 servers), spill limits (work went to other regions).

--- a/internal/coordination/membership/apply.go
+++ b/internal/coordination/membership/apply.go
@@ -98,16 +98,22 @@
 }
 
 // compareDigests notes the policy digest of a peer and whether its directory
-// digest differs from ours.
+// digest differs from ours. Only a match ends a mismatch: in a fleet that changes all
+// the time, the own digest changes before a mismatch has lasted.
 func (c *Core) compareDigests(peer Peer, msg *Message) {
 	if msg.Kind == Ping || msg.Kind == Ack {
 		c.ready.PolicyDigests = append(c.ready.PolicyDigests, PolicyDigest{Peer: peer, Digest: msg.PolicyDigest})
 	}
-	if msg.DirectoryDigest == 0 || msg.DirectoryDigest == c.digest {
-		return
-	}
-	if c.mismatchPeer.ID == "" || c.mismatchDigest != c.digest {
-		c.mismatchPeer, c.mismatchSince, c.mismatchDigest = peer, c.now, c.digest
+	switch {
+	case msg.DirectoryDigest == 0:
+	case msg.DirectoryDigest == c.digest:
+		c.mismatchPeer = Peer{}
+	default:
+		if c.mismatchPeer.ID == "" {
+			c.mismatchSince = c.now
+		}
+		c.mismatchPeer = peer
+		c.equalSyncs = 0
 	}
 }
 
--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -110,11 +110,18 @@
 	nextExpiry   time.Time
 	syncing      bool
 
-	policyDigest   uint64
-	mismatchPeer   Peer
-	mismatchSince  time.Time
-	mismatchDigest uint64
-	mismatchSync   time.Time
+	policyDigest uint64
+	// startedAt is when the node started; see startPeriod.
+	startedAt time.Time
+	// equalSyncs counts the latest syncs that found no difference; digestsSent is set
+	// from the digests of a sync to the answer to them.
+	equalSyncs    int
+	nextStartSync time.Time
+	digestsSent   bool
+
+	mismatchPeer  Peer
+	mismatchSince time.Time
+	mismatchSync  time.Time
 
 	pendingSelf   *registry.Node
 	selfPublished time.Time
@@ -159,8 +166,9 @@
 	c.nextDead = now.Add(c.jitter(opts.DeadProbeInterval))
 	c.nextSync = now.Add(c.jitter(opts.SyncInterval))
 	c.nextFill = now
+	c.startedAt = now
 	c.nextExpiry = now.Add(time.Minute)
-	c.selfPublished = now
+	c.selfPublished = now.Add(-selfInterval) // The first change is published at once.
 	return c
 }
 
@@ -258,8 +266,14 @@
 }
 
 // Debit takes bytes that the transport sent on behalf of the core, such as by a
-// directory sync, from the send budget.
-func (c *Core) Debit(n int) { c.budget.debt += float64(n) }
+// directory sync, from the send budget. The syncs of a starting node are not part of it.
+func (c *Core) Debit(n int) {
+	if !c.starting() {
+		c.budget.debt += float64(n)
+	}
+}
+
+func (c *Core) starting() bool { return c.now.Sub(c.startedAt) < startPeriod }
 
 // Stats returns the counters.
 func (c *Core) Stats() Stats { return c.stats }
--- a/internal/coordination/membership/options.go
+++ b/internal/coordination/membership/options.go
@@ -33,8 +33,8 @@
 	DeadProbeInterval time.Duration
 	// SyncInterval is the time between two directory syncs with a random peer.
 	SyncInterval time.Duration
-	// MismatchDelay is how long a directory digest must differ from that of a
-	// peer, without a change here, before a sync with that peer is started early.
+	// MismatchDelay is how long the directory digest must differ from those of all
+	// peers that are heard before a sync with one of them is started early.
 	MismatchDelay time.Duration
 	// PiggybackBytes bounds the updates in one datagram.
 	PiggybackBytes int
@@ -122,8 +122,16 @@
 	// fillAttempts is the number of seeds tried before a node goes on without a
 	// fill, as the first node of a fleet does. Digest mismatches repair the rest.
 	fillAttempts = 5
-	// mismatchSyncInterval bounds the syncs started by a digest mismatch.
-	mismatchSyncInterval = 10 * time.Second
+	// mismatchSyncInterval bounds the syncs started by a digest mismatch. What they
+	// cost is bounded by the debt in the send budget.
+	mismatchSyncInterval = 2 * time.Second
+	// startPeriod is the longest time after the start of a node in which it syncs
+	// every startSyncInterval, outside of the send budget.
+	startPeriod       = 10 * time.Second
+	startSyncInterval = 500 * time.Millisecond
+	// startEqualSyncs is the number of syncs without a difference after which a
+	// starting node knows what the fleet knows.
+	startEqualSyncs = 2
 	// maxCorrections bounds the newer versions sent in answer to one message.
 	maxCorrections = 16
 	// suspicionSkew is how much earlier than the local suspicion timeout a death
--- a/internal/coordination/membership/sync.go
+++ b/internal/coordination/membership/sync.go
@@ -50,20 +50,17 @@
 	if c.opts.Disable.AntiEntropy {
 		return
 	}
+	if c.starting() && c.tickStart() {
+		return
+	}
 	if c.budget.debt > 0 {
 		// Earlier syncs are not paid off yet.
 		return
 	}
-	if c.mismatchPeer.ID != "" {
-		switch {
-		case c.mismatchDigest != c.digest:
-			c.mismatchPeer = Peer{}
-		case c.now.Sub(c.mismatchSince) >= c.opts.MismatchDelay && c.now.Sub(c.mismatchSync) >= mismatchSyncInterval:
-			peer := c.mismatchPeer
-			c.mismatchPeer, c.mismatchSync = Peer{}, c.now
-			c.startSync(peer, false)
-			return
-		}
+	if c.mismatchPeer.ID != "" && c.now.Sub(c.mismatchSince) >= c.opts.MismatchDelay && c.now.Sub(c.mismatchSync) >= mismatchSyncInterval {
+		c.mismatchSync = c.now
+		c.startSync(c.mismatchPeer, false)
+		return
 	}
 	if !c.now.Before(c.nextSync) {
 		c.nextSync = c.now.Add(c.opts.SyncInterval)
@@ -73,6 +70,26 @@
 	}
 }
 
+// tickStart syncs a starting node with a seed and a random member by turns until two
+// syncs in a row have found no difference. The peer of the first fill may have known
+// little: where a whole fleet starts, all are filling their directories.
+func (c *Core) tickStart() bool {
+	if c.equalSyncs >= startEqualSyncs || c.now.Before(c.nextStartSync) {
+		return false
+	}
+	c.nextStartSync = c.now.Add(startSyncInterval/2 + c.jitter(startSyncInterval))
+	peer := Peer{}
+	if n := len(c.opts.Seeds); n > 0 && c.rand.IntN(2) == 0 {
+		peer.Addr = c.opts.Seeds[c.rand.IntN(n)]
+	} else {
+		for _, m := range c.randomLive(1, "") {
+			peer = m.peer()
+		}
+	}
+	c.startSync(peer, false)
+	return c.syncing
+}
+
 // fillPeer returns the peer to fill the directory from: a member that was heard of,
 // because a seed may be gone, and on further tries a seed.
 func (c *Core) fillPeer() Peer {
@@ -104,6 +121,7 @@
 	} else {
 		req.Digests = slices.Clone(c.buckets[:])
 	}
+	c.digestsSent = !fill
 	return req
 }
 
@@ -165,6 +183,13 @@
 // or nil if the sync is complete.
 func (c *Core) SyncContinue(now time.Time, sync Sync, resp *SyncResponse) *SyncRequest {
 	c.observe(now)
+	if c.digestsSent {
+		c.digestsSent = false
+		c.equalSyncs++
+		if len(resp.Buckets) > 0 {
+			c.equalSyncs = 0
+		}
+	}
 	peer := Peer{ID: resp.From, Addr: sync.Peer.Addr}
 	c.applySync(peer, resp.Records, nil)
 	next := &SyncRequest{From: c.self.node.ID, FromIncarnation: c.self.node.Incarnation}
