Pass a fresh update to other failure domains from three members of each

Change: a node passes a fresh update on to another failure domain with a probability that makes three of its domain do so; inside, all pass it on as before.

TestChangeCrossesDomainsRarely failed first: 120 messages between failure domains for one change among 90 nodes, want at most 90.

--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -119,15 +119,22 @@
 	if !c.opts.LocalProbes {
 		return c.randomLive(c.opts.Fanout, "")
 	}
-	targets := c.randomLive(1, "")
-	var near []*member
+	var near, far []*member
 	for _, m := range c.live {
-		if m.node.Status == registry.Alive && m.node.FailureDomain == c.self.node.FailureDomain && !contains(targets, m) {
+		switch {
+		case m.node.Status != registry.Alive:
+		case m.node.FailureDomain == c.self.node.FailureDomain:
 			near = append(near, m)
+		default:
+			far = append(far, m)
 		}
 	}
 	c.rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	return append(targets, near[:min(len(near), c.opts.Fanout-1)]...)
+	targets := near[:min(len(near), c.opts.Fanout-1)]
+	if len(far) > 0 && c.rand.IntN(len(near)+1) < domainRelays {
+		targets = append(targets, far[c.rand.IntN(len(far))])
+	}
+	return targets
 }
 
 // wantRecord asks a peer for the full record of a member.
