Lose no request whose body the owner has not asked for

Change: with fleet.ask_first, an owner on another node asks for the body as its last step before the backend server gets the request. A request whose owner died before has provably not run and is tried elsewhere. Bodies up to 512 KB are kept, within 8 MB a node, and sent again after a refusal.

The tests of withheld_test.go and TestAttemptIsNotReplacedWithoutAFreeSlot guard these; TestOwnerLostBeforeItAskedForTheBody was seen failing without ask_first.

--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -237,6 +237,25 @@
 	return t, nil
 }
 
+// HasSpare reports whether a backend server that was not tried is known to have a free
+// slot, in any place that the request may go to.
+func (b *Balancer) HasSpare(now time.Time, snap *registry.Snapshot, r Request) bool {
+	s := b.service(r.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := picker{b: b, s: s, v: s.view(now, b, snap, r.Route), now: now, r: &r, avoid: r.AvoidSuspects, excluded: b.exclusions.Load()}
+	for level := range Locality(levels) {
+		if level == OtherRegion && !p.spillAllowed() {
+			break
+		}
+		cands, _ := p.candidates(level)
+		if len(p.withSpare(cands)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Done records the end of the attempt to which Pick returned the target. An
 // outcome of PeerFailed also avoids the owner for a while, as PeerFailed does.
 func (b *Balancer) Done(now time.Time, t Target, r Result) {
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -90,10 +90,11 @@
 
 // Fleet completes the policies of a fleet document.
 type Fleet struct {
-	FloorPercent int `toml:"floor_percent" allowed:"0 to 100" doc:"Share of a service's backend servers that ejection leaves in service."`
-	RetryPercent int `toml:"retry_percent" allowed:"0 to 100" doc:"Share of a service's requests that a node may repeat within 10 s."`
-	RetrySlack   int `toml:"retry_slack" allowed:"0 to 100000" doc:"Repeats within 10 s that the whole fleet may make for a service beyond that share; each node takes an equal part. 0 allows each node 3."`
-	FreeRefusals int `toml:"free_refusals" allowed:"0 to 100" doc:"Refusals by owners, before anything reached a backend server, after which a request is tried elsewhere without counting as a repeat."`
+	FloorPercent int  `toml:"floor_percent" allowed:"0 to 100" doc:"Share of a service's backend servers that ejection leaves in service."`
+	RetryPercent int  `toml:"retry_percent" allowed:"0 to 100" doc:"Share of a service's requests that a node may repeat within 10 s."`
+	RetrySlack   int  `toml:"retry_slack" allowed:"0 to 100000" doc:"Repeats within 10 s that the whole fleet may make for a service beyond that share; each node takes an equal part. 0 allows each node 3."`
+	AskFirst     bool `toml:"ask_first" allowed:"true or false" doc:"Whether the owner on another node asks for the body of a request that is not idempotent after admitting it. A request whose owner dies before that is tried elsewhere; it costs one round trip between the nodes."`
+	FreeRefusals int  `toml:"free_refusals" allowed:"0 to 100" doc:"Refusals by owners, before anything reached a backend server, after which a request is tried elsewhere without counting as a repeat."`
 }
 
 // Output says where the node reports what it does.
@@ -249,6 +250,7 @@
 	"fleet.floor_percent":             count(0, 100),
 	"fleet.retry_percent":             count(0, 100),
 	"fleet.retry_slack":               count(0, 100000),
+	"fleet.ask_first":                 func(any) bool { return true },
 	"fleet.free_refusals":             count(0, 100),
 	"listen.peer_advertise":           func(v any) bool { return v == "" || specificAddress(v) },
 	"operator.token":                  func(v any) bool { return v == "" || tokenPattern.MatchString(v.(string)) },
@@ -317,7 +319,7 @@
 		group := root.Field(i)
 		for j := range group.NumField() {
 			t := group.Type().Field(j)
-			kind := map[reflect.Kind]string{reflect.String: "string", reflect.Int: "integer", reflect.Slice: "array of strings", reflect.Int64: "duration"}[t.Type.Kind()]
+			kind := map[reflect.Kind]string{reflect.String: "string", reflect.Int: "integer", reflect.Slice: "array of strings", reflect.Int64: "duration", reflect.Bool: "boolean"}[t.Type.Kind()]
 			list = append(list, field{
 				key: table + "." + t.Tag.Get("toml"), kind: kind, doc: t.Tag.Get("doc"), allowed: t.Tag.Get("allowed"),
 				required: t.Tag.Get("required") == "true", value: group.Field(j),
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -53,10 +53,10 @@
 // explainEvents is the number of decisions kept in memory for explanations.
 const explainEvents = 4096
 
-// keepBytes is the size up to which the body of a request is kept in memory, so
-// that it is sent to the owner at once. Asking the owner first costs another round
-// trip between nodes, 3 ms between failure domains.
-const keepBytes = 16 << 10
+// keepBytes is the size up to which the body of a request that is not idempotent is
+// kept in memory, so that it can be sent again after a refusal. Photos have 60 KB on
+// the mean and 360 KB at most.
+const keepBytes = 512 << 10
 
 // Node is a running daemon.
 type Node struct {
@@ -242,6 +242,7 @@
 		Peers:        n.peers,
 		Owner:        n.owner,
 		KeepBytes:    keepBytes,
+		AskFirst:     s.Fleet.AskFirst,
 		Dialect:      n.dialect(),
 		LocalService: s.Node.LocalService,
 		FreeRefusals: s.Fleet.FreeRefusals,
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -234,6 +234,24 @@
 	}
 }
 
+// endMargin is the time before the end of the drain in which requests that no backend
+// server has begun are answered. It covers an answer to a caller 8 ms away many times.
+const endMargin = 500 * time.Millisecond
+
+// finishCalls waits for the requests in flight and answers those that are still not
+// begun shortly before ctx ends.
+func (n *Node) finishCalls(ctx context.Context) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	early, cancel := context.WithDeadline(ctx, deadline.Add(-endMargin))
+	defer cancel()
+	if n.ingress.Drain(early) != nil {
+		n.ingress.End()
+	}
+}
+
 // shutDown stops gracefully: new work is refused as not run, requests in flight
 // end, peers learn that the node leaves, and the leases are released.
 func (n *Node) shutDown(servers []*http.Server) {
@@ -251,6 +269,7 @@
 		n.log.Warn("cannot announce the departure", zap.Error(err))
 	}
 	n.awaitNotice(ctx, since)
+	n.finishCalls(ctx)
 	if err := n.ingress.Drain(ctx); err != nil {
 		n.log.Warn("callers' requests were cut off by the drain timeout", zap.Error(err))
 	}
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -81,7 +82,9 @@
 	if target.Owner.ID == in.opt.Self {
 		t.runLocal(ctx, hop)
 	} else {
-		t.runPeer(ctx, hop)
+		limited, end := t.withdrawable(ctx)
+		t.runPeer(limited, hop)
+		end()
 	}
 	t.latency = in.opt.Now().Sub(now)
 	replaced := !t.fate.CompareAndSwap(fateOpen, fateEnded)
@@ -117,7 +120,7 @@
 }
 
 // replaceable cancels an attempt that takes too long if the budget then has another
-// one to take its place. The returned function stops the timer. The timer may fire
+// one and a backend server is known to have a free slot for it. The returned function stops the timer. The timer may fire
 // as the attempt ends and must not touch what the call changes between attempts:
 // the plan and the list of backend servers that were tried.
 func (t *tried) replaceable(ctx context.Context, plan *retry.Plan) (limited context.Context, stop func()) {
@@ -126,11 +129,14 @@
 	if after == 0 || !c.body.repeatable() {
 		return ctx, func() {}
 	}
+	others := c.routing()
+	others.Tried, others.AvoidSuspects = slices.Clone(others.Tried), true
 	limited, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(after, func() {
 		in := c.in
 		// A node that stops may not give up what a backend server works on.
-		if in.stopping() || !c.budget.Available(in.opt.Now()) {
+		now := in.opt.Now()
+		if in.stopping() || !c.budget.Available(now) || !in.opt.Balancer.HasSpare(now, in.opt.Directory.Snapshot(), others) {
 			return
 		}
 		if !t.fate.CompareAndSwap(fateOpen, fateReplaced) {
@@ -213,9 +219,9 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""}
 	}
-	if t.call.body.streamed() {
+	if t.call.asksFirst() {
 		// The owner asks for the body once it has admitted the request. Until then
-		// no byte is taken from the caller and the request can be tried elsewhere.
+		// no byte is sent and the request can be tried elsewhere.
 		h["Expect"] = []string{"100-continue"}
 	}
 	inject(ctx, h)
@@ -270,6 +276,9 @@
 			t.outcome = routing.RefusedByOwner
 		}
 	}
+	if t.reply.Outcome == header.Unknown && t.withheld() {
+		t.reply.Outcome, t.reply.Reason = header.NotRun, reasonBodyWithheld
+	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		t.reply.Timeout, t.reply.Reason = true, reasonOwnerSilent
 		if t.reply.Outcome == header.NotRun {
@@ -288,6 +297,31 @@
 	}
 }
 
+// withheld ends the attempt's access to the body of the request and reports whether
+// the owner cannot have run the request, because it never got the body.
+func (t *tried) withheld() bool {
+	body, ok := t.body.(*attemptBody)
+	return ok && !t.call.route.Idempotent && t.call.asksFirst() && body.withhold()
+}
+
+// withdrawable cancels an attempt whose owner has not asked for the body when the node
+// has to end. The returned function ends the watch.
+func (t *tried) withdrawable(ctx context.Context) (limited context.Context, stop func()) {
+	if !t.call.asksFirst() {
+		return ctx, func() {}
+	}
+	limited, cancel := context.WithCancelCause(ctx)
+	watch := context.AfterFunc(t.call.in.ending, func() {
+		if t.withheld() {
+			cancel(errEnding)
+		}
+	})
+	return limited, func() { watch() }
+}
+
+// errEnding is the cause of the end of an attempt that the end of the node prevents.
+var errEnding = errors.New("the node ends")
+
 // leavesBody ends the attempt's access to the body of the request and reports
 // whether another attempt can send the whole body.
 func (t *tried) leavesBody() bool {
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -78,7 +78,7 @@
 		Deadline: c.deadline.Add(-2 * margin(c.deadline.Sub(c.start))),
 	})
 	for {
-		target, err := c.pick(limits)
+		target, err := c.pick()
 		if err != nil && c.askSuspects() {
 			continue
 		}
@@ -113,6 +113,9 @@
 		if d.Action == retry.Retry && ctx.Err() != nil {
 			d = plan.GiveUp(retry.DeadlinePassed)
 		}
+		if d.Action == retry.Retry && in.ending.Err() != nil {
+			d = plan.GiveUp(reasonStopping)
+		}
 		if d.Action == retry.Answer {
 			c.answer(t)
 			return
@@ -125,7 +128,7 @@
 		if t.reply.Reason == reasonSuspect {
 			c.suspects = append(c.suspects, target.Backend)
 		}
-		if d.Final() && d.Action == retry.ReportNotRun && c.askSuspects() {
+		if d.Final() && d.Action == retry.ReportNotRun && in.ending.Err() == nil && c.askSuspects() {
 			plan = plan.Again()
 			continue
 		}
@@ -139,6 +142,17 @@
 	}
 }
 
+// sentAtOnce is the largest body that is sent to an owner that has not asked for it.
+const sentAtOnce = 16 << 10
+
+// asksFirst reports whether an owner on another node has to ask for the body.
+func (c *call) asksFirst() bool {
+	if c.body.streamed() || c.route.Idempotent {
+		return c.body.streamed()
+	}
+	return c.body.length > sentAtOnce || c.in.opt.AskFirst && c.body.length > 0
+}
+
 // askSuspects makes the suspect backend servers candidates once more, as the last
 // resort. It reports false if there are none, they were asked, or the request has
 // reached a backend server: then another attempt is a retry like any other.
@@ -153,14 +167,21 @@
 	return true
 }
 
-func (c *call) pick(limits policy.Limits) (routing.Target, error) {
+func (c *call) pick() (routing.Target, error) {
 	in := c.in
 	rng := in.rngs.Get().(*rand.Rand)
 	defer in.rngs.Put(rng)
-	return in.opt.Balancer.Pick(in.opt.Now(), rng, in.opt.Directory.Snapshot(), routing.Request{
-		Service: c.service, Route: c.route, Limits: limits, BodyBytes: c.body.length, Tried: c.tried,
-		AvoidSuspects: !c.lastResort && !(c.route.Idempotent && c.budget.Available(in.opt.Now())),
-	})
+	request := c.routing()
+	request.AvoidSuspects = !c.lastResort && !(c.route.Idempotent && c.budget.Available(in.opt.Now()))
+	return in.opt.Balancer.Pick(in.opt.Now(), rng, in.opt.Directory.Snapshot(), request)
+}
+
+// routing returns what the balancer needs to know about the next attempt.
+func (c *call) routing() routing.Request {
+	return routing.Request{
+		Service: c.service, Route: c.route, Limits: c.policy.Document.Service.Limits,
+		BodyBytes: c.body.length, Tried: c.tried,
+	}
 }
 
 // note remembers why an attempt brought no answer.
--- a/internal/transport/proxy/caller_body.go
+++ b/internal/transport/proxy/caller_body.go
@@ -23,6 +23,8 @@
 	length int64 // -1 if unknown
 	kept   []byte
 	stream io.Reader
+	// release returns the memory of kept; nil if none was taken.
+	release func()
 
 	mu sync.Mutex
 	// consumed is set when an attempt began to read the stream.
@@ -73,7 +75,14 @@
 		return http.NoBody
 	}
 	b.read.Store(b.length)
-	return io.NopCloser(bytes.NewReader(b.kept))
+	return &attemptBody{body: b, kept: bytes.NewReader(b.kept)}
+}
+
+// free gives back the memory of the body.
+func (b *callerBody) free() {
+	if b.release != nil {
+		b.release()
+	}
 }
 
 // repeatable reports whether another attempt may send the body.
@@ -106,11 +115,24 @@
 	}
 }
 
-// attemptBody is the stream as seen by one attempt. After Close the attempt can
-// no longer take bytes from the caller.
+// attemptBody is the body as seen by one attempt. After Close the attempt can no
+// longer take bytes from it.
 type attemptBody struct {
-	body   *callerBody
-	closed bool // guarded by body.mu
+	body *callerBody
+	// kept is nil if the body is streamed.
+	kept          *bytes.Reader
+	closed, begun bool // guarded by body.mu
+}
+
+// withhold closes the body if the attempt has taken nothing of it, and reports that.
+func (a *attemptBody) withhold() bool {
+	a.body.mu.Lock()
+	defer a.body.mu.Unlock()
+	if a.begun {
+		return false
+	}
+	a.closed = true
+	return true
 }
 
 // Read implements io.Reader.
@@ -121,8 +143,12 @@
 		b.mu.Unlock()
 		return 0, errAttemptOver
 	}
-	b.consumed = true
+	a.begun = true
+	b.consumed = a.kept == nil
 	b.mu.Unlock()
+	if a.kept != nil {
+		return a.kept.Read(p)
+	}
 	n, err := b.stream.Read(p)
 	b.read.Add(int64(n))
 	switch err {
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -31,6 +32,9 @@
 	// grace is how long after the deadline a caller may still send its body or
 	// receive its answer before its connection is closed.
 	grace = time.Second
+	// defaultKeptBytes is the memory for bodies that may be sent again, an eighth of
+	// what a node has for all its work.
+	defaultKeptBytes = 8 << 20
 )
 
 // Policies finds the route of a request in the policies in force. *policy.Table
@@ -64,16 +68,22 @@
 	// RetrySlack returns the number of retries in 10 s that a service is allowed here
 	// beyond its share of the requests, possibly a fraction; nil selects a minimum.
 	RetrySlack func() float64
-	// KeepBytes is the largest body of known length, at most 64 KB, that is kept in
-	// memory for a request that is not idempotent. Such a body is sent to the owner
-	// without waiting for its interim response, which saves one round trip between
-	// the nodes, and it can be sent to another owner after a refusal. 0 streams
-	// every body of a request that is not idempotent.
+	// KeepBytes is the largest body of known length that is kept in memory for a
+	// request that is not idempotent, so that it can be sent to another owner after a
+	// refusal. 0 streams every body of a request that is not idempotent.
 	KeepBytes int64
-	Events    event.Sink
-	Logger    *zap.Logger
-	Tracing   trace.TracerProvider
-	Now       func() time.Time
+	// KeptBytes bounds the memory of all bodies kept at a time; beyond it they are
+	// streamed. 0 selects defaultKeptBytes.
+	KeptBytes int64
+	// AskFirst makes the owner of another node ask for the body of a request that is
+	// not idempotent once it has admitted the request. A request whose owner died
+	// before that has provably not run and is tried elsewhere. It costs one round trip
+	// between the nodes. Without it, small bodies are sent along at once.
+	AskFirst bool
+	Events   event.Sink
+	Logger   *zap.Logger
+	Tracing  trace.TracerProvider
+	Now      func() time.Time
 }
 
 // Ingress is the http.Handler for the requests of callers.
@@ -83,6 +93,10 @@
 	budgets sync.Map // registry.ServiceID -> *retry.Budget
 	splits  routing.Splitter
 	rngs    sync.Pool
+	kept    *memory
+	// ending ends with the time in which new attempts can end before the process.
+	ending context.Context
+	end    context.CancelFunc
 	drainer
 
 	off ingressOff
@@ -109,7 +123,8 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	in := &Ingress{opt: o, tracer: o.Tracing.Tracer(tracerName)}
+	in := &Ingress{opt: o, tracer: o.Tracing.Tracer(tracerName), kept: newMemory(cmp.Or(o.KeptBytes, defaultKeptBytes))}
+	in.ending, in.end = context.WithCancel(context.Background())
 	in.rngs.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	return in
 }
@@ -118,6 +133,10 @@
 // ended or ctx ends.
 func (in *Ingress) Drain(ctx context.Context) error { return in.drain(ctx) }
 
+// End answers the requests that no backend server has begun as not run and starts no
+// more attempts, because the process ends soon. Those at work go on.
+func (in *Ingress) End() { in.end() }
+
 // ServeHTTP implements http.Handler.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{in: in, w: w, start: in.opt.Now()}
@@ -142,6 +161,7 @@
 	if !c.prepare(r) {
 		return
 	}
+	defer c.body.free()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	c.run(ctx)
@@ -234,13 +254,19 @@
 	// A caller that reads slowly must not hold a slot of a backend server for ever.
 	_ = c.control.SetWriteDeadline(c.deadline.Add(grace))
 	keep := int64(maxBuffered)
+	var release func()
 	if !c.route.Idempotent {
-		keep = min(c.in.opt.KeepBytes, keep)
-		if r.ContentLength < 0 {
-			keep = 0
+		keep = 0
+		if n := r.ContentLength; n > 0 && n <= c.in.opt.KeepBytes {
+			if release = c.in.kept.take(n); release != nil {
+				keep = n
+			}
 		}
 	}
 	body, err := newCallerBody(r, keep)
+	if err != nil && release != nil {
+		release()
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -248,6 +274,7 @@
 	case err != nil:
 		return c.refuse(http.StatusBadRequest, reasonBodyCut)
 	}
+	body.release = release
 	c.body = body
 	return true
 }
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -116,6 +116,9 @@
 	// Request is the caller's request without hop-by-hop and internal headers. The
 	// owner changes its header.
 	Request *http.Request
+	// awaitBody, if set, returns once the first bytes of the body are here. It is
+	// called as the last step before the request is sent to the backend server.
+	awaitBody func() error
 }
 
 // answerBy returns the time by which the answer must begin.
@@ -200,7 +203,7 @@
 func (o *Owner) dispatch(ctx context.Context, a *attempt, b *owned, ticket uint64, trial bool, load *evidence.Load) *reply {
 	x := &exchange{owner: o, attempt: a, backend: b, ticket: ticket}
 	ctx, x.span = o.tracer.Start(ctx, "backend exchange", clientSpan...)
-	leased, trusted, sent := true, true, false
+	leased, trusted, withheld, sent := true, true, false, false
 	x.start = o.opt.Now()
 	ctx, answerBegan := limitAnswer(ctx, a.AnswerBy)
 	defer answerBegan()
@@ -213,15 +216,24 @@
 			trusted = t.Waiting(a.Idempotent, trial, a.CommonFault) == suspicion.Allow
 		}
 		sent = leased && trusted && ctx.Err() == nil
+		if sent && a.awaitBody != nil {
+			withheld = a.awaitBody() != nil
+			sent = !withheld && ctx.Err() == nil
+			now = o.opt.Now()
+		}
 		if sent {
 			x.start = now
 		}
 		return sent
 	})
 	if err != nil {
-		if !trusted {
+		switch {
+		case !trusted:
 			x.end(evidence.Canceled, reasonSuspect, 0)
 			return notRun(reasonSuspect, load)
+		case withheld:
+			x.end(evidence.Canceled, reasonBodyWithheld, 0)
+			return notRun(reasonBodyWithheld, load)
 		}
 		return x.failed(err, leased, sent, load)
 	}
--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +16,10 @@
 // verdict.
 const ownerGrace = 100 * time.Millisecond
 
+// bodyWait bounds the wait for the first bytes of a body that the owner has asked
+// for. It is far above a round trip between regions, 16 ms; a slot is held meanwhile.
+const bodyWait = time.Second
+
 // ServeHTTP takes the request of another node. A refusal is answered without
 // reading the body, so that the ingress node can try elsewhere.
 func (o *Owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -34,11 +40,39 @@
 	if hop.AnswerWithin > 0 {
 		a.AnswerBy = o.opt.Now().Add(hop.AnswerWithin)
 	}
+	if !hop.Idempotent && r.ContentLength != 0 {
+		body := newAskedBody(w, r)
+		r.Body, a.awaitBody = body, body.await
+	}
 	reply := o.run(ctx, a)
 	defer reply.close()
 	o.write(w, hop.RequestID, reply)
 }
 
+// askedBody is the body of a request of another node, which is sent when it is first
+// read.
+type askedBody struct {
+	*bufio.Reader
+	io.Closer
+	control *http.ResponseController
+}
+
+func newAskedBody(w http.ResponseWriter, r *http.Request) *askedBody {
+	return &askedBody{Reader: bufio.NewReader(r.Body), Closer: r.Body, control: http.NewResponseController(w)}
+}
+
+// await asks the ingress node for the body and waits for its first bytes. An ingress
+// node that was not asked takes the request as not run.
+func (b *askedBody) await() error {
+	if err := b.control.SetReadDeadline(time.Now().Add(bodyWait)); err != nil {
+		return err
+	}
+	if _, err := b.Peek(1); err != nil {
+		return err
+	}
+	return b.control.SetReadDeadline(time.Time{})
+}
+
 // write sends a reply to the ingress node.
 func (o *Owner) write(w http.ResponseWriter, id string, r *reply) {
 	h := w.Header()
--- a/internal/transport/proxy/replaced_test.go
+++ b/internal/transport/proxy/replaced_test.go
@@ -49,3 +49,45 @@
 		}
 	}
 }
+
+// Guards against work that is given up under overload: an attempt is replaced only if
+// another backend server has a free slot.
+func TestAttemptIsNotReplacedWithoutAFreeSlot(t *testing.T) {
+	const objective = 30 * time.Millisecond
+	for _, full := range []bool{false, true} {
+		f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) {
+			in.Policies = withObjective{in.Policies, objective}
+			in.RetrySlack = func() float64 { return 1000 }
+		})
+		var runs atomic.Int64
+		release := make(chan struct{})
+		f.serve(0, "b0", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/hold" {
+				<-release
+				return
+			}
+			runs.Add(1)
+			time.Sleep(4 * objective)
+		})
+		if full {
+			for range 4 { // All slots of the other backend server.
+				go f.send(0, http.MethodPost, "/hold", nil)
+			}
+			waitFor(t, func() bool { l, _ := f.nodes[0].backends.Load("b0"); return l.InUse == 4 })
+		}
+		f.serve(1, "b1", func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			time.Sleep(4 * objective)
+		})
+		// With both free, a request starts at either of them.
+		res := f.send(0, http.MethodGet, "/x", nil)
+		close(release)
+		want := int64(2)
+		if full {
+			want = 1
+		}
+		if res.status != http.StatusOK || runs.Load() != want {
+			t.Fatalf("other full %v: status %d after %d runs, want %d", full, res.status, runs.Load(), want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/proxy/withheld_test.go
@@ -0,0 +1,137 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+)
+
+// Guards against a request that is lost although its owner died before it had asked
+// for the body: such a request has not run and can be tried elsewhere.
+func TestOwnerLostBeforeItAskedForTheBody(t *testing.T) {
+	f := newFleet(t, 3, func(_ *OwnerOptions, in *IngressOptions) {
+		in.AskFirst, in.KeepBytes, in.FreeRefusals = true, 1<<20, 4
+	})
+	var ran atomic.Int32
+	free := make(chan struct{})
+	busy := f.serve(1, "b1", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-free
+	})
+	defer close(free)
+	f.nodes[1].backends.get("b1").keeper.gate.SetSlots(1)
+	_ = busy
+	first := make(chan result, 1)
+	go func() { first <- f.send(0, "POST", "/first", strings.NewReader("x")) }()
+	waitFor(t, func() bool { l, _ := f.nodes[1].backends.Load("b1"); return l.InUse == 1 })
+	second := make(chan result, 1)
+	go func() { second <- f.send(0, "POST", "/second", strings.NewReader("whole")) }()
+	waitFor(t, func() bool { l, _ := f.nodes[1].backends.Load("b1"); return l.Queued == 1 })
+	f.serve(2, "b2", func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	})
+	_ = f.nodes[1].back.Close()
+	if got := <-second; got.outcome != header.Answered || got.body != "5" || ran.Load() != 1 {
+		t.Fatalf("the waiting request: %+v after %d runs", got, ran.Load())
+	}
+	if got := <-first; got.outcome != header.Unknown {
+		t.Fatalf("the running request: %+v", got)
+	}
+}
+
+// Guards against a backend server that gets a request before its body was asked for:
+// the ingress node takes such a request as not run.
+func TestNothingIsSentBeforeTheBodyIsHere(t *testing.T) {
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.AskFirst, in.KeepBytes = true, 1<<20 })
+	var arrived atomic.Int32
+	f.serve(1, "b1", func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
+	body, held := io.Pipe()
+	defer held.Close()
+	done := make(chan result, 1)
+	go func() { done <- f.send(0, "POST", "/", body) }()
+	waitFor(t, func() bool { l, _ := f.nodes[1].backends.Load("b1"); return l.InUse == 1 })
+	time.Sleep(50 * time.Millisecond)
+	if n := arrived.Load(); n != 0 {
+		t.Fatalf("the backend server got %d requests without a body", n)
+	}
+	if got := <-done; got.outcome != header.NotRun {
+		t.Fatalf("a request whose body never came: %+v", got)
+	}
+	if l, _ := f.nodes[1].backends.Load("b1"); l.InUse != 0 {
+		t.Fatalf("%d slots in use after a body that never came", l.InUse)
+	}
+}
+
+// Guards against an upload that cannot be tried elsewhere after the backend server
+// has refused it, and against memory for kept bodies that is not given back.
+func TestUploadRefusedByABackendServerIsTriedElsewhere(t *testing.T) {
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) {
+		in.KeepBytes, in.KeptBytes, in.RetrySlack = 1<<20, 150_000, func() float64 { return 100 }
+	})
+	refuse := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	for _, n := range f.nodes {
+		n.ingress.opt.Dialect.NotRun = "X-Not-Run"
+		n.owner.opt.Dialect.NotRun = "X-Not-Run"
+	}
+	f.serve(0, "b1", refuse)
+	f.serve(1, "b2", func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	})
+	for i := range 6 {
+		if got := f.send(0, "POST", "/", strings.NewReader(strings.Repeat("x", 100_000))); got.body != "100000" {
+			t.Fatalf("upload %d: %+v", i, got)
+		}
+	}
+	if got := f.nodes[0].ingress.kept.free.Load(); got != 150_000 {
+		t.Fatalf("%d bytes of memory free afterwards", got)
+	}
+	if newMemory(10).take(11) != nil {
+		t.Fatal("memory beyond the limit")
+	}
+}
+
+// Guards against a request that waits for a backend server until its node is killed,
+// although it has provably not run and can be answered.
+func TestWaitingRequestIsAnsweredBeforeTheNodeEnds(t *testing.T) {
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) {
+		in.AskFirst, in.KeepBytes, in.FreeRefusals = true, 1<<20, 4
+	})
+	free := make(chan struct{})
+	f.serve(1, "b1", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-free
+	})
+	f.nodes[1].backends.get("b1").keeper.gate.SetSlots(1)
+	load := func(inUse, queued int) func() bool {
+		return func() bool {
+			l, _ := f.nodes[1].backends.Load("b1")
+			return l.InUse == inUse && l.Queued == queued
+		}
+	}
+	running, waiting := make(chan result, 1), make(chan result, 1)
+	go func() { running <- f.send(0, "POST", "/1", strings.NewReader("x")) }()
+	waitFor(t, load(1, 0))
+	go func() { waiting <- f.send(0, "POST", "/2", strings.NewReader("x")) }()
+	waitFor(t, load(1, 1))
+	f.nodes[0].ingress.End()
+	if got := <-waiting; got.outcome != header.NotRun || got.status != http.StatusServiceUnavailable {
+		t.Fatalf("the waiting request: %+v", got)
+	}
+	close(free)
+	if got := <-running; got.outcome != header.Answered {
+		t.Fatalf("the running request: %+v", got)
+	}
+}
