Add the fault soak

Runs the real programs as processes, injects overlapping faults from outside and checks the promises from what callers and backend servers see. The relay can reset connections and silence them for good.

Cause: the HTTP client of the callers' stand-in sends a GET again by itself when its connection is closed, here by a paused node; the second was refused truthfully. The stand-in reports such an operation as a transport error now.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PROTOS := $(wildcard internal/protocol/*/*.proto)
 
-.PHONY: all build test demo lint generate slopes scale latency long fuzz
+.PHONY: all build test demo lint generate slopes scale latency long fuzz soak
 
 all: test
 
@@ -38,6 +38,12 @@
 fuzz:
 	bash scripts/fuzz.sh
 
+# Runs the fault soak with the seeds SEEDS (FIRST-LAST), PARALLEL fleets at a time.
+SEEDS ?= 1-50
+PARALLEL ?= 4
+soak:
+	WIGEONSPRING_SOAK=$(SEEDS) $(GO) test -count=1 -timeout 2h -parallel $(PARALLEL) -run TestSoak ./e2e
+
 # Repeats the randomised tests with new seeds; ROUNDS sets how often.
 long:
 	bash scripts/long.sh
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -91,6 +92,8 @@
 	backends map[string][]int
 	relays   map[int]*relay.Relay
 	floors   map[string]int
+	// loads counts the loads, whose operations have ids of their own.
+	loads int
 	// token is the operator token of the nodes.
 	token  string
 	cancel context.CancelFunc
@@ -120,6 +123,7 @@
 		<-p.exited
 	}
 	if f.t.Failed() {
+		f.keepLogs()
 		for i := 1; i <= f.nodes; i++ {
 			if p := f.procs[nodeName(i)]; p != nil {
 				f.t.Logf("log of %s:\n%s\n%s", p.name, tail(p.stdout.String(), 40), tail(p.stderr.String(), 40))
@@ -128,6 +132,24 @@
 	}
 }
 
+// keepLogs writes all output of the processes to files in the directory that
+// WIGEONSPRING_LOGS names.
+func (f *fleet) keepLogs() {
+	dir := os.Getenv("WIGEONSPRING_LOGS")
+	if dir == "" {
+		return
+	}
+	dir = filepath.Join(dir, strings.ReplaceAll(f.t.Name(), "/", "-"))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		f.t.Error(err)
+	}
+	for name, p := range f.procs {
+		if err := os.WriteFile(filepath.Join(dir, name+".log"), []byte(p.stdout.String()+p.stderr.String()), 0o600); err != nil {
+			f.t.Error(err)
+		}
+	}
+}
+
 func tail(s string, lines int) string {
 	all := strings.Split(strings.TrimSpace(s), "\n")
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
@@ -345,11 +367,12 @@
 	for _, i := range nodes {
 		targets = append(targets, f.callerAddr(i))
 	}
+	f.loads++
 	l := &load{done: make(chan struct{}), results: &lockedBuffer{}}
 	run := caller.New(caller.Options{
 		Targets: targets, Service: service, Host: host, Rate: rate, Duration: duration,
 		BookingPercent: 40, UploadPercent: 2, UploadBytes: 500_000, Timeout: 40 * time.Second,
-		Teams: 20, Seed: 1, Prefix: service, Records: record.NewWriter(l.results),
+		Teams: 20, Seed: 1, Prefix: fmt.Sprintf("%s-%d", service, f.loads), Records: record.NewWriter(l.results),
 	})
 	go func() {
 		defer close(l.done)
@@ -405,6 +428,11 @@
 		rep.Sent, rep.Outcomes, rep.Wrong, rep.Lost, rep.RunTwice, rep.FalseNotRun, rep.LatencyP50, rep.LatencyP99)
 	if rep.Violated() {
 		f.t.Errorf("promise broken: %v", rep.Examples)
+		for _, r := range results {
+			if slices.ContainsFunc(rep.Examples, func(e string) bool { return strings.Contains(e, r.Operation+" ") }) {
+				f.t.Logf("%+v", r)
+			}
+		}
 	}
 	f.checkInvariantCounters()
 	return rep
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"time"
@@ -169,8 +170,18 @@
 	return res
 }
 
+// errSentAgain marks an operation that net/http sent once more by itself, as it does
+// with a GET whose connection was closed. The answer says nothing about the first one.
+var errSentAgain = errors.New("the HTTP client sent the request again on another connection")
+
 func (l *Load) exchange(req *http.Request, res *record.Result, bodyHash func() string) {
-	resp, err := l.client.Do(req)
+	sent := 0
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent++ }}
+	resp, err := l.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err == nil && sent > 1 {
+		resp.Body.Close()
+		err = errSentAgain
+	}
 	if err != nil {
 		res.Outcome, res.Error = "transport-error", err.Error()
 		return
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +43,14 @@
 
 	mu    sync.Mutex
 	flows map[string]net.Conn
+	conns map[*pair]struct{}
+}
+
+// pair is a forwarded connection.
+type pair struct {
+	in, out net.Conn
+	// silent is set when nothing is forwarded any more.
+	silent atomic.Bool
 }
 
 // queueLength bounds the chunks that wait in one direction of a connection.
@@ -59,7 +69,7 @@
 		listener.Close()
 		return nil, err
 	}
-	r := &Relay{opts: opts, listener: listener, packets: packets, flows: map[string]net.Conn{}}
+	r := &Relay{opts: opts, listener: listener, packets: packets, flows: map[string]net.Conn{}, conns: map[*pair]struct{}{}}
 	r.link.Store(&opts.Link)
 	return r, nil
 }
@@ -70,6 +80,32 @@
 // Set changes the state of the link.
 func (r *Relay) Set(l Link) { r.link.Store(&l) }
 
+// Reset resets all connections.
+func (r *Relay) Reset() {
+	for _, p := range r.pairs() {
+		for _, c := range []net.Conn{p.in, p.out} {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}
+}
+
+// Silence stops forwarding on the present connections, for good and without closing
+// them. New connections work.
+func (r *Relay) Silence() {
+	for _, p := range r.pairs() {
+		p.silent.Store(true)
+	}
+}
+
+func (r *Relay) pairs() []*pair {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.conns))
+}
+
 // ServeHTTP sets the state of the link from a JSON body.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	l := *r.link.Load()
@@ -117,15 +153,24 @@
 		out.Close()
 	})
 	defer stop()
+	p := &pair{in: in, out: out}
+	r.mu.Lock()
+	r.conns[p] = struct{}{}
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, p)
+	}()
 	var wg sync.WaitGroup
 	wg.Add(2)
 	go func() {
 		defer wg.Done()
-		r.pipe(in, out, func(l *Link) bool { return l.CutIn })
+		r.pipe(in, out, func(l *Link) bool { return l.CutIn || p.silent.Load() && ctx.Err() == nil })
 	}()
 	go func() {
 		defer wg.Done()
-		r.pipe(out, in, func(l *Link) bool { return l.CutOut })
+		r.pipe(out, in, func(l *Link) bool { return l.CutOut || p.silent.Load() && ctx.Err() == nil })
 	}()
 	wg.Wait()
 }
