Try a throttle for requests whose calls find no slot

Change: adaptive throttling of a route at the ingress node, from answers that failed because a call was refused before any backend server got it.

--- a/internal/transport/proxy/failures.go
+++ b/internal/transport/proxy/failures.go
@@ -14,7 +14,11 @@
 	next   int
 }
 
-type interval struct{ start, end time.Time }
+type interval struct {
+	start, end time.Time
+	// unsent says that no backend server got the request.
+	unsent bool
+}
 
 const (
 	// failedCallsKept is above the slots of a backend server, each of which makes
@@ -25,20 +29,29 @@
 	callFailureWindow = 100 * time.Millisecond
 )
 
-// add notes a request that failed.
-func (f *failedCalls) add(start, end time.Time) {
+// add notes a request that failed. unsent says that no backend server got it.
+func (f *failedCalls) add(start, end time.Time, unsent bool) {
 	if f == nil {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.latest[f.next] = interval{start, end}
+	f.latest[f.next] = interval{start, end, unsent}
 	f.next = (f.next + 1) % failedCallsKept
 }
 
 // explain reports whether an exchange that began at start and failed at end may
 // have failed because of one of its calls.
 func (f *failedCalls) explain(start, end time.Time) bool {
+	return f.find(start, end, func(interval) bool { return true })
+}
+
+// refused reports the same for calls that no backend server got.
+func (f *failedCalls) refused(start, end time.Time) bool {
+	return f.find(start, end, func(c interval) bool { return c.unsent })
+}
+
+func (f *failedCalls) find(start, end time.Time, match func(interval) bool) bool {
 	if f == nil {
 		return false
 	}
@@ -48,7 +61,7 @@
 		if c.end.IsZero() || c.start.Before(start) || c.end.After(end) {
 			continue
 		}
-		if end.Sub(c.end) <= callFailureWindow {
+		if end.Sub(c.end) <= callFailureWindow && match(c) {
 			return true
 		}
 	}
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -92,8 +92,10 @@
 	tracer  trace.Tracer
 	budgets sync.Map // registry.ServiceID -> *retry.Budget
 	splits  routing.Splitter
-	rngs    sync.Pool
-	kept    *memory
+	// throttles refuse requests whose calls find no slot.
+	throttles throttles
+	rngs      sync.Pool
+	kept      *memory
 	// ending ends with the time in which new attempts can end before the process.
 	ending context.Context
 	end    context.CancelFunc
