--- a/internal/coordination/admission/return.go
+++ b/internal/coordination/admission/return.go
@@ -18,14 +18,6 @@
 	returnSpread = 1.0
 )
 
-// ReturnToCalls returns when a caller should come back whose request was refused because
-// its calls would find no slot: within half of the time in which an answer is fully
-// useful, spread over a quarter of it, so that an answer can still be in time.
-func ReturnToCalls(objective time.Duration, rng *rand.Rand) time.Duration {
-	quarter := max(objective/4, minReturn)
-	return min(quarter+time.Duration(rng.Float64()*float64(quarter)), maxReturn)
-}
-
 // ReturnAfter returns when a refused caller should come back: when the queue that
 // the owner reported has drained at the median service time, later by a random part.
 // load is nil if no owner was heard.
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -42,9 +42,6 @@
 	ObjectiveMillis = "Wigeonspring-Objective-Ms"
 	// Idempotent marks a request that may run more than once.
 	Idempotent = "Wigeonspring-Idempotent"
-	// CallRefused marks an answer between nodes that failed because a call of the
-	// backend server found no slot.
-	CallRefused = "Wigeonspring-Call-Refused"
 	// Trial marks a request that may test a suspect backend server.
 	Trial = "Wigeonspring-Trial"
 	// CommonFault marks an attempt at a service of which most backend servers are
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -251,7 +251,6 @@
 	switch r.Outcome {
 	case header.Answered:
 		r.Response = resp
-		r.CallRefused = resp.Header.Get(header.CallRefused) != ""
 	case header.NotRun:
 		r.Arrived = r.Reason == reasonBackendRefused
 	case header.Unknown:
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -62,9 +62,6 @@
 	// reason and timeout describe the last attempt without an answer.
 	reason  string
 	timeout bool
-	// returnAfter is when the caller of a refused request is to return; 0 leaves it to
-	// the load.
-	returnAfter time.Duration
 	// load is the latest load that an owner reported with a refusal, or nil.
 	load *evidence.Load
 }
@@ -80,10 +77,6 @@
 		// An attempt that starts within the margin could not be answered in time.
 		Deadline: c.deadline.Add(-2 * margin(c.deadline.Sub(c.start))),
 	})
-	if c.throttled() {
-		c.report(plan.GiveUp(reasonCallsRefused))
-		return
-	}
 	for {
 		target, err := c.pick()
 		if err != nil && c.askSuspects() {
@@ -124,7 +117,6 @@
 			d = plan.GiveUp(reasonStopping)
 		}
 		if d.Action == retry.Answer {
-			c.noteCalls(t.reply.CallRefused)
 			c.answer(t)
 			return
 		}
@@ -150,29 +142,6 @@
 	}
 }
 
-// throttled reports whether to refuse the request because requests of its route fail
-// at calls that find no slot.
-func (c *call) throttled() bool {
-	throttle := c.in.throttles.of(c.service, c.route.Name, false)
-	if throttle == nil {
-		return false
-	}
-	rng := c.in.rngs.Get().(*rand.Rand)
-	defer c.in.rngs.Put(rng)
-	if !throttle.Refuse(c.in.opt.Now(), rng.Float64()) {
-		return false
-	}
-	c.returnAfter = admission.ReturnToCalls(time.Duration(c.route.Objective), rng)
-	return true
-}
-
-// noteCalls takes the end of a request that ran.
-func (c *call) noteCalls(refused bool) {
-	if throttle := c.in.throttles.of(c.service, c.route.Name, refused); throttle != nil {
-		throttle.Observe(c.in.opt.Now(), refused)
-	}
-}
-
 // sentAtOnce is the largest body that is sent to an owner that has not asked for it.
 const sentAtOnce = 16 << 10
 
@@ -308,16 +277,13 @@
 // made the request.
 func (c *call) noteFailure(status int) {
 	if status >= http.StatusInternalServerError && c.in.opt.Owner != nil {
-		c.in.opt.Owner.failed.add(c.start, c.in.opt.Now(), c.arrived == 0)
+		c.in.opt.Owner.failed.add(c.start, c.in.opt.Now())
 	}
 }
 
 // retryAfter returns the value of the header that asks the caller back, in seconds.
 func (c *call) retryAfter() string {
 	in := c.in
-	if c.returnAfter > 0 {
-		return strconv.FormatFloat(c.returnAfter.Seconds(), 'f', 2, 64)
-	}
 	rng := in.rngs.Get().(*rand.Rand)
 	defer in.rngs.Put(rng)
 	var median time.Duration
--- a/internal/transport/proxy/failures.go
+++ b/internal/transport/proxy/failures.go
@@ -14,11 +14,7 @@
 	next   int
 }
 
-type interval struct {
-	start, end time.Time
-	// unsent says that no backend server got the request.
-	unsent bool
-}
+type interval struct{ start, end time.Time }
 
 const (
 	// failedCallsKept is above the slots of a backend server, each of which makes
@@ -29,29 +25,20 @@
 	callFailureWindow = 100 * time.Millisecond
 )
 
-// add notes a request that failed. unsent says that no backend server got it.
-func (f *failedCalls) add(start, end time.Time, unsent bool) {
+// add notes a request that failed.
+func (f *failedCalls) add(start, end time.Time) {
 	if f == nil {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.latest[f.next] = interval{start, end, unsent}
+	f.latest[f.next] = interval{start, end}
 	f.next = (f.next + 1) % failedCallsKept
 }
 
 // explain reports whether an exchange that began at start and failed at end may
 // have failed because of one of its calls.
 func (f *failedCalls) explain(start, end time.Time) bool {
-	return f.find(start, end, func(interval) bool { return true })
-}
-
-// refused reports the same for calls that no backend server got.
-func (f *failedCalls) refused(start, end time.Time) bool {
-	return f.find(start, end, func(c interval) bool { return c.unsent })
-}
-
-func (f *failedCalls) find(start, end time.Time, match func(interval) bool) bool {
 	if f == nil {
 		return false
 	}
@@ -61,7 +48,7 @@
 		if c.end.IsZero() || c.start.Before(start) || c.end.After(end) {
 			continue
 		}
-		if end.Sub(c.end) <= callFailureWindow && match(c) {
+		if end.Sub(c.end) <= callFailureWindow {
 			return true
 		}
 	}
--- a/internal/transport/proxy/failures_test.go
+++ b/internal/transport/proxy/failures_test.go
@@ -23,7 +23,7 @@
 			if f.explain(at(c.start), at(c.end)) {
 				t.Fatal("explained without a failed call")
 			}
-			f.add(at(c.callStart), at(c.callEnd), false)
+			f.add(at(c.callStart), at(c.callEnd))
 			if got := f.explain(at(c.start), at(c.end)); got != c.want {
 				t.Fatalf("explained %v, want %v", got, c.want)
 			}
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -92,10 +92,8 @@
 	tracer  trace.Tracer
 	budgets sync.Map // registry.ServiceID -> *retry.Budget
 	splits  routing.Splitter
-	// throttles refuse requests whose calls find no slot.
-	throttles throttles
-	rngs      sync.Pool
-	kept      *memory
+	rngs    sync.Pool
+	kept    *memory
 	// ending ends with the time in which new attempts can end before the process.
 	ending context.Context
 	end    context.CancelFunc
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -244,10 +244,7 @@
 		return x.unproved(resp, load)
 	}
 	x.answered(resp)
-	return &reply{
-		Outcome: header.Answered, Load: load, Response: resp.Response,
-		CallRefused: resp.StatusCode >= http.StatusInternalServerError && o.failed.refused(x.start, o.opt.Now()),
-	}
+	return &reply{Outcome: header.Answered, Load: load, Response: resp.Response}
 }
 
 // outgoing returns the request for the backend server.
--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -86,9 +86,6 @@
 	if r.Reason != "" {
 		h[header.Reason] = []string{r.Reason}
 	}
-	if r.CallRefused {
-		h[header.CallRefused] = []string{"1"}
-	}
 	if r.Load != nil {
 		h[header.Load] = []string{header.FormatLoad(*r.Load)}
 	}
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -38,7 +38,6 @@
 	reasonUnproved       = "backend_refusal_unproved"
 	reasonReplaced       = "attempt_replaced"
 	reasonSuspect        = "backend_suspect"
-	reasonCallsRefused   = "calls_find_no_slot"
 	reasonBackendRefused = "backend_refused"
 )
 
@@ -51,9 +50,6 @@
 	Timeout bool
 	// Arrived marks a refusal by the backend server itself; the request reached it.
 	Arrived bool
-	// CallRefused marks an answer that failed because a call of the backend server
-	// found no slot.
-	CallRefused bool
 	// Load is the load of the backend server, or nil.
 	Load *evidence.Load
 	// Response is the backend server's answer; nil unless answered. Its body must
