--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -120,9 +120,10 @@
 }
 
 // replaceable cancels an attempt that takes too long if the budget then has another
-// one and a backend server is known to have a free slot for it. The returned function stops the timer. The timer may fire
-// as the attempt ends and must not touch what the call changes between attempts:
-// the plan and the list of backend servers that were tried.
+// one and a backend server is known to have a free slot for it. The returned function
+// stops the timer. The timer may fire as the attempt ends and must not touch what the
+// call changes between attempts: the plan and the list of backend servers that were
+// tried.
 func (t *tried) replaceable(ctx context.Context, plan *retry.Plan) (limited context.Context, stop func()) {
 	c := t.call
 	after := plan.ReplaceAfter(t.begin)
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -208,21 +208,21 @@
 	ctx, answerBegan := limitAnswer(ctx, a.AnswerBy)
 	defer answerBegan()
 	defer x.watch()()
-	resp, err := b.pool.Do(ctx, o.outgoing(ctx, a, b.address), a.RequestID, a.Idempotent, func() bool {
-		// The lease may have lapsed in the queue or while connecting.
-		now := o.opt.Now()
-		leased = o.opt.Leases.Holds(now, a.Backend) || o.off.lease
+	// The lease may lapse and the backend server become suspect in the queue, while
+	// connecting and while the body is awaited.
+	allowed := func() bool {
+		x.start = o.opt.Now()
+		leased = o.opt.Leases.Holds(x.start, a.Backend) || o.off.lease
 		if t := b.tracker; t != nil {
 			trusted = t.Waiting(a.Idempotent, trial, a.CommonFault) == suspicion.Allow
 		}
-		sent = leased && trusted && ctx.Err() == nil
+		return leased && trusted && ctx.Err() == nil
+	}
+	resp, err := b.pool.Do(ctx, o.outgoing(ctx, a, b.address), a.RequestID, a.Idempotent, func() bool {
+		sent = allowed()
 		if sent && a.awaitBody != nil {
 			withheld = a.awaitBody() != nil
-			sent = !withheld && ctx.Err() == nil
-			now = o.opt.Now()
-		}
-		if sent {
-			x.start = now
+			sent = !withheld && allowed()
 		}
 		return sent
 	})
--- a/internal/transport/proxy/withheld_test.go
+++ b/internal/transport/proxy/withheld_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// Guards against work for a backend server whose lease lapses while the body of the
+// request is awaited.
+func TestLeaseIsCheckedAfterTheBody(t *testing.T) {
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.AskFirst, in.KeepBytes = true, 1<<20 })
+	var arrived atomic.Int32
+	f.serve(1, "b1", func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
+	body, rest := io.Pipe()
+	done := make(chan result, 1)
+	go func() { done <- f.send(0, "POST", "/", body) }()
+	waitFor(t, func() bool { l, _ := f.nodes[1].backends.Load("b1"); return l.InUse == 1 })
+	time.Sleep(50 * time.Millisecond)
+	f.nodes[1].leases.ReleaseAll()
+	_, _ = rest.Write([]byte("x"))
+	_ = rest.Close()
+	if got := <-done; got.outcome != header.NotRun || arrived.Load() != 0 {
+		t.Fatalf("%+v after %d arrivals", got, arrived.Load())
+	}
+}
+
 // Guards against an upload that cannot be tried elsewhere after the backend server
 // has refused it, and against memory for kept bodies that is not given back.
 func TestUploadRefusedByABackendServerIsTriedElsewhere(t *testing.T) {
