Revert the fewer updates between failure domains

Cause: updates that every node sends to one member anywhere, such as the suspicion of the restarted node, also tell that node of its peers; with three of a domain passing them on, nobody tells it before the next probe. Ruled out: load (the test is simulated and fails on an idle machine).

--- a/internal/coordination/membership/options.go
+++ b/internal/coordination/membership/options.go
@@ -41,8 +41,8 @@
 	// TransmitFactor times log2(members) is the number of transmissions of an update.
 	TransmitFactor int
 	// LocalProbes prefers the own failure domain: a round of probes covers it and
-	// a few other members, and a fresh update stays in the domain but for a few
-	// members that pass it on. Links between regions are paid by volume.
+	// a few other members, and a fresh update goes to one member anywhere and
+	// otherwise stays in the domain. Links between regions are paid by volume.
 	LocalProbes bool
 	// Fanout is the number of peers that a fresh update is sent to at once.
 	Fanout int
@@ -132,10 +132,6 @@
 	// startEqualSyncs is the number of syncs without a difference after which a
 	// starting node knows what the fleet knows.
 	startEqualSyncs = 2
-	// domainRelays is the mean number of members of a failure domain that pass a fresh
-	// update on to another one. All pass it on inside; with 12 failure domains an
-	// update reaches each from three others on the mean.
-	domainRelays = 3
 	// maxCorrections bounds the newer versions sent in answer to one message.
 	maxCorrections = 16
 	// suspicionSkew is how much earlier than the local suspicion timeout a death
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -119,22 +119,15 @@
 	if !c.opts.LocalProbes {
 		return c.randomLive(c.opts.Fanout, "")
 	}
-	var near, far []*member
+	targets := c.randomLive(1, "")
+	var near []*member
 	for _, m := range c.live {
-		switch {
-		case m.node.Status != registry.Alive:
-		case m.node.FailureDomain == c.self.node.FailureDomain:
+		if m.node.Status == registry.Alive && m.node.FailureDomain == c.self.node.FailureDomain && !contains(targets, m) {
 			near = append(near, m)
-		default:
-			far = append(far, m)
 		}
 	}
 	c.rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	targets := near[:min(len(near), c.opts.Fanout-1)]
-	if len(far) > 0 && c.rand.IntN(len(near)+1) < domainRelays {
-		targets = append(targets, far[c.rand.IntN(len(far))])
-	}
-	return targets
+	return append(targets, near[:min(len(near), c.opts.Fanout-1)]...)
 }
 
 // wantRecord asks a peer for the full record of a member.
