Take an empty body of unknown length for a whole one

Found on reading the change again: an owner that waits for the first bytes of a body took the end of an empty chunked body for a body that never came, and the request was refused each time. TestEmptyBodyOfUnknownLength failed first (503, request_body_consumed). A body that is cut ends with another error and is still refused.

--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -67,7 +67,7 @@
 	if err := b.control.SetReadDeadline(time.Now().Add(bodyWait)); err != nil {
 		return err
 	}
-	if _, err := b.Peek(1); err != nil {
+	if _, err := b.Peek(1); err != nil && err != io.EOF { // An empty body is whole.
 		return err
 	}
 	return b.control.SetReadDeadline(time.Time{})
--- a/internal/transport/proxy/withheld_test.go
+++ b/internal/transport/proxy/withheld_test.go
@@ -89,6 +89,21 @@
 	}
 }
 
+// Guards against a body without a declared length that is empty and is taken for one
+// that never came.
+func TestEmptyBodyOfUnknownLength(t *testing.T) {
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.AskFirst, in.KeepBytes = true, 1<<20 })
+	f.serve(1, "b1", func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	})
+	body, end := io.Pipe()
+	time.AfterFunc(400*time.Millisecond, func() { _ = end.Close() }) // net/http waits 200 ms for a first byte.
+	if got := f.send(0, "POST", "/", body); got.outcome != header.Answered || got.body != "0" {
+		t.Fatalf("%+v", got)
+	}
+}
+
 // Guards against an upload that cannot be tried elsewhere after the backend server
 // has refused it, and against memory for kept bodies that is not given back.
 func TestUploadRefusedByABackendServerIsTriedElsewhere(t *testing.T) {
