Let requests that may run again use suspects as their last resort

A request that all others have refused may go to a suspect only as its one trial; a second one at the same time is refused. Its caller, a booking that has worked for a second, then fails. Ruled out: the retry budget (no retry was asked for) and full queues (68 of the refusals). Change: an idempotent request that has nowhere else to go runs on a suspect like on any other backend server. It fails there at worst, and its success counts for the backend server. Other requests keep to trials. The header is named after what it says now.

--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -76,12 +76,12 @@
 }
 
 // Admit decides about a request. mayTry marks one that may be a trial: it is tried
-// elsewhere if it fails, or nothing else is left for it. common says that most
-// backend servers of the service are suspect, so that none is better than another.
-func (t *Tracker) Admit(now time.Time, mayTry, common bool) Verdict {
+// elsewhere if it fails, or nothing else is left for it. noBetter says
+// that no other backend server is better for the request.
+func (t *Tracker) Admit(now time.Time, mayTry, noBetter bool) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.suspect || common {
+	if !t.suspect || noBetter {
 		return Allow
 	}
 	if mayTry && t.trialDue(now) {
@@ -95,10 +95,10 @@
 // Waiting decides about a request that was allowed and then waited. It refuses
 // one that must not be repeated if the backend server became suspect meanwhile,
 // unless it is a trial.
-func (t *Tracker) Waiting(idempotent, trial, common bool) Verdict {
+func (t *Tracker) Waiting(idempotent, trial, noBetter bool) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.suspect && !idempotent && !trial && !common {
+	if t.suspect && !idempotent && !trial && !noBetter {
 		return Refuse
 	}
 	return Allow
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -44,9 +44,9 @@
 	Idempotent = "Wigeonspring-Idempotent"
 	// Trial marks a request that may test a suspect backend server.
 	Trial = "Wigeonspring-Trial"
-	// CommonFault marks an attempt at a service of which most backend servers are
+	// NoBetter marks an attempt at a service of which most backend servers are
 	// suspect.
-	CommonFault = "Wigeonspring-Common-Fault"
+	NoBetter = "Wigeonspring-No-Better"
 	// CallerService names the service on the VM where the request began.
 	CallerService = "Wigeonspring-Caller-Service"
 	// ExpectedInstance and Instance name backend servers; see Dialect.
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -36,8 +36,10 @@
 	// Objective is the time left in which an answer is fully useful; 0 means that
 	// none is stated or that it has passed.
 	Objective time.Duration
-	// CommonFault says that most backend servers of the service are suspect.
-	CommonFault bool
+	// NoBetter says that no other backend server is better for the request, so that
+	// a suspect one may serve it: most of the service are suspect, or all others
+	// refused a request that may run again.
+	NoBetter bool
 }
 
 // flagSet is the value of a header that is either absent or set.
@@ -75,8 +77,8 @@
 	if p.Objective > 0 {
 		set(ObjectiveMillis, FormatDeadline(p.Objective))
 	}
-	if p.CommonFault {
-		set(CommonFault, flagSet)
+	if p.NoBetter {
+		set(NoBetter, flagSet)
 	}
 }
 
@@ -97,7 +99,7 @@
 		return p, fmt.Errorf("%s, %s: missing", Backend, Service)
 	}
 	p.Idempotent = h.Get(Idempotent) == flagSet
-	p.CommonFault = h.Get(CommonFault) == flagSet
+	p.NoBetter = h.Get(NoBetter) == flagSet
 	p.Trial = h.Get(Trial) == flagSet
 	var err error
 	if s := h.Get(Rank); s != "" {
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -66,7 +66,7 @@
 		RequestID: c.id, Backend: target.Backend, Service: c.service, Route: c.route.Name,
 		Incarnation: target.Owner.Incarnation, Left: left, AnswerWithin: answerWithin,
 		Attempt: len(c.tried), Caller: c.caller, Region: in.opt.Region, Baseline: baseline,
-		Rank: c.route.Rank, Idempotent: c.route.Idempotent, CommonFault: c.commonFault,
+		Rank: c.route.Rank, Idempotent: c.route.Idempotent, NoBetter: c.noBetter,
 		// A failed trial is made good by a retry.
 		Trial: c.lastResort || c.route.Idempotent && c.body.repeatable() && plan.AllowsRetry(now, c.budget),
 	}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -53,9 +53,9 @@
 	tried []registry.BackendID
 	// suspects are the backend servers whose owner refused the request because they
 	// are suspect. If nothing else is left, they are asked again: as a last resort,
-	// or freely if commonFault says that most of the service is suspect.
-	suspects                []registry.BackendID
-	lastResort, commonFault bool
+	// or freely if noBetter says that no other is better.
+	suspects             []registry.BackendID
+	lastResort, noBetter bool
 	// arrived counts the attempts that reached a backend server, and ran those that
 	// may have run.
 	arrived, ran int
@@ -161,8 +161,9 @@
 		return false
 	}
 	c.lastResort = true
+	// A request that may run again loses nothing by a failure.
 	known := len(c.in.opt.Directory.Snapshot().Service(c.service))
-	c.commonFault = 2*len(c.suspects) > known
+	c.noBetter = c.route.Idempotent || 2*len(c.suspects) > known
 	c.tried = slices.DeleteFunc(c.tried, func(id registry.BackendID) bool { return slices.Contains(c.suspects, id) })
 	return true
 }
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -177,7 +177,7 @@
 	}
 	trial := false
 	if b.tracker != nil {
-		switch b.tracker.Admit(o.opt.Now(), a.Trial, a.CommonFault) {
+		switch b.tracker.Admit(o.opt.Now(), a.Trial, a.NoBetter) {
 		case suspicion.Refuse:
 			load := b.keeper.gate.Load()
 			load.Weight = 0
@@ -214,7 +214,7 @@
 		x.start = o.opt.Now()
 		leased = o.opt.Leases.Holds(x.start, a.Backend) || o.off.lease
 		if t := b.tracker; t != nil {
-			trusted = t.Waiting(a.Idempotent, trial, a.CommonFault) == suspicion.Allow
+			trusted = t.Waiting(a.Idempotent, trial, a.NoBetter) == suspicion.Allow
 		}
 		return leased && trusted && ctx.Err() == nil
 	}
--- /dev/null
+++ b/internal/transport/proxy/suspect_test.go
@@ -0,0 +1,50 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// Guards against requests that may run again and are refused although a suspect
+// backend server with free slots is left, and against others that all go there.
+func TestSuspectServesWhatFindsNothingElse(t *testing.T) {
+	for method, most := range map[string]int{http.MethodGet: 4, http.MethodPost: 1} {
+		f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.FreeRefusals = 8 })
+		f.nodes[0].backends.opt.Trials = true
+		var runs atomic.Int64
+		f.serve(0, "suspect", func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			time.Sleep(100 * time.Millisecond)
+		})
+		f.nodes[0].backends.get("suspect").tracker.Observe(time.Now(), time.Now(), evidence.Reset)
+		// The others refuse everything.
+		for _, id := range []registry.BackendID{"b1", "b2", "b3"} {
+			f.nodes[1].owned = append(f.nodes[1].owned, registry.Backend{ID: id, Service: "booking", Slots: 4, Weight: 1})
+		}
+		f.publish(f.nodes[1])
+		time.Sleep(300 * time.Millisecond) // A trial is due.
+		var served, refused atomic.Int64
+		var requests sync.WaitGroup
+		for range 4 {
+			requests.Go(func() {
+				switch res := f.send(0, method, "/x", nil); {
+				case res.status == http.StatusOK:
+					served.Add(1)
+				case res.status == http.StatusServiceUnavailable && res.outcome == header.NotRun:
+					refused.Add(1)
+				}
+			})
+		}
+		requests.Wait()
+		if int(served.Load()) != most || int(refused.Load()) != 4-most || served.Load() != runs.Load() {
+			t.Fatalf("%s: %d served, %d refused, %d runs, want %d served", method, served.Load(), refused.Load(), runs.Load(), most)
+		}
+	}
+}
