--- a/internal/coordination/retry/budget.go
+++ b/internal/coordination/retry/budget.go
@@ -28,6 +28,9 @@
 	// Slack is a number of retries per window in addition to the share; it may be a
 	// fraction and replaces Minimum if it is above 0.
 	Slack float64
+	// SlackFrom is when the slack begins to count. A node that restarts within a
+	// window may have spent its part before.
+	SlackFrom time.Time
 	// Phase, 0 to 1, decides on which side the limit is rounded, so that the limits
 	// of many nodes with random phases add up to what they share.
 	Phase float64
@@ -90,14 +93,17 @@
 	defer b.mu.Unlock()
 	b.advance(now)
 	requests, retries := b.window()
-	return float64(retries+1) <= b.limit(requests)
+	return float64(retries+1) <= b.limit(now, requests)
 }
 
 // limit returns the retries that a window with this number of requests allows.
-func (b *Budget) limit(requests int64) float64 {
+func (b *Budget) limit(now time.Time, requests int64) float64 {
 	share := float64(requests) * b.opt.Percent / 100
 	if b.opt.Slack > 0 {
-		return math.Floor(share + b.opt.Slack + b.opt.Phase)
+		if !now.Before(b.opt.SlackFrom) {
+			share += b.opt.Slack
+		}
+		return math.Floor(share + b.opt.Phase)
 	}
 	return max(float64(b.opt.Minimum), share)
 }
@@ -117,7 +123,7 @@
 	defer b.mu.Unlock()
 	b.advance(now)
 	requests, retries := b.window()
-	limit := b.limit(requests)
+	limit := b.limit(now, requests)
 	if float64(retries+1) > limit && !b.off {
 		return false
 	}
--- a/internal/coordination/retry/fleet_test.go
+++ b/internal/coordination/retry/fleet_test.go
@@ -64,6 +64,35 @@
 	}
 }
 
+// Guards against nodes that restart within a window and spend their part of the
+// slack a second time.
+func TestRestartedNodesSpendNoSlack(t *testing.T) {
+	const nodes, requests, percent, slack = 36, 12, 15, 47.6
+	rng := rand.New(rand.NewPCG(2, 1))
+	var sum float64
+	const rounds = 50
+	spend := func(b *Budget, now time.Time) {
+		for range requests {
+			b.AddRequest(now)
+		}
+		for b.Take(now.Add(DefaultWindow / buckets)) {
+			sum++
+		}
+	}
+	for range rounds {
+		for range nodes {
+			options := BudgetOptions{Percent: percent, Slack: slack / nodes, Phase: rng.Float64()}
+			spend(NewBudget(options), t0)
+			restart := t0.Add(DefaultWindow / 2)
+			options.SlackFrom, options.Phase = restart.Add(DefaultWindow), rng.Float64()
+			spend(NewBudget(options), restart)
+		}
+	}
+	if got, want := sum/rounds, slack+2*nodes*requests*percent/100.0; got > want*1.02 || got < want*0.95 {
+		t.Fatalf("the nodes may repeat %.1f requests in a window, want %.1f", got, want)
+	}
+}
+
 // Guards against an attempt at work that is given up although no other can take
 // its place, and one that takes the time of its replacement.
 func TestReplacement(t *testing.T) {
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -15,6 +15,7 @@
 
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
 	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
+	"wigeonspring.example/wigeonspring/internal/coordination/retry"
 	"wigeonspring.example/wigeonspring/internal/coordination/routing"
 	"wigeonspring.example/wigeonspring/internal/fault"
 	"wigeonspring.example/wigeonspring/internal/state/event"
@@ -248,9 +249,11 @@
 		FreeRefusals: s.Fleet.FreeRefusals,
 		Stopping:     n.stopping.Load,
 		RetrySlack:   n.retrySlack(),
-		Events:       n.bus,
-		Logger:       n.log,
-		Tracing:      n.tracing,
+		// A life before this one may have spent its part in the same window.
+		RetrySlackFrom: time.Now().Add(retry.DefaultWindow),
+		Events:         n.bus,
+		Logger:         n.log,
+		Tracing:        n.tracing,
 	})
 }
 
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -68,6 +68,8 @@
 	// RetrySlack returns the number of retries in 10 s that a service is allowed here
 	// beyond its share of the requests, possibly a fraction; nil selects a minimum.
 	RetrySlack func() float64
+	// RetrySlackFrom is when the slack begins to count.
+	RetrySlackFrom time.Time
 	// KeepBytes is the largest body of known length that is kept in memory for a
 	// request that is not idempotent, so that it can be sent to another owner after a
 	// refusal. 0 streams every body of a request that is not idempotent.
@@ -301,7 +303,9 @@
 		budget.SetSlack(slack)
 		return budget
 	}
-	options := retry.BudgetOptions{Percent: percent, Slack: slack, Phase: rand.Float64()}
+	options := retry.BudgetOptions{
+		Percent: percent, Slack: slack, SlackFrom: in.opt.RetrySlackFrom, Phase: rand.Float64(),
+	}
 	b, _ := in.budgets.LoadOrStore(id, retry.NewBudget(options))
 	return b.(*retry.Budget)
 }
