--- a/internal/coordination/suspicion/doc.go
+++ b/internal/coordination/suspicion/doc.go
@@ -13,7 +13,9 @@
 // elsewhere and nobody notices. Successful trials clear the suspicion.
 //
 // A request that has nowhere else to go may be a trial too, so that a service
-// without idempotent requests recovers as well. Where most backend servers of a
+// without idempotent requests recovers as well. So may one that was tried elsewhere
+// before, if no trial ran for a while and the service is short: where retries are
+// spent, backend servers that are sound again would stay idle otherwise. Where most backend servers of a
 // service are suspect, none is better than another and nothing is refused, so that
 // suspicion never takes a service below half of its capacity, without an agreement
 // between owners.
--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -18,12 +18,17 @@
 	softScore = 0.55
 	// successFactor reduces the score with each success.
 	successFactor = 0.6
-	// halfLife is the time in which a score halves without an observation.
+	// halfLife is the time in which a score, and the weight of an ended request,
+	// halves.
 	halfLife = 4 * time.Second
 	// trialInterval is the time between the starts of two trials. With a third of
 	// the backend servers suspect, failed trials then stay below a tenth of the
 	// arrivals.
 	trialInterval = 200 * time.Millisecond
+	// starved is the time without a trial after which any request that explores may
+	// be one. A backend server that is sound again is then noticed also where the
+	// retries that make failed trials good are spent.
+	starved = 1500 * time.Millisecond
 	// minTrials and maxTrials bound the successive trials that clear a suspicion.
 	// A backend server that fails 85 of 100 requests passes three with 0.3%.
 	minTrials = 3
@@ -75,16 +80,26 @@
 	running int
 }
 
-// Admit decides about a request. mayTry marks one that may be a trial: it is tried
-// elsewhere if it fails, or nothing else is left for it. noBetter says
-// that no other backend server is better for the request.
-func (t *Tracker) Admit(now time.Time, mayTry, noBetter bool) Verdict {
+// Offer is a request that asks for admission.
+type Offer struct {
+	// MayTry marks a request that may be a trial at any time: it is tried elsewhere
+	// if it fails, or nothing else is left for it.
+	MayTry bool
+	// Explore marks a request that was tried elsewhere before, of a service that
+	// is short; see Outcomes.
+	Explore bool
+	// NoBetter says that no other backend server is better for the request.
+	NoBetter bool
+}
+
+// Admit decides about a request.
+func (t *Tracker) Admit(now time.Time, o Offer) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.suspect || noBetter {
+	if !t.suspect || o.NoBetter {
 		return Allow
 	}
-	if mayTry && t.trialDue(now) {
+	if (o.MayTry || o.Explore && now.Sub(t.lastTrial) >= starved) && t.trialDue(now) {
 		t.lastTrial = now
 		t.running++
 		return Trial
--- a/internal/coordination/suspicion/suspicion_test.go
+++ b/internal/coordination/suspicion/suspicion_test.go
@@ -18,15 +18,19 @@
 	age     time.Duration
 	change  Change
 	// admit asks for a request and expects the verdict.
-	admit          bool
-	mayTry, common bool
-	verdict        Verdict
+	admit   bool
+	offer   Offer
+	verdict Verdict
 }
 
 func seen(kind evidence.Kind, change Change) step { return step{observe: &kind, change: change} }
 
-func asked(mayTry, common bool, verdict Verdict) step {
-	return step{admit: true, mayTry: mayTry, common: common, verdict: verdict}
+func asked(mayTry, noBetter bool, verdict Verdict) step {
+	return step{admit: true, offer: Offer{MayTry: mayTry, NoBetter: noBetter}, verdict: verdict}
+}
+
+func explored(verdict Verdict) step {
+	return step{admit: true, offer: Offer{Explore: true}, verdict: verdict}
 }
 
 func later(d time.Duration, s step) step { s.after = d; return s }
@@ -76,6 +80,22 @@
 			asked(true, false, Refuse),
 			later(trialInterval, asked(true, false, Trial)),
 		},
+		"without trials, a request that was tried elsewhere is one from time to time": {
+			seen(evidence.Reset, Suspected),
+			later(starved-1, explored(Refuse)),
+			later(1, asked(false, false, Refuse)),
+			explored(Trial),
+			explored(Refuse),
+			seen(evidence.Success, None),
+			explored(Refuse),
+			later(starved, explored(Trial)),
+			later(starved-1, explored(Refuse)),
+		},
+		"a trial that runs keeps others away": {
+			seen(evidence.Reset, Suspected),
+			later(starved, explored(Trial)),
+			later(starved, explored(Refuse)),
+		},
 		"trials overlap after the first success and clear it": {
 			seen(evidence.Reset, Suspected),
 			later(trialInterval, asked(true, false, Trial)),
@@ -108,7 +128,7 @@
 			for i, s := range steps {
 				now = now.Add(s.after)
 				if s.admit {
-					if got := tr.Admit(now, s.mayTry, s.common); got != s.verdict {
+					if got := tr.Admit(now, s.offer); got != s.verdict {
 						t.Fatalf("step %d: verdict %d, want %d", i, got, s.verdict)
 					}
 					continue
@@ -198,7 +218,7 @@
 		}
 		for n, i := range rng.Perm(l.servers) {
 			s := servers[i]
-			if tracked && s.Admit(now, !once, n == l.servers-1) == Refuse {
+			if tracked && s.Admit(now, Offer{MayTry: !once, Explore: n > 0, NoBetter: n == l.servers-1}) == Refuse {
 				continue
 			}
 			if ok := run(s); !ok && once {
@@ -249,3 +269,28 @@
 		})
 	}
 }
+
+// Guards against tests of suspects at the expense of requests where a service has
+// enough, and against a service that counts as short long after.
+func TestOutcomes(t *testing.T) {
+	var o Outcomes
+	if o.Short(start) {
+		t.Fatal("short without a request")
+	}
+	for range 19 {
+		o.Add(start, true)
+	}
+	o.Add(start, false)
+	if o.Short(start) {
+		t.Fatal("short with 5% not served")
+	}
+	for range 3 {
+		o.Add(start, false)
+	}
+	if !o.Short(start) {
+		t.Fatal("not short with 17% not served")
+	}
+	if o.Short(start.Add(10 * halfLife)) {
+		t.Fatal("short long after the last request")
+	}
+}
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -44,6 +44,9 @@
 	Idempotent = "Wigeonspring-Idempotent"
 	// Trial marks a request that may test a suspect backend server.
 	Trial = "Wigeonspring-Trial"
+	// Explore marks an attempt of a request that was tried elsewhere before, at a
+	// service that is short.
+	Explore = "Wigeonspring-Explore"
 	// NoBetter marks an attempt at a service of which most backend servers are
 	// suspect.
 	NoBetter = "Wigeonspring-No-Better"
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -36,6 +36,10 @@
 	// Objective is the time left in which an answer is fully useful; 0 means that
 	// none is stated or that it has passed.
 	Objective time.Duration
+	// Explore says that the request was tried elsewhere before and that too many of
+	// the service's requests are not served, so that it may test a suspect backend
+	// server that nothing else has tested for a while.
+	Explore bool
 	// NoBetter says that no other backend server is better for the request, so that
 	// a suspect one may serve it: most of the service are suspect, or all others
 	// refused a request that may run again.
@@ -77,6 +81,9 @@
 	if p.Objective > 0 {
 		set(ObjectiveMillis, FormatDeadline(p.Objective))
 	}
+	if p.Explore {
+		set(Explore, flagSet)
+	}
 	if p.NoBetter {
 		set(NoBetter, flagSet)
 	}
@@ -99,6 +106,7 @@
 		return p, fmt.Errorf("%s, %s: missing", Backend, Service)
 	}
 	p.Idempotent = h.Get(Idempotent) == flagSet
+	p.Explore = h.Get(Explore) == flagSet
 	p.NoBetter = h.Get(NoBetter) == flagSet
 	p.Trial = h.Get(Trial) == flagSet
 	var err error
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -67,6 +67,7 @@
 		Incarnation: target.Owner.Incarnation, Left: left, AnswerWithin: answerWithin,
 		Attempt: len(c.tried), Caller: c.caller, Region: in.opt.Region, Baseline: baseline,
 		Rank: c.route.Rank, Idempotent: c.route.Idempotent, NoBetter: c.noBetter,
+		Explore: len(c.tried) > 1 && in.outcomes(c.service).Short(now),
 		// A failed trial is made good by a retry.
 		Trial: c.lastResort || c.route.Idempotent && c.body.repeatable() && plan.AllowsRetry(now, c.budget),
 	}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -302,6 +302,9 @@
 func (c *call) describe(outcome string, status int) {
 	latencies.Observe(outcome, c.in.opt.Now().Sub(c.start))
 	c.noteFailure(status)
+	if c.service != "" {
+		c.in.outcomes(c.service).Add(c.in.opt.Now(), status < http.StatusInternalServerError)
+	}
 	if c.span == nil || !c.span.IsRecording() {
 		return
 	}
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -19,6 +19,7 @@
 
 	"wigeonspring.example/wigeonspring/internal/coordination/retry"
 	"wigeonspring.example/wigeonspring/internal/coordination/routing"
+	"wigeonspring.example/wigeonspring/internal/coordination/suspicion"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/event"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
@@ -93,6 +94,7 @@
 	opt     IngressOptions
 	tracer  trace.Tracer
 	budgets sync.Map // registry.ServiceID -> *retry.Budget
+	ends    sync.Map // registry.ServiceID -> *suspicion.Outcomes
 	splits  routing.Splitter
 	rngs    sync.Pool
 	kept    *memory
@@ -291,6 +293,15 @@
 
 func (in *Ingress) stopping() bool { return in.opt.Stopping != nil && in.opt.Stopping() }
 
+// outcomes returns how the requests of a service ended lately.
+func (in *Ingress) outcomes(id registry.ServiceID) *suspicion.Outcomes {
+	o, ok := in.ends.Load(id)
+	if !ok {
+		o, _ = in.ends.LoadOrStore(id, &suspicion.Outcomes{})
+	}
+	return o.(*suspicion.Outcomes)
+}
+
 // budget returns the retry budget of a service.
 func (in *Ingress) budget(id registry.ServiceID, percent float64) *retry.Budget {
 	slack := 0.0
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -177,7 +177,8 @@
 	}
 	trial := false
 	if b.tracker != nil {
-		switch b.tracker.Admit(o.opt.Now(), a.Trial, a.NoBetter) {
+		offer := suspicion.Offer{MayTry: a.Trial, Explore: a.Explore, NoBetter: a.NoBetter}
+		switch b.tracker.Admit(o.opt.Now(), offer) {
 		case suspicion.Refuse:
 			load := b.keeper.gate.Load()
 			load.Weight = 0
