Let up to three trials of a suspect run at once

Cause: a suspect got its second trial only when the first one had ended. Work of 1 to 1.5 s then takes more than 2 s to clear a backend server that is sound again, in phases of 12 s. Change: trials of requests that may be tried elsewhere start 200 ms apart, up to three at once. The replay of gray phases follows which services are short, as the ingress nodes do.

--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -99,7 +99,7 @@
 	if !t.suspect || o.NoBetter {
 		return Allow
 	}
-	if (o.MayTry || o.Explore && now.Sub(t.lastTrial) >= starved) && t.trialDue(now) {
+	if o.MayTry && t.trialDue(now, minTrials) || o.Explore && now.Sub(t.lastTrial) >= starved && t.trialDue(now, 1) {
 		t.lastTrial = now
 		t.running++
 		return Trial
@@ -126,15 +126,17 @@
 	t.running = max(t.running-1, 0)
 }
 
-// trialDue lets one trial run, and one more for each that has passed.
-func (t *Tracker) trialDue(now time.Time) bool {
+// trialDue lets one trial run at once for each that has passed, and one more. Up to
+// most run in any case, an interval apart: a trial that has run for an interval is
+// likely to pass, because failures of a sick backend server come early.
+func (t *Tracker) trialDue(now time.Time, most int) bool {
 	if now.Sub(t.lastTrial) >= trialTimeout {
 		t.running = 0
 	}
-	if t.passed > 0 {
-		return t.running <= t.passed
+	if t.passed > 0 && t.running <= t.passed {
+		return true
 	}
-	return t.running == 0 && now.Sub(t.lastTrial) >= trialInterval
+	return t.running < most && now.Sub(t.lastTrial) >= trialInterval
 }
 
 // Observe takes the end of an exchange that began at start. An exchange that began
--- a/internal/coordination/suspicion/suspicion_test.go
+++ b/internal/coordination/suspicion/suspicion_test.go
@@ -91,7 +91,16 @@
 			later(starved, explored(Trial)),
 			later(starved-1, explored(Refuse)),
 		},
-		"a trial that runs keeps others away": {
+		"trials that run let others follow, up to the number that clears": {
+			seen(evidence.Reset, Suspected),
+			later(trialInterval, asked(true, false, Trial)),
+			later(trialInterval-1, asked(true, false, Refuse)),
+			later(1, asked(true, false, Trial)),
+			later(trialInterval, asked(true, false, Trial)),
+			later(trialInterval, asked(true, false, Refuse)),
+			seen(evidence.Success, None), seen(evidence.Success, None), seen(evidence.Success, Cleared),
+		},
+		"a trial that runs keeps explorers away": {
 			seen(evidence.Reset, Suspected),
 			later(starved, explored(Trial)),
 			later(starved, explored(Refuse)),
@@ -185,6 +194,7 @@
 		}
 		s.flip = now.Add(time.Duration(rng.ExpFloat64() * float64(mean)))
 	}
+	var ends Outcomes
 	now := start
 	for i := range servers {
 		servers[i] = &server{bad: rng.Float64() < float64(l.bad)/float64(l.bad+l.good)}
@@ -218,14 +228,18 @@
 		}
 		for n, i := range rng.Perm(l.servers) {
 			s := servers[i]
-			if tracked && s.Admit(now, Offer{MayTry: !once, Explore: n > 0, NoBetter: n == l.servers-1}) == Refuse {
+			offer := Offer{MayTry: !once, Explore: n > 0 && ends.Short(now), NoBetter: n == l.servers-1}
+			if tracked && s.Admit(now, offer) == Refuse {
 				continue
 			}
-			if ok := run(s); !ok && once {
-				lost++
-			} else if !ok {
+			ok := run(s)
+			if !ok && !once {
 				continue // tried elsewhere
 			}
+			if !ok {
+				lost++
+			}
+			ends.Add(now, ok)
 			break
 		}
 	}
