--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -47,8 +47,8 @@
 	// Explore marks an attempt of a request that was tried elsewhere before, at a
 	// service that is short.
 	Explore = "Wigeonspring-Explore"
-	// NoBetter marks an attempt at a service of which most backend servers are
-	// suspect.
+	// NoBetter marks an attempt that a suspect backend server may serve, because no
+	// other is better for it.
 	NoBetter = "Wigeonspring-No-Better"
 	// CallerService names the service on the VM where the request began.
 	CallerService = "Wigeonspring-Caller-Service"
