--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,6 +18,7 @@
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
+	"wigeonspring.example/wigeonspring/internal/state/settings"
 	"wigeonspring.example/wigeonspring/standin/backend"
 	"wigeonspring.example/wigeonspring/standin/caller"
 	"wigeonspring.example/wigeonspring/standin/record"
@@ -95,9 +97,11 @@
 	// loads counts the loads, whose operations have ids of their own.
 	loads int
 	// token is the operator token of the nodes.
-	token  string
-	cancel context.CancelFunc
-	ctx    context.Context
+	token string
+	// detector is the setting of the nodes, empty for the default.
+	detector string
+	cancel   context.CancelFunc
+	ctx      context.Context
 }
 
 func newFleet(t *testing.T, basePort, nodes int) *fleet {
@@ -257,8 +261,12 @@
 
 [drain]
 timeout = "10s"
+
+[backend]
+detector = %q
 `, nodeName(i), domainOf(i), domainOf(i), f.callerAddr(i), f.peerAddr(i), advertise,
-		strings.TrimPrefix(f.operatorURL(i), "http://"), f.platformURL(), f.peerAddr(1), f.peerAddr(2), f.token)
+		strings.TrimPrefix(f.operatorURL(i), "http://"), f.platformURL(), f.peerAddr(1), f.peerAddr(2), f.token,
+		cmp.Or(f.detector, settings.Defaults().Backend.Detector))
 	path := filepath.Join(f.t.TempDir(), nodeName(i)+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
