--- a/internal/transport/events/bus_test.go
+++ b/internal/transport/events/bus_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"testing"
 	"time"
@@ -52,6 +53,54 @@
 	}
 }
 
+// Guards against a storm of one kind that fills the log or hides the other kinds,
+// and against lines that are left out without being counted.
+func TestStormOfOneKindIsBounded(t *testing.T) {
+	const burst, storm = 5, 1000
+	b, err := New(Options{Node: "n1", Rate: 1, Burst: burst})
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := make(chan event.Kind, storm)
+	b.Handle("test", func(e event.Event) { seen <- e.Kind })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = b.Run(ctx) }()
+	<-b.router.Running()
+	before := count(string(event.RequestRefused))
+	begin := time.Now()
+	for range storm {
+		b.Publish(event.Event{Kind: event.RequestRefused})
+	}
+	b.Publish(event.Event{Kind: event.NodeDead})
+	most := burst + int(time.Since(begin).Seconds()) + 1
+	refused := 0
+	for kind := event.RequestRefused; kind != event.NodeDead; {
+		select {
+		case kind = <-seen:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("the other kind is hidden after %d events of the storm", refused)
+		}
+		if kind == event.RequestRefused {
+			refused++
+		}
+	}
+	if refused < burst || refused > most {
+		t.Errorf("%d events of the storm delivered, want %d to %d", refused, burst, most)
+	}
+	if left := count(string(event.RequestRefused)) - before; left != int64(storm-refused) {
+		t.Errorf("%d events counted as left out, want %d", left, storm-refused)
+	}
+}
+
+// count returns the counter of the events of a kind that were left out.
+func count(kind string) int64 {
+	if v, ok := suppressed.Get(kind).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
 // Guards against an explanation that misses recent events after wrap-around.
 func TestStoreReturnsNewestFirst(t *testing.T) {
 	s := NewStore(3)
