Compare the time left with service times of the same route

The gate of a backend server kept one median of service times for all routes, here above the whole time of the added ones, whose work takes a millisecond. Nothing of them ran, so the median never changed. Ruled out: a configuration that is late (the routes were found). Change: a median for each route, of at most 64, and a route without one refuses nothing. The queue is looked through for deadlines that passed out of reach, because their order is no longer that of the deadlines. Tests: TestServiceTimesAreThoseOfTheRoute, TestMediansAreBounded; the first fails with one median.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -24,6 +24,8 @@
 	medianWindow = 10 * time.Second
 	// medianSamples is the number of service times in the median.
 	medianSamples = 31
+	// maxMedians bounds the routes of a backend server with a median.
+	maxMedians = 64
 	// minMedianSamples is the number of service times below which the median is
 	// not used.
 	minMedianSamples = 5
@@ -61,7 +63,8 @@
 	None Reason = ""
 	// DeadlinePassed: the deadline passed before work started.
 	DeadlinePassed Reason = "deadline_passed"
-	// DeadlineTooShort: less time remains than the recent median service time.
+	// DeadlineTooShort: less time remains than the recent median service time of the
+	// route.
 	DeadlineTooShort Reason = "deadline_too_short"
 	// QueueFull: the queue is full and the request's caller has the most entries.
 	QueueFull Reason = "queue_full"
@@ -96,6 +99,8 @@
 	Ticket uint64
 	// Caller is the team that sent the request.
 	Caller string
+	// Route names the route, within which service times are compared.
+	Route string
 	// Rank orders requests that compete for a slot, 0 first.
 	Rank int
 	// Deadline is the time by which the answer is needed; zero means none.
@@ -136,7 +141,7 @@
 	// the caller that was admitted from the queue last.
 	served uint64
 
-	median medianWindowed
+	medians medians
 
 	off mechanismsOff
 }
@@ -178,7 +183,7 @@
 	case registry.Ejected:
 		return Refused, BackendEjected
 	}
-	if reason := g.tooLate(r.Deadline); reason != None {
+	if reason := g.tooLate(&r); reason != None {
 		return Refused, reason
 	}
 	g.arrivals++
@@ -205,7 +210,7 @@
 }
 
 // Release frees the slot of an admitted request. serviceTime enters the median of
-// service times; 0 leaves it out, for an exchange that was abandoned.
+// its route; 0 leaves it out, for an exchange that was abandoned.
 func (g *Gate) Release(now time.Time, ticket uint64, serviceTime time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -217,7 +222,7 @@
 	}
 	g.finish(e)
 	if serviceTime > 0 {
-		g.median.add(g.now, serviceTime)
+		g.medians.add(g.now, e.Route, serviceTime)
 	}
 	g.advance(now)
 }
@@ -281,10 +286,16 @@
 		return time.Time{}, false
 	}
 	var next time.Time
-	if d := g.queue[0].Deadline; !d.IsZero() {
-		next = d
-		if median, ok := g.median.value(g.now); ok {
-			next = d.Add(1 - median) // A remaining time equal to the median is enough.
+	for _, e := range g.queue {
+		if e.Deadline.IsZero() {
+			break // The queue is in deadline order; entries without one are last.
+		}
+		due := e.Deadline
+		if median, ok := g.medians.value(g.now, e.Route); ok {
+			due = due.Add(1 - median) // A remaining time equal to the median is enough.
+		}
+		if next.IsZero() || due.Before(next) {
+			next = due
 		}
 	}
 	if step := g.nextRampStep(); !step.IsZero() && (next.IsZero() || step.Before(next)) {
@@ -320,14 +331,11 @@
 		g.rampFrom = time.Time{}
 	}
 	for i := 0; i < len(g.queue); {
-		if g.queue[i].Deadline.IsZero() {
-			break // The queue is in deadline order; entries without one are last.
-		}
-		reason := g.tooLate(g.queue[i].Deadline)
-		if reason == None {
-			break
+		if reason := g.tooLate(&g.queue[i].Request); reason != None {
+			g.decide(i, false, reason)
+			continue
 		}
-		g.decide(i, false, reason)
+		i++
 	}
 	for len(g.queue) > 0 && (len(g.inFlight) < g.slots() || g.off.slots) {
 		i := g.next()
--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -247,6 +247,59 @@
 	}
 }
 
+// Guards against short requests that are refused, on arrival or in the queue,
+// because those of other routes take longer than their deadline allows.
+func TestServiceTimesAreThoseOfTheRoute(t *testing.T) {
+	g := warm(1, 4)
+	now := t0
+	for ticket := range uint64(minMedianSamples) {
+		g.Offer(now, Request{Ticket: ticket, Route: "long"})
+		now = now.Add(time.Second)
+		g.Release(now, ticket, time.Second)
+	}
+	request := func(ticket uint64, route string) Request {
+		return Request{Ticket: ticket, Route: route, Deadline: now.Add(300 * time.Millisecond)}
+	}
+	if v, reason := g.Offer(now, request(100, "long")); reason != DeadlineTooShort {
+		t.Fatalf("long request: %s %s", v, reason)
+	}
+	if v, reason := g.Offer(now, request(101, "short")); v != Admitted {
+		t.Fatalf("short request: %s %s", v, reason)
+	}
+	// In the queue, the later deadline of the long request passes out of reach first.
+	g.Offer(now, request(102, "short"))
+	long := request(103, "long")
+	long.Deadline = now.Add(1100 * time.Millisecond)
+	g.Offer(now, long)
+	want := now.Add(100*time.Millisecond + 1)
+	if next, ok := g.NextTimer(); !ok || !next.Equal(want) {
+		t.Fatalf("next timer %v after the start, want %v", next.Sub(now), want.Sub(now))
+	}
+	grants := g.Ready(want)
+	if len(grants) != 1 || grants[0].Ticket != 103 || grants[0].Reason != DeadlineTooShort {
+		t.Fatalf("grants %+v", grants)
+	}
+	g.Release(now.Add(200*time.Millisecond), 101, 0)
+	if grants := g.Ready(now.Add(200 * time.Millisecond)); len(grants) != 1 || grants[0].Ticket != 102 || !grants[0].Admitted {
+		t.Fatalf("grants %+v", grants)
+	}
+}
+
+// Guards against medians that grow with every route that was ever used.
+func TestMediansAreBounded(t *testing.T) {
+	var m medians
+	for i := range 2 * maxMedians {
+		m.add(t0, fmt.Sprint("r", i), time.Second)
+	}
+	if len(m) != maxMedians {
+		t.Fatalf("%d medians", len(m))
+	}
+	m.add(at(2*medianWindow), "new", time.Second)
+	if len(m) != 1 {
+		t.Fatalf("%d medians after the window", len(m))
+	}
+}
+
 // Guards against work that cannot finish in time, and against a median that
 // refuses everything for ever because nothing runs that could lower it.
 func TestDeadlineAgainstMedian(t *testing.T) {
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -84,16 +84,16 @@
 	return min(limit, MaxQueue)
 }
 
-// tooLate returns why a request with this deadline is not worth starting.
-func (g *Gate) tooLate(deadline time.Time) Reason {
-	if deadline.IsZero() {
+// tooLate returns why a request is not worth starting.
+func (g *Gate) tooLate(r *Request) Reason {
+	if r.Deadline.IsZero() {
 		return None
 	}
-	remaining := deadline.Sub(g.now)
+	remaining := r.Deadline.Sub(g.now)
 	if remaining <= 0 {
 		return DeadlinePassed
 	}
-	if median, ok := g.median.value(g.now); ok && remaining < median {
+	if median, ok := g.medians.value(g.now, r.Route); ok && remaining < median {
 		return DeadlineTooShort
 	}
 	return None
--- a/internal/coordination/admission/median.go
+++ b/internal/coordination/admission/median.go
@@ -1,10 +1,43 @@
 package admission
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
+// medians are the medians of the service times by route: a route of short requests
+// may state a deadline that is below the service time of the others.
+type medians map[string]*medianWindowed
+
+func (m *medians) add(now time.Time, route string, value time.Duration) {
+	w := (*m)[route]
+	if w == nil {
+		if *m == nil {
+			*m = medians{}
+		}
+		if len(*m) >= maxMedians {
+			maps.DeleteFunc(*m, func(_ string, w *medianWindowed) bool { w.expire(now); return len(w.samples) == 0 })
+		}
+		if len(*m) >= maxMedians {
+			return
+		}
+		w = &medianWindowed{}
+		(*m)[route] = w
+	}
+	w.add(now, value)
+}
+
+// value returns the median of a route, or false if it has too few recent service
+// times.
+func (m medians) value(now time.Time, route string) (time.Duration, bool) {
+	w := m[route]
+	if w == nil {
+		return 0, false
+	}
+	return w.value(now)
+}
+
 // medianWindowed is the median of the latest service times within medianWindow.
 type medianWindowed struct {
 	samples []sample        // in order of arrival
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -188,7 +188,7 @@
 		}
 	}
 	ticket, reason := b.keeper.admit(ctx, admission.Request{
-		Caller: a.Caller, Rank: a.Rank, Deadline: a.answerBy(), Remote: a.Region != o.opt.Region,
+		Caller: a.Caller, Route: a.Route, Rank: a.Rank, Deadline: a.answerBy(), Remote: a.Region != o.opt.Region,
 	})
 	load := b.keeper.gate.Load()
 	if reason != "" {
