--- a/e2e/docs_test.go
+++ b/e2e/docs_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -78,10 +79,8 @@
 				}
 			}
 		}
-		for _, reason := range reasons {
-			if l.Msg == msg && l.Reason == reason && owners[l.RequestID] != "" {
-				return l, owners[l.RequestID]
-			}
+		if l.Msg == msg && slices.Contains(reasons, l.Reason) && owners[l.RequestID] != "" {
+			return l, owners[l.RequestID]
 		}
 	}
 	t.Fatalf("no request ended with %s for %v", msg, reasons)
--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -161,6 +161,7 @@
 		now:      now,
 		inFlight: make(map[uint64]*entry),
 		callers:  make(map[string]*caller),
+		medians:  make(medians),
 	}
 	if !opt.Warm {
 		g.rampFrom = now
@@ -290,12 +291,8 @@
 		if e.Deadline.IsZero() {
 			break // The queue is in deadline order; entries without one are last.
 		}
-		due := e.Deadline
-		if median, ok := g.medians.value(g.now, e.Route); ok {
-			due = due.Add(1 - median) // A remaining time equal to the median is enough.
-		}
-		if next.IsZero() || due.Before(next) {
-			next = due
+		if at := g.tooLateAt(&e.Request); next.IsZero() || at.Before(next) {
+			next = at
 		}
 	}
 	if step := g.nextRampStep(); !step.IsZero() && (next.IsZero() || step.Before(next)) {
--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -287,7 +287,7 @@
 
 // Guards against medians that grow with every route that was ever used.
 func TestMediansAreBounded(t *testing.T) {
-	var m medians
+	m := medians{}
 	for i := range 2 * maxMedians {
 		m.add(t0, fmt.Sprint("r", i), time.Second)
 	}
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -89,12 +89,20 @@
 	if r.Deadline.IsZero() {
 		return None
 	}
-	remaining := r.Deadline.Sub(g.now)
-	if remaining <= 0 {
+	if !g.now.Before(r.Deadline) {
 		return DeadlinePassed
 	}
-	if median, ok := g.medians.value(g.now, r.Route); ok && remaining < median {
+	if !g.now.Before(g.tooLateAt(r)) {
 		return DeadlineTooShort
 	}
 	return None
 }
+
+// tooLateAt returns when a request with a deadline is no longer worth starting. A
+// remaining time equal to the median service time of its route is enough.
+func (g *Gate) tooLateAt(r *Request) time.Time {
+	if median, ok := g.medians.value(g.now, r.Route); ok {
+		return r.Deadline.Add(1 - median)
+	}
+	return r.Deadline
+}
--- a/internal/coordination/admission/median.go
+++ b/internal/coordination/admission/median.go
@@ -10,20 +10,17 @@
 // may state a deadline that is below the service time of the others.
 type medians map[string]*medianWindowed
 
-func (m *medians) add(now time.Time, route string, value time.Duration) {
-	w := (*m)[route]
+func (m medians) add(now time.Time, route string, value time.Duration) {
+	w := m[route]
 	if w == nil {
-		if *m == nil {
-			*m = medians{}
-		}
-		if len(*m) >= maxMedians {
-			maps.DeleteFunc(*m, func(_ string, w *medianWindowed) bool { w.expire(now); return len(w.samples) == 0 })
+		if len(m) >= maxMedians {
+			maps.DeleteFunc(m, func(_ string, w *medianWindowed) bool { w.expire(now); return len(w.samples) == 0 })
 		}
-		if len(*m) >= maxMedians {
+		if len(m) >= maxMedians {
 			return
 		}
 		w = &medianWindowed{}
-		(*m)[route] = w
+		m[route] = w
 	}
 	w.add(now, value)
 }
--- a/internal/coordination/distribution/distribution_test.go
+++ b/internal/coordination/distribution/distribution_test.go
@@ -150,12 +150,7 @@
 	}
 	s := newSim(1, 12, 175, Disabled{})
 	s.loss = 0.01
-	for _, n := range s.nodes {
-		s.boot(n)
-		// The fleet is running: every node has been confirmed before.
-		n.core.confirmed.Store(true)
-		n.core.ready, n.ready = true, true
-	}
+	s.bootRunning()
 	s.runUntil(3 * time.Second)
 	s.write("booking")
 	accepted := s.now
@@ -163,12 +158,7 @@
 	missing := len(s.nodes)
 	for missing > 0 && s.now.Sub(accepted) < bound {
 		s.runUntil(s.now.Sub(s.start) + 10*time.Millisecond)
-		missing = 0
-		for _, n := range s.nodes {
-			if n.core.Table().Get("booking") == nil {
-				missing++
-			}
-		}
+		missing = len(s.lacking("booking"))
 	}
 	t.Logf("in force on %d of %d nodes after %s; %d datagrams, %d calls between nodes, %d platform requests",
 		len(s.nodes)-missing, len(s.nodes), s.now.Sub(accepted), s.pushes-pushes, s.calls-calls, s.reads-reads)
@@ -183,18 +173,12 @@
 	const within = 200 * time.Millisecond
 	for seed := range int64(100) {
 		s := newSim(seed, 2, 10, Disabled{})
-		for _, n := range s.nodes {
-			s.boot(n)
-			n.core.confirmed.Store(true)
-			n.core.ready, n.ready = true, true
-		}
+		s.bootRunning()
 		s.runUntil(3 * time.Second)
 		s.write("booking")
 		s.runUntil(3*time.Second + within)
-		for _, n := range s.nodes {
-			if n.core.Table().Get("booking") == nil {
-				t.Errorf("seed %d: node %s lacks the policy after %s", seed, n.member.ID, within)
-			}
+		if nodes := s.lacking("booking"); len(nodes) > 0 {
+			t.Errorf("seed %d: nodes %v lack the policy after %s", seed, nodes, within)
 		}
 	}
 }
--- a/internal/coordination/distribution/push.go
+++ b/internal/coordination/distribution/push.go
@@ -14,17 +14,13 @@
 // node pushes only what it has in force, because the peer pulls the text from it.
 func (c *Core) push(h Have, told []registry.NodeID) []registry.NodeID {
 	var peers []registry.NodeID
-	next := 0
 	for _, m := range c.members { // Sorted by ID.
-		if m.FailureDomain != c.o.FailureDomain || m.ID == c.o.Self {
-			continue
+		if m.FailureDomain == c.o.FailureDomain && m.ID != c.o.Self {
+			peers = append(peers, m.ID)
 		}
-		if m.ID < c.o.Self {
-			next = len(peers) + 1
-		}
-		peers = append(peers, m.ID)
 	}
 	// From the next neighbor around to the previous one.
+	next, _ := slices.BinarySearch(peers, c.o.Self)
 	peers = slices.Concat(peers[next:], peers[:next])
 	if n := len(peers); n > 2 {
 		peers[1], peers[n-1] = peers[n-1], peers[1]
--- a/internal/coordination/distribution/sim_test.go
+++ b/internal/coordination/distribution/sim_test.go
@@ -155,6 +155,25 @@
 	s.after(time.Duration(s.rand.Int64N(int64(time.Second))), func() { s.probe(n, incarnation) })
 }
 
+// bootRunning starts all nodes of a fleet that runs: each has been confirmed before.
+func (s *sim) bootRunning() {
+	for _, n := range s.nodes {
+		s.boot(n)
+		n.core.confirmed.Store(true)
+		n.core.ready, n.ready = true, true
+	}
+}
+
+// lacking returns the nodes on which no policy of the service is in force.
+func (s *sim) lacking(service string) (ids []registry.NodeID) {
+	for _, n := range s.nodes {
+		if n.core.Table().Get(service) == nil {
+			ids = append(ids, n.member.ID)
+		}
+	}
+	return ids
+}
+
 // probe exchanges digests with a random member once a second.
 func (s *sim) probe(n *simNode, incarnation int) {
 	if !n.up || n.incarnation != incarnation {
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -32,13 +32,13 @@
 	reasonAnswerCut     = "answer_cut"
 	reasonOwnerSilent   = "owner_did_not_answer"
 	reasonUpgradeUnsupp = "upgrade_not_supported"
+	reasonReplaced      = "attempt_replaced"
+	reasonSuspect       = "backend_suspect"
 	// reasonBackendRefused: the backend server stated that it did not run the request.
+	reasonBackendRefused = "backend_refused"
 	// reasonUnproved: the backend server refused without proof that it did not run
 	// the request.
-	reasonUnproved       = "backend_refusal_unproved"
-	reasonReplaced       = "attempt_replaced"
-	reasonSuspect        = "backend_suspect"
-	reasonBackendRefused = "backend_refused"
+	reasonUnproved = "backend_refusal_unproved"
 )
 
 // reply is the owner's answer to an attempt.
--- a/internal/transport/proxy/trace_test.go
+++ b/internal/transport/proxy/trace_test.go
@@ -5,28 +5,14 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
-
-	"wigeonspring.example/wigeonspring/internal/state/event"
 )
 
-type eventList struct {
-	mu   sync.Mutex
-	list []event.Event
-}
-
-func (l *eventList) Publish(e event.Event) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.list = append(l.list, e)
-}
-
 // Guards against a hop without a span, a trace that breaks off, and a query
 // string, credential or payload in spans, events or logs.
 func TestTraceCrossesHopsWithoutSecrets(t *testing.T) {
@@ -34,7 +20,7 @@
 	provider := sdk.NewTracerProvider(sdk.WithSyncer(exporter))
 	defer func() { _ = provider.Shutdown(t.Context()) }()
 	core, logs := observer.New(zap.DebugLevel)
-	events := &eventList{}
+	events := &eventRecorder{}
 	f := newFleet(t, 2, func(o *OwnerOptions, in *IngressOptions) {
 		o.Tracing, in.Tracing = provider, provider
 		o.Logger, in.Logger = zap.New(core), zap.New(core)
@@ -82,10 +68,10 @@
 	send()
 	_ = f.nodes[1].back.Close()
 	send()
-	if len(events.list) < 3 || logs.Len() == 0 {
-		t.Errorf("%d events, %d log lines", len(events.list), logs.Len())
+	if len(events.seen) < 3 || logs.Len() == 0 {
+		t.Errorf("%d events, %d log lines", len(events.seen), logs.Len())
 	}
-	if s := fmt.Sprintf("%+v %+v %+v", exporter.GetSpans(), events.list, logs.All()); strings.Contains(s, "secret") {
+	if s := fmt.Sprintf("%+v %+v %+v", exporter.GetSpans(), events.seen, logs.All()); strings.Contains(s, "secret") {
 		t.Error("a secret was recorded")
 	}
 }
