Sync a starting node within its failure domain until the domain agrees

Most syncs are those of starting nodes with random members, while all others are changing too.

Five of six peers of a starting node now are in its own failure domain until a sync with one finds no difference; then it confirms with a member of any domain.

--- a/internal/coordination/membership/options.go
+++ b/internal/coordination/membership/options.go
@@ -129,6 +129,9 @@
 	// every startSyncInterval, outside of the send budget.
 	startPeriod       = 10 * time.Second
 	startSyncInterval = 500 * time.Millisecond
+	// startRemoteShare is the inverse share of the syncs of a starting node that go
+	// anywhere although its failure domain does not agree yet.
+	startRemoteShare = 6
 	// startEqualSyncs is the number of syncs without a difference after which a
 	// starting node knows what the fleet knows.
 	startEqualSyncs = 2
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -120,14 +120,20 @@
 		return c.randomLive(c.opts.Fanout, "")
 	}
 	targets := c.randomLive(1, "")
+	near := slices.DeleteFunc(c.near(), func(m *member) bool { return contains(targets, m) })
+	c.rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return append(targets, near[:min(len(near), c.opts.Fanout-1)]...)
+}
+
+// near returns the members of the own failure domain that are alive.
+func (c *Core) near() []*member {
 	var near []*member
 	for _, m := range c.live {
-		if m.node.Status == registry.Alive && m.node.FailureDomain == c.self.node.FailureDomain && !contains(targets, m) {
+		if m.node.Status == registry.Alive && m.node.FailureDomain == c.self.node.FailureDomain {
 			near = append(near, m)
 		}
 	}
-	c.rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	return append(targets, near[:min(len(near), c.opts.Fanout-1)]...)
+	return near
 }
 
 // wantRecord asks a peer for the full record of a member.
--- a/internal/coordination/membership/simnet/simnet.go
+++ b/internal/coordination/membership/simnet/simnet.go
@@ -97,8 +97,9 @@
 	// Blocked reports whether datagrams and syncs from one node to another are cut.
 	Blocked func(from, to *Node) bool
 	Rand    *rand.Rand
-	// Syncs counts the rounds of directory syncs.
-	Syncs int
+	// Syncs counts the rounds of directory syncs, and FarSyncs those between failure
+	// domains.
+	Syncs, FarSyncs int
 	// Loss and Duplicate begin with the values of Options.
 	Loss, Duplicate float64
 
@@ -303,6 +304,9 @@
 		n.At(syncTimeout, func() { done(errUnreachable) })
 		return
 	}
+	if from.Core.Self().FailureDomain != to.Core.Self().FailureDomain {
+		n.FarSyncs++
+	}
 	size := RPCOverhead
 	if n.opts.WireSync != nil {
 		var wire int
--- a/internal/coordination/membership/start_test.go
+++ b/internal/coordination/membership/start_test.go
@@ -13,6 +13,8 @@
 // Guards against nodes that stay unknown to most others for as long as anything
 // changes in the fleet: a fleet of 91 nodes in 9 failure domains starts as a whole,
 // each node gets a backend server within 1.5 s, and one node changes every 300 ms.
+// Guards also against a start in which most syncs cross failure domains, where bytes
+// have a price.
 func TestNodesFindEachOtherWhileTheFleetChanges(t *testing.T) {
 	const nodes, failureDomains = 91, 9
 	for seed := range uint64(3) {
@@ -69,6 +71,9 @@
 				}
 			}
 		}
+		if net.FarSyncs*2 > net.Syncs {
+			t.Errorf("seed %d: %d of %d syncs cross failure domains", seed, net.FarSyncs, net.Syncs)
+		}
 		if unknown > 0 {
 			t.Errorf("seed %d: %d of %d views lack a backend server after 8 s", seed, unknown, nodes*nodes)
 		}
--- a/internal/coordination/membership/sync.go
+++ b/internal/coordination/membership/sync.go
@@ -70,24 +70,33 @@
 	}
 }
 
-// tickStart syncs a starting node with a seed and a random member by turns until two
-// syncs in a row have found no difference. The peer of the first fill may have known
-// little: where a whole fleet starts, all are filling their directories.
+// tickStart syncs a starting node with others until two syncs in a row have found no
+// difference. The peer of the first fill may have known little: where a whole fleet
+// starts, all are filling their directories.
 func (c *Core) tickStart() bool {
 	if c.equalSyncs >= startEqualSyncs || c.now.Before(c.nextStartSync) {
 		return false
 	}
 	c.nextStartSync = c.now.Add(startSyncInterval/2 + c.jitter(startSyncInterval))
-	peer := Peer{}
+	c.startSync(c.startPeer(), false)
+	return c.syncing
+}
+
+// startPeer returns the peer of a sync of a starting node: a seed or a random member
+// by turns. With LocalProbes, it is a member of the own failure domain until the
+// domain agrees, and only then one from anywhere, so that little of what all nodes
+// learn at the same time crosses the links between failure domains.
+func (c *Core) startPeer() Peer {
+	if near := c.near(); c.opts.LocalProbes && c.equalSyncs == 0 && len(near) > 0 && c.rand.IntN(startRemoteShare) > 0 {
+		return near[c.rand.IntN(len(near))].peer()
+	}
 	if n := len(c.opts.Seeds); n > 0 && c.rand.IntN(2) == 0 {
-		peer.Addr = c.opts.Seeds[c.rand.IntN(n)]
-	} else {
-		for _, m := range c.randomLive(1, "") {
-			peer = m.peer()
-		}
+		return Peer{Addr: c.opts.Seeds[c.rand.IntN(n)]}
 	}
-	c.startSync(peer, false)
-	return c.syncing
+	for _, m := range c.randomLive(1, "") {
+		return m.peer()
+	}
+	return Peer{}
 }
 
 // fillPeer returns the peer to fill the directory from: a member that was heard of,
