Make fewer calls to the platform at the start and while policies change

Of the watches, 182 come in the first 2 s, because each node that starts believes that it is a watcher until it knows its failure domain, and 478 in 4 s of many changes, each of which answers 18 watches.

A node now lists for 1 s before it watches; a watcher that saw two changes within a second waits up to 0.4 s before it asks again; a first read of seeds without entries is repeated after a second; and a node whose failure domain has enough seeds does not read them a second time.

--- a/internal/coordination/distribution/distribution_test.go
+++ b/internal/coordination/distribution/distribution_test.go
@@ -269,6 +269,66 @@
 	}
 }
 
+// Guards against a fleet that starts as a whole and in which every node watches the
+// platform until it knows the others, and against a watcher that does not watch.
+func TestStartingNodeListsBeforeItWatches(t *testing.T) {
+	start := time.Unix(0, 0)
+	c := New(Options{Self: "n0", FailureDomain: "a", Start: start, Rand: rand.New(rand.NewPCG(1, 1)), Linearizable: true})
+	c.Step(Input{Now: start, Members: []Member{{"n0", "a"}}})
+	var listed, watched time.Duration
+	for now := start; now.Sub(start) < 5*time.Second && watched == 0; now = now.Add(5 * time.Millisecond) {
+		r := c.Step(Input{Now: now}).Platform
+		switch {
+		case r == nil:
+		case r.Watch:
+			watched = now.Sub(start)
+		default:
+			listed = now.Sub(start)
+			c.Step(Input{Now: now, Platform: &PlatformReply{ID: r.ID, Revision: 7}})
+		}
+	}
+	if listed > firstListing || watched < settleTime || watched > settleTime+time.Second {
+		t.Fatalf("listed after %s, watched after %s", listed, watched)
+	}
+}
+
+// Guards against a call to the platform by each watcher for each of many changes in
+// quick succession, and against one that is read later than the pause allows.
+func TestChangesInQuickSuccessionAreReadTogether(t *testing.T) {
+	c, now := testCore(0)
+	const step, changes = 5 * time.Millisecond, 200
+	// next steps until there is a request and returns it with the time that it took.
+	next := func(in Input) (r *PlatformRequest, after time.Duration) {
+		for begin := now; ; now = now.Add(step) {
+			in.Now = now
+			if r := c.Step(in).Platform; r != nil {
+				return r, now.Sub(begin)
+			}
+			in = Input{}
+		}
+	}
+	reply := func(r *PlatformRequest, objects ...platform.Object) Input {
+		return Input{Platform: &PlatformReply{ID: r.ID, Revision: r.Since + 1, Objects: objects}}
+	}
+	r, _ := next(Input{})
+	r, _ = next(reply(r)) // The listing.
+	var sum, longest time.Duration
+	for epoch := range uint64(changes) {
+		var after time.Duration
+		r, after = next(reply(r, platform.Object{Key: policy.Key("s"), Value: fmt.Appendf(nil, `{"epoch":%d,"text":%q}`, epoch+1, document("s", epoch+1))}))
+		sum, longest = sum+after, max(longest, after)
+		if epoch == 0 && after > 0 {
+			t.Errorf("a first change is followed by the next watch after %s", after)
+		}
+	}
+	if mean := sum / changes; mean < watchPause/4 || longest > watchPause+step {
+		t.Errorf("watches follow changes after %s on the mean and %s at most", mean, longest)
+	}
+	if _, after := next(reply(r)); after > 0 {
+		t.Errorf("a watch without a change is followed by the next after %s", after)
+	}
+}
+
 // Guards against a failure domain without a watcher, or with more than two.
 func TestWatchers(t *testing.T) {
 	var members []Member
--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -11,6 +11,19 @@
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 )
 
+const (
+	// settleTime is how long a starting node lists the platform without watching it.
+	// Until it knows the other members of its failure domain, each node of a fleet
+	// that starts as a whole believes that it is a watcher. Most know them after 1 s.
+	settleTime = time.Second
+	// watchPause bounds the time between a change and the next watch of the same
+	// watcher if the one before came less than quickSuccession earlier, so that such
+	// changes are read together. It delays one by a tenth of the bound for a policy,
+	// and by less with several watchers.
+	watchPause      = 400 * time.Millisecond
+	quickSuccession = time.Second
+)
+
 // platformSource is the state of the watch on the platform.
 type platformSource struct {
 	watcher bool
@@ -24,7 +37,9 @@
 	revision uint64
 	failures int
 	retryAt  time.Time
-	seen     time.Time
+	// changed is when a watch last returned a change.
+	changed time.Time
+	seen    time.Time
 }
 
 func (c *Core) platformWake() time.Time {
@@ -32,6 +47,8 @@
 	switch {
 	case s.request != nil:
 		return s.deadline
+	case s.watcher && s.listed && c.settling():
+		return c.start.begun.Add(settleTime)
 	case s.watcher:
 		return s.retryAt
 	}
@@ -52,7 +69,7 @@
 			c.out.CancelPlatform = true
 		}
 	}
-	if s.request != nil || c.now.Before(s.retryAt) {
+	if s.request != nil || c.now.Before(s.retryAt) || s.listed && c.settling() {
 		return
 	}
 	if !s.watcher {
@@ -73,6 +90,12 @@
 	c.out.Platform = s.request
 }
 
+// settling reports whether the node has just started and need not watch yet. Where a
+// listing may be stale, the node needs the watch at once.
+func (c *Core) settling() bool {
+	return c.o.Linearizable && c.now.Sub(c.start.begun) < settleTime
+}
+
 func (c *Core) platformReply(r *PlatformReply) {
 	s := &c.source
 	if s.request == nil || r.ID != s.request.ID {
@@ -119,6 +142,12 @@
 	}
 	if watch {
 		s.revision = max(s.revision, r.Revision)
+		if len(r.Objects) > 0 {
+			if !s.changed.IsZero() && c.now.Sub(s.changed) < quickSuccession {
+				s.retryAt = c.now.Add(c.jitter(watchPause))
+			}
+			s.changed = c.now
+		}
 		return
 	}
 	// A listing may go back to a lower revision, after a restored backup.
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -87,6 +87,8 @@
 	peers     *peer.Pool
 	control   *control.Server
 	rpcClient *http.Client
+	// ownSeeds are the seeds of the own failure domain when they were read last.
+	ownSeeds atomic.Pointer[[]seed]
 
 	// leaseMu keeps a grant and its effects together, so that the effects of a
 	// lapse do not overtake those of a later grant.
--- a/internal/transport/node/seeds.go
+++ b/internal/transport/node/seeds.go
@@ -84,6 +84,10 @@
 		case n.gossip.AddSeeds(addrs) && (n.opts.Adapter == nil || n.knowsOtherDomain() || reads >= maxSeedReads):
 			return nil
 		}
+		if err == nil && len(addrs) == 0 {
+			// The fleet starts for the first time and nobody has registered yet.
+			delay = min(max(delay, pace.delay), pace.maxRetry)
+		}
 		if !sleep(ctx, delay/2+rand.N(delay)) {
 			return nil
 		}
@@ -115,6 +119,10 @@
 			n.log.Warn("malformed seeds in the platform", zap.Error(err))
 			continue
 		}
+		if o.Key == seedPrefix+n.opts.Settings.Node.FailureDomain {
+			own := slices.Clone(list)
+			n.ownSeeds.Store(&own)
+		}
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		for _, s := range list[:min(len(list), seedsPerDomain)] {
 			addrs = append(addrs, s.Addr)
@@ -138,6 +146,9 @@
 	if !sleep(ctx, rand.N(pace.delay)) {
 		return nil
 	}
+	if list := n.ownSeeds.Load(); list != nil && n.seedsSuffice(*list) {
+		return nil
+	}
 	key := seedPrefix + n.opts.Settings.Node.FailureDomain
 	for range pace.attempts {
 		err := n.tryRegisterSeed(ctx, key)
@@ -165,15 +176,10 @@
 			n.log.Warn("replacing malformed seeds", zap.Error(err))
 		}
 	}
-	self := seed{Node: n.ID(), Addr: n.peerAddr}
-	if slices.Contains(list, self) {
-		return nil
-	}
-	list = slices.DeleteFunc(list, func(s seed) bool { return s.Node == self.Node || n.isDead(s.Node) })
-	if len(list) >= n.seedPace().entries {
+	if n.seedsSuffice(list) {
 		return nil
 	}
-	list = append(list, self)
+	list = append(n.otherSeeds(list), n.selfSeed())
 	slices.SortFunc(list, func(a, b seed) int { return strings.Compare(string(a.Node), string(b.Node)) })
 	value, err := json.Marshal(list)
 	if err != nil {
@@ -183,6 +189,19 @@
 	return err
 }
 
+func (n *Node) selfSeed() seed { return seed{Node: n.ID(), Addr: n.peerAddr} }
+
+// otherSeeds returns the entries of other nodes that are not known to be dead.
+func (n *Node) otherSeeds(list []seed) []seed {
+	return slices.DeleteFunc(slices.Clone(list), func(s seed) bool { return s.Node == n.ID() || n.isDead(s.Node) })
+}
+
+// seedsSuffice reports whether this node need not be added to the seeds of its
+// failure domain.
+func (n *Node) seedsSuffice(list []seed) bool {
+	return slices.Contains(list, n.selfSeed()) || len(n.otherSeeds(list)) >= n.seedPace().entries
+}
+
 // isDead reports whether a node is known to be dead. An unknown node may be
 // alive in a part of the fleet that this node has not heard of yet.
 func (n *Node) isDead(id registry.NodeID) bool {
