Let a slow attempt go on while another one starts beside it

Cause: an idempotent attempt beyond its objective was given up before another one had been admitted.

The other attempt now runs beside the first one and the first good answer counts. One that is refused before it reached a backend server does not count. The fates that kept an answer from being cut as its attempt was replaced have no case any more. TestRefusedHedgeLeavesTheFirstAttempt fails on the code before: 502 with one run.

--- a/internal/coordination/retry/fleet_test.go
+++ b/internal/coordination/retry/fleet_test.go
@@ -93,35 +93,47 @@
 	}
 }
 
-// Guards against an attempt at work that is given up although no other can take
-// its place, and one that takes the time of its replacement.
-func TestReplacement(t *testing.T) {
+// Guards against an attempt beside a slow one that no budget allows or that comes too
+// late, and one that counts although it was refused.
+func TestHedge(t *testing.T) {
 	objective := time.Second
 	options := Options{Idempotent: true, MaxAttempts: 2, Deadline: t0.Add(4 * time.Second), Objective: objective}
 	p := NewPlan(options)
-	if got := p.ReplaceAfter(t0); got != objective {
-		t.Fatalf("replaced after %s", got)
+	if got := p.HedgeAfter(t0); got != objective {
+		t.Fatalf("hedged after %s", got)
 	}
-	if got := p.ReplaceAfter(t0.Add(2500 * time.Millisecond)); got != 0 {
-		t.Fatalf("replaced after %s with too little time left", got)
+	if got := p.HedgeAfter(t0.Add(2500 * time.Millisecond)); got != 0 {
+		t.Fatalf("hedged after %s with too little time left", got)
 	}
 	budget := NewBudget(BudgetOptions{Slack: 1})
 	if !p.AllowsRetry(t0, budget) {
-		t.Fatal("no replacement with a budget and an attempt left")
+		t.Fatal("no retry with a budget and an attempt left")
 	}
-	budget.Take(t0)
-	if p.AllowsRetry(t0, budget) {
-		t.Fatal("replacement without a budget")
+	if !p.Hedge(t0, budget) || p.Hedge(t0, budget) {
+		t.Fatal("not exactly one other attempt")
+	}
+	if p.AllowsRetry(t0, budget) || NewPlan(options).Hedge(t0, budget) {
+		t.Fatal("another attempt without a budget")
+	}
+	more := NewBudget(BudgetOptions{Slack: 1})
+	p.HedgeRefused()
+	if d := p.Next(t0, more, AttemptResult{State: Sent}); d.Action != Retry {
+		t.Fatalf("the first attempt is lost and the other one was refused: %v", d)
+	}
+	p = NewPlan(options)
+	p.Hedge(t0, NewBudget(BudgetOptions{Slack: 1}))
+	if d := p.Next(t0, more, AttemptResult{State: Sent}); d.Action != ReportFailed || d.Reason != AttemptsSpent {
+		t.Fatalf("both attempts are lost: %v", d)
 	}
 	last := options
 	last.MaxAttempts = 1
-	if got := NewPlan(last).ReplaceAfter(t0); got != 0 {
-		t.Fatalf("the last attempt is replaced after %s", got)
+	if got := NewPlan(last).HedgeAfter(t0); got != 0 {
+		t.Fatalf("the last attempt is hedged after %s", got)
 	}
 	once := options
 	once.Idempotent = false
-	if p := NewPlan(once); p.ReplaceAfter(t0) != 0 || p.AllowsRetry(t0, NewBudget(BudgetOptions{})) {
-		t.Fatal("a request that must not be repeated is replaced")
+	if p := NewPlan(once); p.HedgeAfter(t0) != 0 || p.AllowsRetry(t0, NewBudget(BudgetOptions{})) {
+		t.Fatal("a request that must not be repeated is hedged")
 	}
 }
 
--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -190,7 +190,7 @@
 		return time.Time{}
 	}
 	if p.opt.Objective > 0 {
-		return time.Time{} // See ReplaceAfter.
+		return time.Time{} // See HedgeAfter.
 	}
 	left := p.opt.Deadline.Sub(now)
 	limit := left / 2
@@ -203,12 +203,10 @@
 	return now.Add(limit)
 }
 
-// ReplaceAfter returns how long the next attempt may take before it is replaced by
-// another one, or 0 if it may take all the time, as the last attempt may. It gets
-// the time in which an answer is fully useful, if about as much is left for its
-// replacement. At that time, the budget decides whether it is replaced: an attempt
-// at work is not given up for nothing.
-func (p *Plan) ReplaceAfter(now time.Time) time.Duration {
+// HedgeAfter returns how long the next attempt may take before another one starts
+// beside it, or 0 if it stays alone, as the last attempt does. It gets the time in
+// which an answer is fully useful, if about as much is left for the other one.
+func (p *Plan) HedgeAfter(now time.Time) time.Duration {
 	if !p.opt.Idempotent || p.attempts+1 >= p.opt.MaxAttempts {
 		return 0
 	}
@@ -218,6 +216,22 @@
 	return p.opt.Objective
 }
 
+// Hedge decides whether another attempt starts beside the one that runs. It takes one
+// retry from the budget.
+func (p *Plan) Hedge(now time.Time, b *Budget) bool {
+	if !p.AllowsRetry(now, b) || !b.Take(now) {
+		return false
+	}
+	// The attempt that runs is counted now, and the end of the other one by Next.
+	p.attempts++
+	p.mayHaveRun = true
+	return true
+}
+
+// HedgeRefused records that the attempt beside the one that runs has ended without
+// having reached a backend server. The one that runs is alone again.
+func (p *Plan) HedgeRefused() { p.attempts-- }
+
 // Next records the end of an attempt and decides what follows. The first call
 // counts the request in the budget and each Retry takes one retry from it, also
 // after a refusal, so that overload is not amplified. After a final decision Next
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -30,7 +30,7 @@
 	PolicyRefused      Kind = "policy_refused"
 	RequestPlaced      Kind = "request_placed"
 	RequestRetried     Kind = "request_retried"
-	RequestReplaced    Kind = "request_replaced"
+	RequestHedged      Kind = "request_hedged"
 	RequestRefused     Kind = "request_refused"
 	RequestFailed      Kind = "request_failed"
 	RequestSpilled     Kind = "request_spilled"
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"slices"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -45,14 +43,15 @@
 	state   retry.State
 	outcome routing.Outcome
 	failed  bool
-	// fate decides between the end of the attempt and its replacement.
-	fate atomic.Int32
-	body io.ReadCloser
-	over bool
+	body    io.ReadCloser
+	hop     header.Hop
+	// cancel ends an attempt that may run beside another one.
+	cancel context.CancelCauseFunc
+	over   bool
 }
 
-// attempt sends the request to the owner of the target.
-func (c *call) attempt(ctx context.Context, plan *retry.Plan, target routing.Target) *tried {
+// attempt returns the next attempt of the request.
+func (c *call) attempt(plan *retry.Plan, target routing.Target) *tried {
 	in := c.in
 	now := in.opt.Now()
 	left := c.deadline.Sub(now)
@@ -77,23 +76,21 @@
 	if target.Locality == routing.OtherRegion {
 		c.publish(event.RequestSpilled, target.Locality.String())
 	}
-	t := &tried{call: c, target: target, begin: now, body: c.body.open()}
-	ctx, stop := t.replaceable(ctx, plan)
-	defer stop()
-	if target.Owner.ID == in.opt.Self {
-		t.runLocal(ctx, hop)
+	return &tried{call: c, target: target, begin: now, body: c.body.open(), hop: hop}
+}
+
+// run sends the request to the owner of the target. It leaves what the call changes
+// between attempts alone, because another attempt may run beside it.
+func (t *tried) run(ctx context.Context) {
+	c := t.call
+	if t.target.Owner.ID == c.in.opt.Self {
+		t.runLocal(ctx, t.hop)
 	} else {
 		limited, end := t.withdrawable(ctx)
-		t.runPeer(limited, hop)
+		t.runPeer(limited, t.hop)
 		end()
 	}
-	t.latency = in.opt.Now().Sub(now)
-	replaced := !t.fate.CompareAndSwap(fateOpen, fateEnded)
-	if replaced && t.reply.Outcome == header.Answered {
-		// The answer began as the attempt was given up; its body cannot be read.
-		t.reply.close()
-		t.reply = &reply{Outcome: header.Unknown, Load: t.reply.Load}
-	}
+	t.latency = c.in.opt.Now().Sub(t.begin)
 	switch t.reply.Outcome {
 	case header.Answered:
 		t.state = retry.Answered
@@ -107,59 +104,18 @@
 	default:
 		t.state = retry.Sent
 		t.failed = true
-		if replaced {
-			// The owner may be as well as any other.
-			t.outcome = routing.Completed
-			t.reply.Reason = reasonReplaced
-		}
 	}
-	// A caller that went away or stopped sending is no evidence.
-	if t.state != retry.Answered && (c.request.Context().Err() != nil || c.body.failed.Load()) {
+	// A caller that went away or stopped sending is no evidence, and neither is an
+	// attempt that came second.
+	if t.state != retry.Answered && (c.request.Context().Err() != nil || outrun(ctx) || c.body.failed.Load()) {
 		t.outcome = routing.Abandoned
 	}
-	return t
-}
-
-// replaceable cancels an attempt that takes too long if the budget then has another
-// one and a backend server is known to have a free slot for it. The returned function
-// stops the timer. The timer may fire as the attempt ends and must not touch what the
-// call changes between attempts: the plan and the list of backend servers that were
-// tried.
-func (t *tried) replaceable(ctx context.Context, plan *retry.Plan) (limited context.Context, stop func()) {
-	c := t.call
-	after := plan.ReplaceAfter(t.begin)
-	if after == 0 || !c.body.repeatable() {
-		return ctx, func() {}
-	}
-	others := c.routing()
-	others.Tried, others.AvoidSuspects = slices.Clone(others.Tried), true
-	limited, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(after, func() {
-		in := c.in
-		// A node that stops may not give up what a backend server works on.
-		now := in.opt.Now()
-		if in.stopping() || !c.budget.Available(now) || !in.opt.Balancer.HasSpare(now, in.opt.Directory.Snapshot(), others) {
-			return
-		}
-		if !t.fate.CompareAndSwap(fateOpen, fateReplaced) {
-			return
-		}
-		c.publishAt(t.target.Backend, event.RequestReplaced, reasonReplaced, event.Field{Key: "after", Value: after.String()})
-		cancel(errReplaced)
-	})
-	return limited, func() { timer.Stop() }
 }
 
-// Fates of an attempt. Only one of the end and the replacement takes effect, so that
-// an answer that began is not cut.
-const (
-	fateOpen int32 = iota
-	fateEnded
-	fateReplaced
-)
+// errOutrun is the cause of the end of an attempt because another one was answered.
+var errOutrun = errors.New("another attempt was answered")
 
-// errReplaced is the cause of the end of an attempt that another one replaces.
-var errReplaced = errors.New("attempt replaced by another one")
+func outrun(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errOutrun) }
 
 // runLocal runs the attempt in this process.
 func (t *tried) runLocal(ctx context.Context, hop header.Hop) {
@@ -244,7 +200,7 @@
 		t.outcome = routing.PeerFailed
 		c.in.opt.Logger.Error("response of owner belongs to another request",
 			zap.String("request_id", c.id), zap.String("owner", string(t.target.Owner.ID)))
-		c.publish(event.InvariantViolation, reasonWrongID)
+		c.publishAt(t.target.Backend, event.InvariantViolation, reasonWrongID)
 		return &reply{Outcome: header.Unknown, Reason: reasonWrongID}
 	}
 	if load, err := header.ParseLoad(resp.Header.Get(header.Load)); err == nil {
@@ -293,7 +249,7 @@
 	if t.call.request.Context().Err() != nil {
 		t.reply.Reason = reasonCanceled
 	}
-	if t.outcome == routing.PeerFailed && t.fate.Load() != fateReplaced && t.call.request.Context().Err() == nil && !t.call.body.failed.Load() {
+	if t.outcome == routing.PeerFailed && !outrun(ctx) && t.call.request.Context().Err() == nil && !t.call.body.failed.Load() {
 		t.call.in.opt.Logger.Warn("request to owner failed", zap.String("request_id", t.call.id),
 			zap.String("owner", string(t.target.Owner.ID)), zap.String("step", fault.Step(err)), zap.Error(err))
 	}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -62,6 +63,9 @@
 	// reason and timeout describe the last attempt without an answer.
 	reason  string
 	timeout bool
+	// losers are the attempts that end after another one was answered. They are waited
+	// for before the request ends.
+	losers sync.WaitGroup
 	// load is the latest load that an owner reported with a refusal, or nil.
 	load *evidence.Load
 }
@@ -69,6 +73,7 @@
 // run makes attempts until one is final and answers the caller.
 func (c *call) run(ctx context.Context) {
 	in := c.in
+	defer c.losers.Wait()
 	limits := c.policy.Document.Service.Limits
 	c.budget = in.budget(c.service, limits.RetryPercent)
 	plan := retry.NewPlan(retry.Options{
@@ -92,17 +97,9 @@
 		}
 		c.tried = append(c.tried, target.Backend)
 		c.publishPlacement(target)
-		t := c.attempt(ctx, plan, target)
+		t := c.try(ctx, plan, target)
+		c.account(t)
 		state := t.state
-		if t.reply.Arrived {
-			c.arrived++
-		}
-		if state == retry.Sent || state == retry.Answered {
-			c.arrived++
-			c.ran++
-			invariant.Check(c.route.Idempotent || c.ran == 1, "at_most_once",
-				"request %s is not idempotent and may have run %d times", c.id, c.ran)
-		}
 		if in.off.sentIsFinal && state == retry.Sent {
 			state = retry.NotSent
 		}
@@ -142,6 +139,19 @@
 	}
 }
 
+// account counts an attempt that has ended.
+func (c *call) account(t *tried) {
+	if t.reply.Arrived {
+		c.arrived++
+	}
+	if t.state == retry.Sent || t.state == retry.Answered {
+		c.arrived++
+		c.ran++
+		invariant.Check(c.route.Idempotent || c.ran == 1, "at_most_once",
+			"request %s is not idempotent and may have run %d times", c.id, c.ran)
+	}
+}
+
 // sentAtOnce is the largest body that is sent to an owner that has not asked for it.
 const sentAtOnce = 16 << 10
 
--- /dev/null
+++ b/internal/transport/proxy/hedge_test.go
@@ -0,0 +1,154 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/routing"
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// withObjective gives every route an objective.
+type withObjective struct {
+	Policies
+	objective time.Duration
+}
+
+func (p withObjective) Match(host, method, path string) (policy.Match, error) {
+	m, err := p.Policies.Match(host, method, path)
+	if err == nil {
+		route := *m.Route
+		route.Objective = policy.Duration(p.objective)
+		m.Route = &route
+	}
+	return m, err
+}
+
+// Guards against a caller whose connection is closed without an answer because two
+// attempts were answered at the same moment.
+func TestAnswersOfTwoAttemptsAtOnce(t *testing.T) {
+	const objective = 20 * time.Millisecond
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) {
+		in.Policies = withObjective{in.Policies, objective}
+		in.RetrySlack = func() float64 { return 1000 }
+		in.Balancer = routing.New(routing.Options{Self: in.Self, FailureDomain: "d1", Region: "r1"})
+	})
+	var n atomic.Int64
+	answer := func(w http.ResponseWriter, _ *http.Request) {
+		// The answers begin from 1 ms before the other attempt to 1 ms after it.
+		time.Sleep(objective + time.Duration(n.Add(1)%21-10)*100*time.Microsecond)
+		_, _ = w.Write(make([]byte, 2000))
+	}
+	f.serve(0, "b0", answer)
+	f.serve(1, "b1", answer)
+	for i := range 200 {
+		if res := f.send(0, http.MethodGet, "/x", nil); res.err != nil {
+			t.Fatalf("request %d: %v", i, res.err)
+		}
+	}
+}
+
+// Guards against more load under overload: another attempt starts beside a slow one
+// only if a backend server has a free slot for it.
+func TestNoOtherAttemptWithoutAFreeSlot(t *testing.T) {
+	const objective = 30 * time.Millisecond
+	for _, full := range []bool{false, true} {
+		f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) {
+			in.Policies = withObjective{in.Policies, objective}
+			in.RetrySlack = func() float64 { return 1000 }
+		})
+		var runs atomic.Int64
+		release := make(chan struct{})
+		f.serve(0, "b0", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/hold" {
+				<-release
+				return
+			}
+			runs.Add(1)
+			time.Sleep(4 * objective)
+		})
+		if full {
+			for range 4 { // All slots of the other backend server.
+				go f.send(0, http.MethodPost, "/hold", nil)
+			}
+			waitFor(t, func() bool { l, _ := f.nodes[0].backends.Load("b0"); return l.InUse == 4 })
+		}
+		f.serve(1, "b1", func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			time.Sleep(4 * objective)
+		})
+		// With both free, a request starts at either of them.
+		res := f.send(0, http.MethodGet, "/x", nil)
+		close(release)
+		want := int64(2)
+		if full {
+			want = 1
+		}
+		if res.status != http.StatusOK || runs.Load() != want {
+			t.Fatalf("other full %v: status %d after %d runs, want %d", full, res.status, runs.Load(), want)
+		}
+	}
+}
+
+// Guards against work that is given up for nothing: the attempt beside a slow one is
+// refused everywhere, and the slow one is answered.
+func TestRefusedHedgeLeavesTheFirstAttempt(t *testing.T) {
+	const objective = 30 * time.Millisecond
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) {
+		in.Policies = withObjective{in.Policies, objective}
+		in.FreeRefusals = 8
+		in.RetrySlack = func() float64 { return 1000 }
+	})
+	var runs atomic.Int64
+	f.serve(0, "b0", func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		time.Sleep(4 * objective)
+	})
+	// The owner of the others refuses everything.
+	for i := range 8 {
+		id := registry.BackendID(fmt.Sprint("refused", i))
+		f.nodes[1].owned = append(f.nodes[1].owned, registry.Backend{ID: id, Service: "booking", Slots: 4, Weight: 1})
+	}
+	f.publish(f.nodes[1])
+	for i := range 10 {
+		if res := f.send(0, http.MethodGet, "/x", nil); res.status != http.StatusOK || runs.Load() != int64(i+1) {
+			t.Fatalf("request %d: status %d, %s, after %d runs", i, res.status, res.reason, runs.Load())
+		}
+	}
+}
+
+// Guards against a caller that waits for a backend server that hangs although another
+// one has answered, and against work that goes on after that.
+func TestSlowAttemptIsOutrun(t *testing.T) {
+	const objective, hang = 30 * time.Millisecond, 5 * time.Second
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) {
+		in.Policies = withObjective{in.Policies, objective}
+		in.RetrySlack = func() float64 { return 1000 }
+	})
+	var first atomic.Bool
+	first.Store(true)
+	ended := make(chan time.Time, 1)
+	answer := func(_ http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(true, false) {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(hang):
+			}
+			ended <- time.Now()
+		}
+	}
+	f.serve(0, "b0", answer)
+	f.serve(1, "b1", answer)
+	begin := time.Now()
+	res := f.send(0, http.MethodGet, "/x", nil)
+	if res.status != http.StatusOK || time.Since(begin) > hang/2 {
+		t.Fatalf("status %d after %s", res.status, time.Since(begin))
+	}
+	if at := <-ended; at.Sub(begin) > hang/2 {
+		t.Fatalf("the backend server that hangs was released after %s", at.Sub(begin))
+	}
+}
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -32,7 +32,8 @@
 	reasonAnswerCut     = "answer_cut"
 	reasonOwnerSilent   = "owner_did_not_answer"
 	reasonUpgradeUnsupp = "upgrade_not_supported"
-	reasonReplaced      = "attempt_replaced"
+	reasonOverdue       = "attempt_overdue"
+	reasonHedged        = "other_attempt_runs"
 	reasonSuspect       = "backend_suspect"
 	// reasonBackendRefused: the backend server stated that it did not run the request.
 	reasonBackendRefused = "backend_refused"
