Count a hedge that was refused as not run; avoid suspects for it

The plan of a request took an attempt beside another one for one that may have run when it started. If both were refused before anything was sent, the caller was told 502 instead of 503. TestHedge covers the ends of both. The other attempt also avoids suspects, as the check for a free slot does.

--- a/internal/coordination/retry/fleet_test.go
+++ b/internal/coordination/retry/fleet_test.go
@@ -116,12 +116,25 @@
 		t.Fatal("another attempt without a budget")
 	}
 	more := NewBudget(BudgetOptions{Slack: 1})
-	p.HedgeRefused()
+	p.HedgeEnded(AttemptResult{State: Refused})
 	if d := p.Next(t0, more, AttemptResult{State: Sent}); d.Action != Retry {
 		t.Fatalf("the first attempt is lost and the other one was refused: %v", d)
 	}
 	p = NewPlan(options)
 	p.Hedge(t0, NewBudget(BudgetOptions{Slack: 1}))
+	p.HedgeEnded(AttemptResult{State: Sent})
+	if d := p.Next(t0, more, AttemptResult{State: Refused, Arrived: true}); d.Action != ReportFailed {
+		t.Fatalf("one attempt is lost and one refused: %v", d)
+	}
+	p = NewPlan(options)
+	p.Hedge(t0, NewBudget(BudgetOptions{Slack: 1}))
+	p.HedgeEnded(AttemptResult{State: Refused, Arrived: true})
+	if d := p.Next(t0, more, AttemptResult{State: Refused, Arrived: true}); d.Action != ReportNotRun {
+		t.Fatalf("both attempts are refused by their backend servers: %v", d)
+	}
+	p = NewPlan(options)
+	p.Hedge(t0, NewBudget(BudgetOptions{Slack: 1}))
+	p.HedgeEnded(AttemptResult{State: Sent})
 	if d := p.Next(t0, more, AttemptResult{State: Sent}); d.Action != ReportFailed || d.Reason != AttemptsSpent {
 		t.Fatalf("both attempts are lost: %v", d)
 	}
--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -222,15 +222,23 @@
 	if !p.AllowsRetry(now, b) || !b.Take(now) {
 		return false
 	}
-	// The attempt that runs is counted now, and the end of the other one by Next.
+	// One of the two is counted now, and the end of the other one by Next.
 	p.attempts++
-	p.mayHaveRun = true
 	return true
 }
 
-// HedgeRefused records that the attempt beside the one that runs has ended without
-// having reached a backend server. The one that runs is alone again.
-func (p *Plan) HedgeRefused() { p.attempts-- }
+// HedgeEnded records the end of one of two attempts that run, while the other one
+// goes on. One that did not reach a backend server does not count.
+func (p *Plan) HedgeEnded(r AttemptResult) {
+	switch r.State {
+	case Sent, Answered:
+		p.mayHaveRun = true
+	default:
+		if !r.Arrived {
+			p.attempts--
+		}
+	}
+}
 
 // Next records the end of an attempt and decides what follows. The first call
 // counts the request in the budget and each Retry takes one retry from it, also
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -179,11 +179,15 @@
 }
 
 func (c *call) pick() (routing.Target, error) {
+	request := c.routing()
+	request.AvoidSuspects = !c.lastResort && !(c.route.Idempotent && c.budget.Available(c.in.opt.Now()))
+	return c.pickFor(request)
+}
+
+func (c *call) pickFor(request routing.Request) (routing.Target, error) {
 	in := c.in
 	rng := in.rngs.Get().(*rand.Rand)
 	defer in.rngs.Put(rng)
-	request := c.routing()
-	request.AvoidSuspects = !c.lastResort && !(c.route.Idempotent && c.budget.Available(in.opt.Now()))
 	return in.opt.Balancer.Pick(in.opt.Now(), rng, in.opt.Directory.Snapshot(), request)
 }
 
--- a/internal/transport/proxy/hedge.go
+++ b/internal/transport/proxy/hedge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/retry"
@@ -67,14 +66,14 @@
 	in := c.in
 	now := in.opt.Now()
 	request := c.routing()
-	request.Tried, request.AvoidSuspects = slices.Clone(request.Tried), true
+	request.AvoidSuspects = true
 	// The process may end before the other attempt does.
 	if in.stopping() || !in.opt.Balancer.HasSpare(now, in.opt.Directory.Snapshot(), request) || !plan.Hedge(now, c.budget) {
 		return nil
 	}
-	target, err := c.pick()
+	target, err := c.pickFor(request)
 	if err != nil {
-		plan.HedgeRefused()
+		plan.HedgeEnded(retry.AttemptResult{State: retry.NotSent})
 		return nil
 	}
 	c.publish(event.RequestHedged, reasonOverdue, event.Field{Key: "after", Value: after.String()})
@@ -103,9 +102,7 @@
 
 // lost ends an attempt that was not answered while another one goes on.
 func (c *call) lost(plan *retry.Plan, t *tried) {
-	if t.state == retry.Refused && !t.reply.Arrived {
-		plan.HedgeRefused()
-	}
+	plan.HedgeEnded(retry.AttemptResult{State: t.state, Arrived: t.reply.Arrived})
 	c.account(t)
 	c.publishAt(t.target.Backend, event.RequestRetried, reasonHedged, event.Field{Key: "after", Value: t.reply.Reason})
 	t.done(0)
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -363,7 +363,7 @@
 // track gives the evidence to the tracker and publishes what it changed.
 func (x *exchange) track(t *suspicion.Tracker, kind evidence.Kind, now time.Time) {
 	if a := x.attempt; kind == evidence.Canceled && a.Idempotent && a.Objective > 0 && now.Sub(x.start) >= a.Objective {
-		// The ingress node has replaced the attempt, or its caller left a request
+		// Another attempt was answered first, or the caller left a request
 		// that took longer than is useful.
 		kind = evidence.Overdue
 	}
