Say what the processes of a fleet reported when a script gives up

A demo that was started while its programs were being built failed once with "timed out waiting for: ready 1".

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -121,6 +121,8 @@
   until "$@" >/dev/null 2>&1; do
     if [ $SECONDS -ge $deadline ]; then
       echo "timed out waiting for: $*" >&2
+      # What the processes say of the cause, two lines of each.
+      find "$WORK" -name '*.err' -size +0 -exec tail -n 2 {} + >&2
       return 1
     fi
     sleep 0.1
