Count calls of repeated runs against the retry budget of the called service

It is not the hedges: they draw on the same budget.

An owner counts the requests at its backend server and the repeats among them. A request that may run again and goes from this VM to another service may be a call of any of them and counts as a repeat by their share.

--- a/internal/coordination/retry/budget.go
+++ b/internal/coordination/retry/budget.go
@@ -55,7 +55,12 @@
 	off bool // disables the limit in tests
 }
 
-type bucket struct{ requests, retries int32 }
+type bucket struct {
+	requests, retries int32
+	// inherited counts requests that are repeats because the run that made them is
+	// one; see Inherit.
+	inherited float32
+}
 
 // NewBudget returns a budget without any recorded request.
 func NewBudget(opt BudgetOptions) *Budget {
@@ -92,8 +97,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	requests, retries := b.window()
-	return float64(retries+1) <= b.limit(now, requests)
+	requests, used := b.window()
+	return used+1 <= b.limit(now, requests)
 }
 
 // limit returns the retries that a window with this number of requests allows.
@@ -117,14 +122,23 @@
 	b.requests++
 }
 
+// Inherit records a request that is a repeat with the given probability, because the
+// run that made it may be one. It is never refused, and leaves less for retries.
+func (b *Budget) Inherit(now time.Time, probability float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.counts[b.newest%int64(len(b.counts))].inherited += float32(probability)
+}
+
 // Take reserves one retry and reports whether the budget allows it.
 func (b *Budget) Take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	requests, retries := b.window()
+	requests, used := b.window()
 	limit := b.limit(now, requests)
-	if float64(retries+1) > limit && !b.off {
+	if used+1 > limit && !b.off {
 		return false
 	}
 	b.counts[b.newest%int64(len(b.counts))].retries++
@@ -132,8 +146,8 @@
 	windows := b.newest/buckets + 1
 	invariant.Check(float64(b.requests+b.retries) <= b.bound(windows), "retry_attempts_bound",
 		"%d requests led to %d retries in %d windows", b.requests, b.retries, windows)
-	invariant.Check(float64(retries+1) <= limit, "retry_budget_window",
-		"%d retries for %d requests in the window", retries+1, requests)
+	invariant.Check(used+1 <= limit, "retry_budget_window",
+		"%.1f retries for %d requests in the window", used+1, requests)
 	return true
 }
 
@@ -173,17 +187,17 @@
 	}
 }
 
-// window sums the buckets. The oldest bucket lies only partly inside the window:
-// its retries count and its requests do not, so that the limit errs on the safe
-// side.
-func (b *Budget) window() (requests, retries int64) {
+// window sums the buckets: the requests, and the repeats of both kinds. The oldest
+// bucket lies only partly inside the window: its repeats count and its requests do
+// not, so that the limit errs on the safe side.
+func (b *Budget) window() (requests int64, used float64) {
 	oldest := b.newest - buckets
 	for i := max(oldest, 0); i <= b.newest; i++ {
 		c := b.counts[i%int64(len(b.counts))]
-		retries += int64(c.retries)
+		used += float64(c.retries) + float64(c.inherited)
 		if i > oldest {
 			requests += int64(c.requests)
 		}
 	}
-	return requests, retries
+	return requests, used
 }
--- a/internal/coordination/retry/fleet_test.go
+++ b/internal/coordination/retry/fleet_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+// Guards against calls of repeats that do not count as repeats of the service that is
+// called, and ones that count for longer than the window.
+func TestCallsOfRepeatsInherit(t *testing.T) {
+	b := NewBudget(BudgetOptions{Percent: 10, Slack: 2})
+	for range 2 {
+		p := NewPlan(Options{MaxAttempts: 2, Inherited: 0.6})
+		p.Next(t0, b, AttemptResult{State: Answered})
+	}
+	if b.Available(t0) || b.Take(t0) {
+		t.Error("a retry beyond a limit of 2.2 after 1.2 inherited repeats")
+	}
+	if later := t0.Add(2 * DefaultWindow); !b.Take(later) {
+		t.Error("inherited repeats count beyond the window")
+	}
+}
+
 // Guards against an attempt beside a slow one that no budget allows or that comes too
 // late, and one that counts although it was refused.
 func TestHedge(t *testing.T) {
--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -130,6 +130,8 @@
 	// a backend server without counting as attempts or retries. Such an attempt
 	// adds no load to the service.
 	FreeRefusals int
+	// Inherited is how likely the request was made by a run that is a repeat, 0 to 1.
+	Inherited float64
 }
 
 // Plan follows the attempts of one request. It is not safe for concurrent use.
@@ -252,6 +254,9 @@
 	if !p.counted {
 		p.counted = true
 		b.AddRequest(now)
+		if p.opt.Inherited > 0 {
+			b.Inherit(now, p.opt.Inherited)
+		}
 	}
 	if free := r.State == NotSent || r.State == Refused && !r.Arrived; free && p.refusals < p.opt.FreeRefusals {
 		return p.retryFree(now, r.State)
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -44,6 +44,9 @@
 	Idempotent = "Wigeonspring-Idempotent"
 	// Trial marks a request that may test a suspect backend server.
 	Trial = "Wigeonspring-Trial"
+	// Repeat marks an attempt of a request that may have reached a backend server
+	// before.
+	Repeat = "Wigeonspring-Repeat"
 	// Explore marks an attempt of a request that was tried elsewhere before, at a
 	// service that is short.
 	Explore = "Wigeonspring-Explore"
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -40,6 +40,8 @@
 	// that too many of the service's requests are not served, so that it may test a
 	// suspect backend server that nothing else has tested for a while.
 	Explore bool
+	// Repeat says that the request may have reached a backend server before.
+	Repeat bool
 	// NoBetter says that no other backend server is better for the request, so that
 	// a suspect one may serve it: most of the service are suspect, or all others
 	// refused a request that may run again.
@@ -84,6 +86,9 @@
 	if p.Explore {
 		set(Explore, flagSet)
 	}
+	if p.Repeat {
+		set(Repeat, flagSet)
+	}
 	if p.NoBetter {
 		set(NoBetter, flagSet)
 	}
@@ -107,6 +112,7 @@
 	}
 	p.Idempotent = h.Get(Idempotent) == flagSet
 	p.Explore = h.Get(Explore) == flagSet
+	p.Repeat = h.Get(Repeat) == flagSet
 	p.NoBetter = h.Get(NoBetter) == flagSet
 	p.Trial = h.Get(Trial) == flagSet
 	var err error
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -65,7 +65,7 @@
 		RequestID: c.id, Backend: target.Backend, Service: c.service, Route: c.route.Name,
 		Incarnation: target.Owner.Incarnation, Left: left, AnswerWithin: answerWithin,
 		Attempt: len(c.tried), Caller: c.caller, Region: in.opt.Region, Baseline: baseline,
-		Rank: c.route.Rank, Idempotent: c.route.Idempotent, NoBetter: c.noBetter,
+		Rank: c.route.Rank, Repeat: c.arrived > 0, Idempotent: c.route.Idempotent, NoBetter: c.noBetter,
 		// Without a retry in hand, a request that may run again risks no more than one
 		// that was tried elsewhere.
 		Explore: (len(c.tried) > 1 || c.route.Idempotent) && in.outcomes(c.service).Short(now),
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -78,7 +78,7 @@
 	c.budget = in.budget(c.service, limits.RetryPercent)
 	plan := retry.NewPlan(retry.Options{
 		Idempotent: c.route.Idempotent, MaxAttempts: cmp.Or(c.route.MaxAttempts, limits.MaxAttempts),
-		Objective: time.Duration(c.route.Objective), FreeRefusals: in.opt.FreeRefusals,
+		Objective: time.Duration(c.route.Objective), FreeRefusals: in.opt.FreeRefusals, Inherited: c.inherited(),
 		// An attempt that starts within the margin could not be answered in time.
 		Deadline: c.deadline.Add(-2 * margin(c.deadline.Sub(c.start))),
 	})
@@ -139,6 +139,16 @@
 	}
 }
 
+// inherited returns how likely the request is a call of a repeat that runs on this VM.
+// Calls cannot be told from the requests of callers; those that count here may run
+// again and go to another service, as calls do.
+func (c *call) inherited() float64 {
+	if c.in.opt.Owner == nil || !c.route.Idempotent || string(c.service) == c.in.opt.LocalService {
+		return 0
+	}
+	return c.in.opt.Owner.running.repeatShare()
+}
+
 // account counts an attempt that has ended.
 func (c *call) account(t *tried) {
 	if t.reply.Arrived {
--- a/internal/transport/proxy/hedge.go
+++ b/internal/transport/proxy/hedge.go
@@ -79,7 +79,9 @@
 	c.publish(event.RequestHedged, reasonOverdue, event.Field{Key: "after", Value: after.String()})
 	c.tried = append(c.tried, target.Backend)
 	c.publishPlacement(target)
-	return c.attempt(plan, target)
+	t := c.attempt(plan, target)
+	t.hop.Repeat = true
+	return t
 }
 
 // good reports whether the attempt brought an answer that a caller is better off with
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -67,7 +67,8 @@
 	opt    OwnerOptions
 	tracer trace.Tracer
 	// failed are the requests that failed at the ingress of this node.
-	failed failedCalls
+	failed  failedCalls
+	running running
 	drainer
 
 	off ownerOff
@@ -229,6 +230,10 @@
 			withheld = a.awaitBody() != nil
 			sent = !withheld && allowed()
 		}
+		if sent {
+			x.sent = true
+			o.running.begin(a.Repeat)
+		}
 		return sent
 	})
 	if err != nil {
@@ -294,6 +299,8 @@
 	latency time.Duration
 	span    trace.Span
 	once    sync.Once
+	// sent is set when the request counts as running.
+	sent bool
 	// overdue is set when the exchange was reported while it went on.
 	overdue atomic.Bool
 }
@@ -461,6 +468,9 @@
 		o, a := x.owner, x.attempt
 		now := o.opt.Now()
 		x.backend.keeper.release(x.ticket, serviceTime)
+		if x.sent {
+			o.running.end(a.Repeat)
+		}
 		latency := x.latency
 		if latency == 0 {
 			latency = now.Sub(x.start)
