Wait until the first request runs before its owner is lost in a test

TestOwnerLostBeforeItAskedForTheBody failed once: the waiting request was answered, but "after 2 runs". The test took a slot in use for a request that runs; the owner takes the slot before it asks for the body. The check is the same.

--- a/internal/transport/proxy/withheld_test.go
+++ b/internal/transport/proxy/withheld_test.go
@@ -19,17 +19,17 @@
 		in.AskFirst, in.KeepBytes, in.FreeRefusals = true, 1<<20, 4
 	})
 	var ran atomic.Int32
-	free := make(chan struct{})
-	busy := f.serve(1, "b1", func(w http.ResponseWriter, r *http.Request) {
+	begun, free := make(chan struct{}, 1), make(chan struct{})
+	f.serve(1, "b1", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		begun <- struct{}{}
 		<-free
 	})
 	defer close(free)
 	f.nodes[1].backends.get("b1").keeper.gate.SetSlots(1)
-	_ = busy
 	first := make(chan result, 1)
 	go func() { first <- f.send(0, "POST", "/first", strings.NewReader("x")) }()
-	waitFor(t, func() bool { l, _ := f.nodes[1].backends.Load("b1"); return l.InUse == 1 })
+	<-begun // The slot is taken before the body is asked for.
 	second := make(chan result, 1)
 	go func() { second <- f.send(0, "POST", "/second", strings.NewReader("whole")) }()
 	waitFor(t, func() bool { l, _ := f.nodes[1].backends.Load("b1"); return l.Queued == 1 })
