Log what a late configuration waited for

The logs could not tell a call to the platform that waited from one that was refused, nor say which epoch decided when a request found no route. platform_down now carries how long the call waited and when the platform last answered, platform_up the last failure, the error whether its connection was new, no_route and unknown_host the epoch, and a histogram counts the calls for policies by outcome.

--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -29,6 +29,7 @@
 	watcher bool
 	// request is the waiting request; nil if there is none.
 	request  *PlatformRequest
+	asked    time.Time
 	deadline time.Time
 	lastID   uint64
 	// listed says that a listing succeeded, so that a watch can go on from
@@ -36,7 +37,9 @@
 	listed   bool
 	revision uint64
 	failures int
-	retryAt  time.Time
+	// lastError is that of the latest failure.
+	lastError error
+	retryAt   time.Time
 	// changed is when a watch last returned a change.
 	changed time.Time
 	seen    time.Time
@@ -80,6 +83,7 @@
 	}
 	s.lastID++
 	s.request = &PlatformRequest{ID: s.lastID}
+	s.asked = c.now
 	s.deadline = c.now.Add(platformTimeout)
 	if s.listed {
 		s.request.Watch, s.request.Since, s.request.Wait = true, s.revision, c.o.WatchWait
@@ -107,13 +111,18 @@
 		high := min(c.o.MaxBackoff, 2*backoffLow<<min(s.failures, 10))
 		s.retryAt = c.now.Add(backoffLow + c.jitter(high-backoffLow))
 		if s.failures == 0 {
-			c.event(event.PlatformDown, "", r.Err.Error())
+			c.event(event.PlatformDown, "", r.Err.Error(),
+				event.Field{Key: "waited", Value: since(c.now, s.asked)},
+				event.Field{Key: "last_answer", Value: since(c.now, s.seen)})
 		}
 		s.failures++
+		s.lastError = r.Err
 		return
 	}
 	if s.failures > 0 {
-		c.event(event.PlatformUp, "", fmt.Sprintf("answer after %d failures", s.failures))
+		c.event(event.PlatformUp, "", fmt.Sprintf("answer after %d failures", s.failures),
+			event.Field{Key: "last_failure", Value: s.lastError.Error()},
+			event.Field{Key: "last_answer", Value: since(c.now, s.seen)})
 	}
 	s.failures, s.seen = 0, c.now
 	for _, obj := range r.Objects {
@@ -150,3 +159,11 @@
 	}
 	c.start.listed = true
 }
+
+// since returns how long ago a time was, as evidence of an event.
+func since(now, then time.Time) string {
+	if then.IsZero() {
+		return "never"
+	}
+	return now.Sub(then).Round(time.Millisecond).String()
+}
--- a/internal/state/platform/call.go
+++ b/internal/state/platform/call.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -40,6 +41,13 @@
 func (c *Caller) Do(ctx context.Context, call Call, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
+	connection := "no"
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connection = "a new"
+		if info.Reused {
+			connection = "a kept"
+		}
+	}})
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.Base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return fault.New(call.Step, c.Base, err)
@@ -48,7 +56,7 @@
 		req.Header.Set("Content-Type", c.ContentType)
 	}
 	unavailable := func(err error) error {
-		return fault.New(call.Step, c.Base, fmt.Errorf("%w: %w", ErrUnavailable, err))
+		return fault.New(call.Step, c.Base, fmt.Errorf("%w: no answer on %s connection: %w", ErrUnavailable, connection, err))
 	}
 	resp, err := c.Client.Do(req)
 	if err != nil {
--- a/internal/state/policy/fleet.go
+++ b/internal/state/policy/fleet.go
@@ -228,7 +228,7 @@
 		if i == 0 || r.Timeout == 0 || t.longest > 0 && time.Duration(r.Timeout) > t.longest {
 			t.longest = time.Duration(r.Timeout)
 		}
-		m := &Match{Version: in.Epoch, Route: &Route{
+		m := &Match{Route: &Route{
 			Name: r.Name, Path: r.Prefix + "*", Idempotent: r.Idempotent, Timeout: r.Timeout,
 			Objective: r.Objective, Rank: r.Rank, MaxAttempts: r.MaxAttempts,
 		}}
--- a/internal/state/policy/table.go
+++ b/internal/state/policy/table.go
@@ -332,11 +332,14 @@
 }
 
 // Match returns the route of a request. host is in lower case without a port;
-// path is as the caller sent it, without the query.
+// path is as the caller sent it, without the query. With an error, the version of the
+// match is that of the fleet document that has no route.
 func (t *Table) Match(host, method, path string) (Match, error) {
 	s := t.snapshot.Load()
-	if f := s.fleet(); f != nil {
-		return f.match(host, path)
+	if f := s.byService[FleetName]; f != nil && f.fleet != nil {
+		m, err := f.fleet.match(host, path)
+		m.Version = f.Epoch
+		return m, err
 	}
 	p := s.byHost[host]
 	if p == nil {
--- a/internal/transport/policysync/runner.go
+++ b/internal/transport/policysync/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"wigeonspring.example/wigeonspring/internal/state/platform"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
+	"wigeonspring.example/wigeonspring/internal/transport/metrics"
 )
 
 const (
@@ -174,12 +176,29 @@
 	go func() {
 		defer r.calls.Done()
 		defer cancel()
+		begun := time.Now()
 		reply := distribution.PlatformReply{ID: req.ID}
 		if req.Watch {
 			reply.Objects, reply.Revision, reply.Err = r.opts.Platform.Watch(ctx, prefix, req.Since, req.Wait)
 		} else {
 			reply.Objects, reply.Revision, reply.Err = r.opts.Platform.List(ctx, prefix)
 		}
+		platformCalls.Observe(outcome(&reply), time.Since(begun))
 		r.deliver(parent, distribution.Input{Platform: &reply})
 	}()
 }
+
+// platformCalls are the waiting times of the calls for policies.
+var platformCalls = metrics.NewHistograms("platform_policy_call")
+
+func outcome(r *distribution.PlatformReply) string {
+	switch {
+	case errors.Is(r.Err, platform.ErrCompacted):
+		return "history_gone"
+	case r.Err != nil:
+		return "failed"
+	case len(r.Objects) > 0:
+		return "changes"
+	}
+	return "no_change"
+}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -269,8 +269,8 @@
 }
 
 // refuse answers a request that is not passed on. It returns false.
-func (c *call) refuse(status int, reason string) bool {
-	c.publish(event.RequestRefused, reason)
+func (c *call) refuse(status int, reason string, evidence ...event.Field) bool {
+	c.publish(event.RequestRefused, reason, evidence...)
 	c.write(status, header.NotRun, reason)
 	return false
 }
@@ -345,13 +345,18 @@
 		event.Field{Key: "attempt", Value: strconv.Itoa(len(c.tried))},
 		event.Field{Key: "owner", Value: string(t.Owner.ID)},
 		event.Field{Key: "route", Value: c.route.Name},
-		event.Field{Key: "policy_epoch", Value: strconv.FormatUint(c.policy.Epoch, 10)},
+		policyEpoch(c.policy.Epoch),
 		event.Field{Key: "in_use", Value: strconv.Itoa(t.InUse)},
 		event.Field{Key: "queued", Value: strconv.Itoa(t.Queued)},
 		event.Field{Key: "report_age", Value: age},
 	)
 }
 
+// policyEpoch is the evidence of which policy decided.
+func policyEpoch(epoch uint64) event.Field {
+	return event.Field{Key: "policy_epoch", Value: strconv.FormatUint(epoch, 10)}
+}
+
 // publish reports a decision about the latest attempt.
 func (c *call) publish(kind event.Kind, reason string, evidence ...event.Field) {
 	var latest registry.BackendID
