--- a/internal/coordination/distribution/distribution_test.go
+++ b/internal/coordination/distribution/distribution_test.go
@@ -158,7 +158,7 @@
 	missing := len(s.nodes)
 	for missing > 0 && s.now.Sub(accepted) < bound {
 		s.runUntil(s.now.Sub(s.start) + 10*time.Millisecond)
-		missing = len(s.lacking("booking"))
+		missing = len(s.behind("booking"))
 	}
 	t.Logf("in force on %d of %d nodes after %s; %d datagrams, %d calls between nodes, %d platform requests",
 		len(s.nodes)-missing, len(s.nodes), s.now.Sub(accepted), s.pushes-pushes, s.calls-calls, s.reads-reads)
@@ -177,7 +177,7 @@
 		s.runUntil(3 * time.Second)
 		s.write("booking")
 		s.runUntil(3*time.Second + within)
-		if nodes := s.lacking("booking"); len(nodes) > 0 {
+		if nodes := s.behind("booking"); len(nodes) > 0 {
 			t.Errorf("seed %d: nodes %v lack the policy after %s", seed, nodes, within)
 		}
 	}
--- a/internal/coordination/distribution/sim_test.go
+++ b/internal/coordination/distribution/sim_test.go
@@ -25,16 +25,20 @@
 	nodes  []*simNode
 	all    []Member
 
-	loss, duplicate      float64
-	minDelay, maxDelay   time.Duration
-	cut                  map[[2]int]bool
-	platformOut          bool
-	platformLag          uint64
-	platformCut          map[int]bool
-	changes              []platform.Object
-	epochs               map[string]uint64
-	waiting              map[*simNode]*PlatformRequest
-	disabled             Disabled
+	loss, duplicate    float64
+	minDelay, maxDelay time.Duration
+	cut                map[[2]int]bool
+	platformOut        bool
+	platformLag        uint64
+	platformCut        map[int]bool
+	changes            []platform.Object
+	epochs             map[string]uint64
+	waiting            map[*simNode]*PlatformRequest
+	disabled           Disabled
+	// platformSilent drops every call to the platform.
+	platformSilent bool
+	// options changes the options of the cores.
+	options              func(*Options)
 	pushes, calls, reads int
 }
 
@@ -141,10 +145,14 @@
 	n.incarnation++
 	n.up, n.ready, n.epochs, n.reached = true, false, map[string]uint64{}, map[int]reached{}
 	delete(s.waiting, n)
-	n.core = New(Options{
+	o := Options{
 		Self: n.member.ID, FailureDomain: n.member.FailureDomain, Start: s.now,
 		Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 2)), Disabled: s.disabled,
-	})
+	}
+	if s.options != nil {
+		s.options(&o)
+	}
+	n.core = New(o)
 	incarnation := n.incarnation
 	s.step(n, Input{Members: []Member{n.member}})
 	s.after(50*time.Millisecond+s.delay(), func() {
@@ -164,10 +172,10 @@
 	}
 }
 
-// lacking returns the nodes on which no policy of the service is in force.
-func (s *sim) lacking(service string) (ids []registry.NodeID) {
+// behind returns the nodes on which the latest epoch of a service is not in force.
+func (s *sim) behind(service string) (ids []registry.NodeID) {
 	for _, n := range s.nodes {
-		if n.core.Table().Get(service) == nil {
+		if p := n.core.Table().Get(service); p == nil || p.Epoch < s.epochs[service] {
 			ids = append(ids, n.member.ID)
 		}
 	}
@@ -287,6 +295,10 @@
 	s.wakeWatches()
 }
 
+// silenceWatches drops the calls that wait for the platform, as connections do that
+// fall silent.
+func (s *sim) silenceWatches() { clear(s.waiting) }
+
 func (s *sim) wakeWatches() {
 	for _, n := range s.nodes {
 		if r := s.waiting[n]; r != nil {
@@ -298,7 +310,7 @@
 func (s *sim) askPlatform(n *simNode, incarnation int, r *PlatformRequest) {
 	s.reads++
 	s.after(s.delay(), func() {
-		if n.incarnation != incarnation {
+		if n.incarnation != incarnation || s.platformSilent {
 			return
 		}
 		s.waiting[n] = r
