Do not reuse connections that rested for calls to the platform and between nodes

A connection that rested can't be told from a silent one, so connections are closed after 250 ms of rest; a watch that goes on uses its own within that time. The same holds for calls between nodes.

Ruled out: closing the kept connections after a call that failed, which comes too late for a call that started before.

--- a/internal/state/platform/call.go
+++ b/internal/state/platform/call.go
@@ -25,6 +25,17 @@
 	MaxAnswerBytes int64
 }
 
+// RestLimit is how long a connection may rest before it is closed instead of used
+// again: one that fell silent meanwhile looks like one that works.
+const RestLimit = 250 * time.Millisecond
+
+// NewTransport returns a transport for a Caller.
+func NewTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.IdleConnTimeout = RestLimit
+	return t
+}
+
 // Call is one call.
 type Call struct {
 	// Step names the call in errors.
--- a/internal/state/platform/http.go
+++ b/internal/state/platform/http.go
@@ -54,7 +54,7 @@
 		o.Timeout = 5 * time.Second
 	}
 	if o.Transport == nil {
-		o.Transport = http.DefaultTransport.(*http.Transport).Clone()
+		o.Transport = NewTransport()
 	}
 	caller := Caller{Base: strings.TrimSuffix(o.URL, "/"), Client: &http.Client{Transport: o.Transport}}
 	return &HTTP{caller: caller, timeout: o.Timeout}
--- a/internal/transport/gossip/options.go
+++ b/internal/transport/gossip/options.go
@@ -9,6 +9,7 @@
 
 	"wigeonspring.example/wigeonspring/internal/coordination/membership"
 	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
@@ -93,7 +94,7 @@
 	}
 	if o.HTTPClient == nil {
 		o.HTTPClient = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second,
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: platform.RestLimit,
 		}}
 	}
 	if o.SyncTimeout == 0 {
