End watches that are not answered in time, and ask again at once

A watch waited 2 s and its client 2 s more, then a pause of 0.5 s to 1 s followed; the watchers ask in step, so that all of them were blind at once and the peers had nothing to tell.

A watch now waits half of the bound (1 s with the adapter, 2 s otherwise) and is overdue 0.5 s later. Then the next one starts within 50 ms, beside the old one: a late answer still counts, so that a slow platform is heard. After a failure, watches wait 0.1 s only, so that none is stuck at the end of an outage, and pauses end at 1 s.

Ruled out: TCP keep-alives, which end a silent connection after 2 s at best and not an outage; longer time-outs after failures, which are stuck at the end of an outage.

TestSilentConnectionsDoNotDelayAConfiguration failed before and passes.

--- a/internal/coordination/distribution/core.go
+++ b/internal/coordination/distribution/core.go
@@ -66,10 +66,20 @@
 	// a peer that lacks them.
 	maxPushback = 16
 
-	// watchWait is the waiting time of a watch on the platform, and
-	// platformTimeout the time for an answer beyond it.
-	watchWait       = 10 * time.Second
-	platformTimeout = 5 * time.Second
+	// watchWait is the waiting time of a watch on the platform, half of the 4 s. A
+	// connection that falls silent hides a change for that long, and answerTimeout.
+	watchWait = 2 * time.Second
+	// answerTimeout is the time for an answer beyond the waiting time after which the
+	// platform is asked again. An answer that comes later still counts, so that a slow
+	// platform is heard too. listTimeout is that of a listing, 5.4 MB at the design size.
+	answerTimeout = 500 * time.Millisecond
+	listTimeout   = 2 * time.Second
+	// retryWait is the waiting time of a watch after a failure: one that begins at the
+	// end of an outage must not wait for long.
+	retryWait = 100 * time.Millisecond
+	// firstRetry is the longest wait after a first call without an answer. Its connection
+	// may be silent while the platform works.
+	firstRetry = 50 * time.Millisecond
 	// backoffLow and backoffHigh bound the wait after a platform error.
 	backoffLow  = 500 * time.Millisecond
 	backoffHigh = 30 * time.Second
@@ -82,6 +92,16 @@
 	firstListing = 500 * time.Millisecond
 )
 
+// Times for a platform on which a policy must be in force 2 s after it was accepted, and
+// whose rates allow them: two watchers for each of 12 failure domains make 24 reads/s.
+const (
+	// ShortWatchWait is a waiting time of watches that keeps a change that a watch was
+	// not told within the 2 s.
+	ShortWatchWait = time.Second
+	// ShortBackoff bounds the wait after errors.
+	ShortBackoff = time.Second
+)
+
 // Disabled switches mechanisms off. It is for tests that show that an invariant
 // depends on its mechanism.
 type Disabled struct {
@@ -101,9 +121,9 @@
 	// Linearizable says that a listing of the platform reflects every write that
 	// was acknowledged before, so that it confirms a starting node without a peer.
 	Linearizable bool
-	// WatchWait is the waiting time of a watch on the platform; 0 selects 10 s. It
+	// WatchWait is the waiting time of a watch on the platform; 0 selects 2 s. It
 	// bounds how late a change is noticed if the platform loses it for a watch that
-	// waits.
+	// waits, or the connection falls silent.
 	WatchWait time.Duration
 	// MaxBackoff bounds the wait after platform errors; 0 selects 30 s.
 	MaxBackoff time.Duration
@@ -176,6 +196,7 @@
 	if o.Linearizable {
 		c.source.retryAt = o.Start.Add(c.jitter(firstListing))
 	}
+	c.source.overdue = map[uint64]*PlatformRequest{}
 	c.start.init(c)
 	return c
 }
--- a/internal/coordination/distribution/messages.go
+++ b/internal/coordination/distribution/messages.go
@@ -99,8 +99,8 @@
 	Digest uint64
 }
 
-// PlatformRequest asks the platform for the policies. A request replaces the
-// one before, which may be canceled.
+// PlatformRequest asks the platform for the policies. Every request is answered with
+// a PlatformReply, also one that is overdue when the next one is made.
 type PlatformRequest struct {
 	ID uint64
 	// Watch selects a watch from revision Since for at most Wait; it is a listing
@@ -135,7 +135,7 @@
 	Calls     []Call
 	// Platform is a new request to the platform.
 	Platform *PlatformRequest
-	// CancelPlatform says that the answer to the waiting request is not needed.
+	// CancelPlatform says that the answers to earlier requests are not needed.
 	CancelPlatform bool
 	// InForce are the policies that the step put in force.
 	InForce []*policy.InForce
--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -31,7 +31,9 @@
 	request  *PlatformRequest
 	asked    time.Time
 	deadline time.Time
-	lastID   uint64
+	// overdue are the requests whose answer has not come in time.
+	overdue map[uint64]*PlatformRequest
+	lastID  uint64
 	// listed says that a listing succeeded, so that a watch can go on from
 	// revision.
 	listed   bool
@@ -63,8 +65,10 @@
 	if s.request != nil {
 		switch {
 		case !c.now.Before(s.deadline):
-			c.platformReply(&PlatformReply{ID: s.request.ID, Err: platform.ErrUnavailable})
-			c.out.CancelPlatform = true
+			// The answer may still come.
+			s.overdue[s.request.ID] = s.request
+			s.request = nil
+			c.platformFailed(errOverdue)
 		case !s.watcher && s.request.Watch:
 			s.request, s.listed = nil, false
 			c.out.CancelPlatform = true
@@ -83,65 +87,79 @@
 	}
 	s.lastID++
 	s.request = &PlatformRequest{ID: s.lastID}
-	s.asked = c.now
-	s.deadline = c.now.Add(platformTimeout)
+	s.asked, s.deadline = c.now, c.now.Add(listTimeout)
 	if s.listed {
 		s.request.Watch, s.request.Since, s.request.Wait = true, s.revision, c.o.WatchWait
-		s.deadline = s.deadline.Add(c.o.WatchWait)
+		if s.failures > 0 {
+			s.request.Wait = min(retryWait, c.o.WatchWait)
+		}
+		s.deadline = c.now.Add(s.request.Wait + answerTimeout)
 	}
 	c.out.Platform = s.request
 }
 
+// errOverdue stands for an answer that has not come in time.
+var errOverdue = fmt.Errorf("%w: no answer in time", platform.ErrNoAnswer)
+
+// platformReply takes in the answer to the waiting request, or to an overdue one.
 func (c *Core) platformReply(r *PlatformReply) {
 	s := &c.source
+	if late := s.overdue[r.ID]; late != nil {
+		delete(s.overdue, r.ID)
+		if r.Err == nil {
+			c.platformAnswered(late, r)
+		}
+		return
+	}
 	if s.request == nil || r.ID != s.request.ID {
 		return
 	}
-	watch := s.request.Watch
+	request := s.request
 	s.request = nil
-	if errors.Is(r.Err, platform.ErrCompacted) {
+	switch {
+	case errors.Is(r.Err, platform.ErrCompacted):
 		// A platform that refuses its own revisions must not be asked in a loop.
 		s.listed, s.retryAt = false, c.now.Add(c.jitter(backoffLow))
 		c.event(event.PlatformCompacted, "", "listing again", event.Field{Key: "revision", Value: fmt.Sprint(s.revision)})
-		return
+	case r.Err != nil:
+		c.platformFailed(r.Err)
+	default:
+		c.platformAnswered(request, r)
+	}
+}
+
+// platformFailed decides when the platform is asked again.
+func (c *Core) platformFailed(err error) {
+	s := &c.source
+	if s.failures == 0 {
+		c.event(event.PlatformDown, "", err.Error(),
+			event.Field{Key: "waited", Value: since(c.now, s.asked)},
+			event.Field{Key: "last_answer", Value: since(c.now, s.seen)})
 	}
-	if r.Err != nil {
+	if s.failures == 0 && errors.Is(err, platform.ErrNoAnswer) {
+		s.retryAt = c.now.Add(c.jitter(firstRetry))
+	} else {
 		// The wait is spread over the whole range, so that one of the watchers
 		// returns soon after the end of an outage.
 		high := min(c.o.MaxBackoff, 2*backoffLow<<min(s.failures, 10))
 		s.retryAt = c.now.Add(backoffLow + c.jitter(high-backoffLow))
-		if s.failures == 0 {
-			c.event(event.PlatformDown, "", r.Err.Error(),
-				event.Field{Key: "waited", Value: since(c.now, s.asked)},
-				event.Field{Key: "last_answer", Value: since(c.now, s.seen)})
-		}
-		s.failures++
-		s.lastError = r.Err
-		return
 	}
+	s.failures++
+	s.lastError = err
+}
+
+// platformAnswered takes in an answer to a request.
+func (c *Core) platformAnswered(request *PlatformRequest, r *PlatformReply) {
+	s := &c.source
 	if s.failures > 0 {
 		c.event(event.PlatformUp, "", fmt.Sprintf("answer after %d failures", s.failures),
 			event.Field{Key: "last_failure", Value: s.lastError.Error()},
 			event.Field{Key: "last_answer", Value: since(c.now, s.seen)})
+		s.retryAt = c.now
 	}
 	s.failures, s.seen = 0, c.now
-	for _, obj := range r.Objects {
-		service, ok := strings.CutPrefix(obj.Key, policy.KeyPrefix)
-		if !ok {
-			continue
-		}
-		if obj.Deleted {
-			c.refusal(service, 0, obj.Version, "the platform deleted the policy; the last epoch stays in force", "platform")
-			continue
-		}
-		env, err := policy.DecodeEnvelope(obj)
-		if err != nil {
-			c.refusal(service, 0, obj.Version, err.Error(), "platform")
-			continue
-		}
-		c.offer(policy.Versioned{Service: service, Epoch: env.Epoch, Text: []byte(env.Text)}, "platform")
-	}
-	if watch {
+	c.takePolicies(r.Objects)
+	if request.Watch {
 		s.revision = max(s.revision, r.Revision)
 		if len(r.Objects) > 0 {
 			if !s.changed.IsZero() && c.now.Sub(s.changed) < quickSuccession {
@@ -160,6 +178,26 @@
 	c.start.listed = true
 }
 
+// takePolicies puts the policies of the platform in force.
+func (c *Core) takePolicies(objects []platform.Object) {
+	for _, obj := range objects {
+		service, ok := strings.CutPrefix(obj.Key, policy.KeyPrefix)
+		if !ok {
+			continue
+		}
+		if obj.Deleted {
+			c.refusal(service, 0, obj.Version, "the platform deleted the policy; the last epoch stays in force", "platform")
+			continue
+		}
+		env, err := policy.DecodeEnvelope(obj)
+		if err != nil {
+			c.refusal(service, 0, obj.Version, err.Error(), "platform")
+			continue
+		}
+		c.offer(policy.Versioned{Service: service, Epoch: env.Epoch, Text: []byte(env.Text)}, "platform")
+	}
+}
+
 // since returns how long ago a time was, as evidence of an event.
 func since(now, then time.Time) string {
 	if then.IsZero() {
--- a/internal/coordination/distribution/silence_test.go
+++ b/internal/coordination/distribution/silence_test.go
@@ -47,7 +47,7 @@
 			late := 0
 			for seed := range int64(50) {
 				s := newSim(seed, 6, 6, Disabled{})
-				s.options = func(o *Options) { o.Linearizable, o.WatchWait, o.MaxBackoff = true, 2*time.Second, 2*time.Second }
+				s.options = func(o *Options) { o.Linearizable, o.WatchWait, o.MaxBackoff = true, ShortWatchWait, ShortBackoff }
 				s.write("booking")
 				s.bootRunning()
 				begin := 5*time.Second + time.Duration(seed)*37*time.Millisecond
--- a/internal/state/platform/call.go
+++ b/internal/state/platform/call.go
@@ -66,12 +66,12 @@
 	if call.Body != nil && c.ContentType != "" {
 		req.Header.Set("Content-Type", c.ContentType)
 	}
-	unavailable := func(err error) error {
-		return fault.New(call.Step, c.Base, fmt.Errorf("%w: no answer on %s connection: %w", ErrUnavailable, connection, err))
+	unanswered := func(err error) error {
+		return fault.New(call.Step, c.Base, fmt.Errorf("%w on %s connection: %w", ErrNoAnswer, connection, err))
 	}
 	resp, err := c.Client.Do(req)
 	if err != nil {
-		return unavailable(err)
+		return unanswered(err)
 	}
 	defer resp.Body.Close()
 	body := io.Reader(resp.Body)
@@ -80,7 +80,7 @@
 	}
 	answer, err := io.ReadAll(body)
 	if err != nil {
-		return unavailable(err)
+		return unanswered(err)
 	}
 	if resp.StatusCode/100 != 2 {
 		return fault.New(call.Step, c.Base, statusError(resp.StatusCode, answer))
@@ -89,7 +89,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(answer, into); err != nil {
-		return unavailable(err)
+		return fault.New(call.Step, c.Base, fmt.Errorf("%w: unreadable answer: %w", ErrUnavailable, err))
 	}
 	return nil
 }
--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -18,8 +19,11 @@
 	ErrNotFound = errors.New("object not found")
 	// ErrConflict says that the object's version differs from the expected one.
 	ErrConflict = errors.New("version conflict")
-	// ErrUnavailable says that no answer arrived; a write may have taken effect.
+	// ErrUnavailable says that the call was not served; a write may have taken effect.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrNoAnswer is an ErrUnavailable without any answer, as after a connection is lost
+	// or falls silent.
+	ErrNoAnswer = fmt.Errorf("%w: no answer", ErrUnavailable)
 	// ErrTooLarge says that the value exceeds MaxValueBytes.
 	ErrTooLarge = errors.New("value too large")
 	// ErrCompacted says that the changes after the given revision are no longer
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -269,7 +269,7 @@
 		Defaults:      n.serviceDefaults(),
 	}
 	if n.opts.Adapter != nil {
-		options.Linearizable, options.WatchWait, options.MaxBackoff = true, adapterWatchWait, adapterBackoff
+		options.Linearizable, options.WatchWait, options.MaxBackoff = true, distribution.ShortWatchWait, distribution.ShortBackoff
 	}
 	core := distribution.New(options)
 	n.policies = core.Table()
@@ -285,15 +285,6 @@
 	})
 }
 
-// adapterBackoff bounds the wait after errors of a platform whose rates allow every
-// watcher of the fleet to ask this often.
-const adapterBackoff = 2 * time.Second
-
-// adapterWatchWait keeps a change that a waiting watch was not told within the
-// bound for a configuration: two watchers for each of 12 failure domains make 12
-// reads/s of a platform that allows 2,000.
-const adapterWatchWait = 2 * time.Second
-
 // serviceDefaults returns what the settings state for the services of a fleet
 // document.
 func (n *Node) serviceDefaults() policy.ServiceDefaults {
--- a/internal/transport/policysync/runner.go
+++ b/internal/transport/policysync/runner.go
@@ -55,17 +55,17 @@
 	status atomic.Pointer[distribution.Status]
 
 	calls sync.WaitGroup
-	// cancelPlatform ends the waiting request to the platform.
+	// platformCalls is the parent of the calls to the platform; cancelPlatform ends them.
+	platformCalls  context.Context
 	cancelPlatform context.CancelFunc
 }
 
 // New returns a Runner.
 func New(opts Options) *Runner {
 	r := &Runner{
-		opts:           opts,
-		core:           opts.Core,
-		inputs:         ring.New[distribution.Input](ringSize),
-		cancelPlatform: func() {},
+		opts:   opts,
+		core:   opts.Core,
+		inputs: ring.New[distribution.Input](ringSize),
 	}
 	r.status.Store(&distribution.Status{})
 	return r
@@ -88,6 +88,8 @@
 // Run drives the core until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.calls.Wait()
+	r.platformCalls, r.cancelPlatform = context.WithCancel(ctx)
+	defer func() { r.cancelPlatform() }()
 	members := time.NewTicker(membersInterval)
 	defer members.Stop()
 	wake := time.NewTimer(0)
@@ -123,8 +125,9 @@
 	for _, c := range out.Calls {
 		r.start(ctx, c)
 	}
-	if out.CancelPlatform || out.Platform != nil {
+	if out.CancelPlatform {
 		r.cancelPlatform()
+		r.platformCalls, r.cancelPlatform = context.WithCancel(ctx)
 	}
 	if out.Platform != nil {
 		r.askPlatform(ctx, *out.Platform)
@@ -170,8 +173,7 @@
 	if req.Watch {
 		timeout = req.Wait + watchGrace
 	}
-	ctx, cancel := context.WithTimeout(parent, timeout)
-	r.cancelPlatform = cancel
+	ctx, cancel := context.WithTimeout(r.platformCalls, timeout)
 	r.calls.Add(1)
 	go func() {
 		defer r.calls.Done()
@@ -183,13 +185,13 @@
 		} else {
 			reply.Objects, reply.Revision, reply.Err = r.opts.Platform.List(ctx, prefix)
 		}
-		platformCalls.Observe(outcome(&reply), time.Since(begun))
+		callTimes.Observe(outcome(&reply), time.Since(begun))
 		r.deliver(parent, distribution.Input{Platform: &reply})
 	}()
 }
 
-// platformCalls are the waiting times of the calls for policies.
-var platformCalls = metrics.NewHistograms("platform_policy_call")
+// callTimes are the waiting times of the calls for policies.
+var callTimes = metrics.NewHistograms("platform_policy_call")
 
 func outcome(r *distribution.PlatformReply) string {
 	switch {
