Let other nodes watch the platform for those that it does not answer

Two nodes of each failure domain watch the platform for it, always the same ones. If the platform answers neither, the domain heard of a change by chance, from the digest of a node elsewhere: with nine tenths of the nodes cut off from the platform, callers got 404 for routes confirmed 2.1 s before. The class of fault is that of the watches before: one path whose silence looks like no news.

A watcher whose call is overdue, or fails twice, asks four members at random to watch in its place for 3 s, and asks again while it gets no answers. A node that heard of a policy from the platform tells a member of each other failure domain 150 ms later.

An outage for all makes up to 96 more calls a pause at 2,100 nodes.

--- a/internal/coordination/distribution/core.go
+++ b/internal/coordination/distribution/core.go
@@ -38,6 +38,9 @@
 	// pushRepeat is the time after which a node pushes a new epoch a second time,
 	// to other peers, for those that the first datagrams did not reach.
 	pushRepeat = time.Second
+	// acrossDelay is the time after which a policy that the platform reported is told to
+	// the other failure domains. Most heard of it from their own watchers by then.
+	acrossDelay = 150 * time.Millisecond
 	// maxPullServices bounds the services in one Pull, and maxPulls the calls at once.
 	maxPullServices = 64
 	maxPulls        = 8
@@ -222,6 +225,9 @@
 	for _, d := range in.Digests {
 		c.heardDigest(d)
 	}
+	for _, t := range in.TakeOvers {
+		c.takeOver(t)
+	}
 	for _, id := range slices.Sorted(maps.Keys(c.calls)) {
 		if !c.now.Before(c.calls[id].deadline) {
 			c.reply(&Reply{ID: id, Err: errTimeout})
@@ -265,8 +271,8 @@
 			earlier(due)
 		}
 	}
-	if len(c.repeats) > 0 {
-		earlier(c.repeats[0].due)
+	for i := range c.repeats {
+		earlier(c.repeats[i].due)
 	}
 	earlier(c.platformWake())
 	earlier(c.quietAt)
@@ -339,6 +345,9 @@
 		}
 		h := Have{p.Service, p.Epoch, p.Hash}
 		c.repeats = append(c.repeats, repeat{Have: h, due: c.now.Add(pushRepeat), told: c.push(h, nil)})
+		if source == fromPlatform {
+			c.repeats = append(c.repeats, repeat{Have: h, due: c.now.Add(acrossDelay), across: true})
+		}
 	}
 	if w := c.wants[v.Service]; w != nil && !c.missing(w.Have) {
 		delete(c.wants, v.Service)
--- a/internal/coordination/distribution/messages.go
+++ b/internal/coordination/distribution/messages.go
@@ -61,15 +61,24 @@
 	Confirmed bool
 }
 
-// Call is a request to a peer. Either Pull or Sync is set.
+// TakeOver asks a peer to watch the platform for a while in place of the sender, which
+// gets no answers from it.
+type TakeOver struct {
+	// Revision is that of the last answer that the sender got, or 0.
+	Revision uint64
+}
+
+// Call is a request to a peer. One of Pull, Sync and TakeOver is set.
 type Call struct {
-	ID   uint64
-	To   registry.NodeID
-	Pull *Pull
-	Sync *Sync
+	ID       uint64
+	To       registry.NodeID
+	Pull     *Pull
+	Sync     *Sync
+	TakeOver *TakeOver
 }
 
-// Reply is the answer to a Call, or the error instead of it.
+// Reply is the answer to a Call, or the error instead of it. The answer to a TakeOver
+// says nothing.
 type Reply struct {
 	ID   uint64
 	Err  error
@@ -127,6 +136,8 @@
 	Digests  []HeardDigest
 	Replies  []Reply
 	Platform *PlatformReply
+	// TakeOvers are the requests of peers to watch the platform for them.
+	TakeOvers []TakeOver
 }
 
 // Output is what the step decided.
--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -24,9 +24,14 @@
 	quickSuccession = time.Second
 )
 
+// fromPlatform is the source of a policy that the platform reported.
+const fromPlatform = "platform"
+
 // platformSource is the state of the watch on the platform.
 type platformSource struct {
 	watcher bool
+	// takenOver is until when the node watches for a peer.
+	takenOver time.Time
 	// request is the waiting request; nil if there is none.
 	request  *PlatformRequest
 	asked    time.Time
@@ -52,7 +57,7 @@
 	switch {
 	case s.request != nil:
 		return s.deadline
-	case s.watcher:
+	case c.watches():
 		return s.retryAt
 	}
 	return time.Time{}
@@ -69,7 +74,7 @@
 			s.overdue[s.request.ID] = s.request
 			s.request = nil
 			c.platformFailed(errOverdue)
-		case !s.watcher && s.request.Watch:
+		case !c.watches() && s.request.Watch:
 			s.request, s.listed = nil, false
 			c.out.CancelPlatform = true
 		}
@@ -77,7 +82,7 @@
 	if s.request != nil || c.now.Before(s.retryAt) {
 		return
 	}
-	if !s.watcher {
+	if !c.watches() {
 		s.listed = false
 		if c.confirmed.Load() || c.now.Before(c.start.listAt) {
 			return
@@ -144,6 +149,9 @@
 		high := min(c.o.MaxBackoff, 2*backoffLow<<min(s.failures, 10))
 		s.retryAt = c.now.Add(backoffLow + c.jitter(high-backoffLow))
 	}
+	if s.failures > 0 || errors.Is(err, errOverdue) {
+		c.askTakeOver()
+	}
 	s.failures++
 	s.lastError = err
 }
@@ -186,15 +194,15 @@
 			continue
 		}
 		if obj.Deleted {
-			c.refusal(service, 0, obj.Version, "the platform deleted the policy; the last epoch stays in force", "platform")
+			c.refusal(service, 0, obj.Version, "the platform deleted the policy; the last epoch stays in force", fromPlatform)
 			continue
 		}
 		env, err := policy.DecodeEnvelope(obj)
 		if err != nil {
-			c.refusal(service, 0, obj.Version, err.Error(), "platform")
+			c.refusal(service, 0, obj.Version, err.Error(), fromPlatform)
 			continue
 		}
-		c.offer(policy.Versioned{Service: service, Epoch: env.Epoch, Text: []byte(env.Text)}, "platform")
+		c.offer(policy.Versioned{Service: service, Epoch: env.Epoch, Text: []byte(env.Text)}, fromPlatform)
 	}
 }
 
--- a/internal/coordination/distribution/pull.go
+++ b/internal/coordination/distribution/pull.go
@@ -189,6 +189,7 @@
 			}
 		}
 		c.retrySync(cl.To, retries)
+	case cl.TakeOver != nil:
 	case r.Err != nil || r.Sync == nil:
 		if cl.starting {
 			c.startReply(cl.To, nil)
--- a/internal/coordination/distribution/push.go
+++ b/internal/coordination/distribution/push.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -54,20 +55,43 @@
 	c.want(h.Have, h.From, syncRetries)
 }
 
-// repeatPushes pushes the epochs that are still in force a second time.
+// pushAcross tells a member of each other failure domain, because none of its watchers
+// may reach the platform. The document stays here: hardly any of them lacks it.
+func (c *Core) pushAcross(h Have) {
+	domains := map[string][]registry.NodeID{}
+	for _, m := range c.members {
+		if m.FailureDomain != c.o.FailureDomain {
+			domains[m.FailureDomain] = append(domains[m.FailureDomain], m.ID)
+		}
+	}
+	for _, d := range slices.Sorted(maps.Keys(domains)) {
+		to := domains[d][c.rand.IntN(len(domains[d]))]
+		c.out.Datagrams = append(c.out.Datagrams, Datagram{To: to, Have: h})
+	}
+}
+
+// repeatPushes makes the pushes that are due of epochs that are still in force.
 func (c *Core) repeatPushes() {
-	for len(c.repeats) > 0 && !c.now.Before(c.repeats[0].due) {
-		r := c.repeats[0]
-		c.repeats = c.repeats[1:]
-		if p := c.table.Get(r.Service); p.Epoch == r.Epoch {
+	c.repeats = slices.DeleteFunc(c.repeats, func(r repeat) bool {
+		if c.now.Before(r.due) {
+			return false
+		}
+		switch p := c.table.Get(r.Service); {
+		case p.Epoch != r.Epoch:
+		case r.across:
+			c.pushAcross(r.Have)
+		default:
 			c.push(r.Have, r.told)
 		}
-	}
+		return true
+	})
 }
 
-// repeat is a push that is due a second time.
+// repeat is a later push of an epoch: across to other failure domains, or in the own
+// one to members that were not told.
 type repeat struct {
 	Have
-	due  time.Time
-	told []registry.NodeID
+	due    time.Time
+	across bool
+	told   []registry.NodeID
 }
--- a/internal/coordination/distribution/sim_test.go
+++ b/internal/coordination/distribution/sim_test.go
@@ -248,7 +248,9 @@
 	s.send(n.index, to.index, func() {
 		r := Reply{ID: c.ID}
 		have := to.core.Table().All()
-		if c.Pull != nil {
+		if c.TakeOver != nil {
+			s.step(to, Input{TakeOvers: []TakeOver{*c.TakeOver}})
+		} else if c.Pull != nil {
 			p := to.core.ServePull(*c.Pull)
 			r.Pull = &p
 		} else {
--- /dev/null
+++ b/internal/coordination/distribution/takeover.go
@@ -0,0 +1,51 @@
+package distribution
+
+import "time"
+
+const (
+	// takeOverPeers are asked to watch the platform after each call that failed. With 24
+	// watchers, an outage for all makes 96 more calls in each pause.
+	takeOverPeers = 4
+	// takeOverTime is how long a peer watches. Asked again, it goes on.
+	takeOverTime = 3 * time.Second
+)
+
+// watches reports whether the node watches the platform, for its failure domain or for
+// a peer.
+func (c *Core) watches() bool { return c.source.watcher || c.now.Before(c.source.takenOver) }
+
+// askTakeOver asks members at random to watch the platform, which may answer others
+// while it does not answer this node.
+func (c *Core) askTakeOver() {
+	s := &c.source
+	if !s.watcher {
+		// A peer that cannot help is not asked for more.
+		s.takenOver = time.Time{}
+		return
+	}
+	if !c.ready {
+		return
+	}
+	asked := 0
+	for _, i := range c.rand.Perm(len(c.members)) {
+		if asked == takeOverPeers {
+			break
+		}
+		if id := c.members[i].ID; id != c.o.Self {
+			asked++
+			c.call(id, &call{Call: Call{TakeOver: &TakeOver{Revision: s.revision}}})
+		}
+	}
+}
+
+// takeOver watches the platform for a peer.
+func (c *Core) takeOver(t TakeOver) {
+	s := &c.source
+	if s.watcher || !c.confirmed.Load() {
+		return
+	}
+	if !c.watches() {
+		s.listed, s.revision, s.retryAt = t.Revision > 0, t.Revision, c.now
+	}
+	s.takenOver = c.now.Add(takeOverTime)
+}
--- a/internal/protocol/policypb/policy.twirp.go
+++ b/internal/protocol/policypb/policy.twirp.go
@@ -38,6 +38,9 @@
 
 	// Pull returns the policies of some services.
 	Pull(context.Context, *PullRequest) (*PullResponse, error)
+
+	// TakeOver asks the node to watch the platform for a while in place of the caller.
+	TakeOver(context.Context, *TakeOverRequest) (*TakeOverResponse, error)
 }
 
 // ========================
@@ -46,7 +49,7 @@
 
 type policiesProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -74,9 +77,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "wigeonspring.policy", "Policies")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Sync",
 		serviceURL + "Pull",
+		serviceURL + "TakeOver",
 	}
 
 	return &policiesProtobufClient{
@@ -179,13 +183,59 @@
 	return out, nil
 }
 
+func (c *policiesProtobufClient) TakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "wigeonspring.policy")
+	ctx = ctxsetters.WithServiceName(ctx, "Policies")
+	ctx = ctxsetters.WithMethodName(ctx, "TakeOver")
+	caller := c.callTakeOver
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *TakeOverRequest) (*TakeOverResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeOverRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeOverRequest) when calling interceptor")
+					}
+					return c.callTakeOver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeOverResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeOverResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *policiesProtobufClient) callTakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
+	out := new(TakeOverResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ====================
 // Policies JSON Client
 // ====================
 
 type policiesJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -213,9 +263,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "wigeonspring.policy", "Policies")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Sync",
 		serviceURL + "Pull",
+		serviceURL + "TakeOver",
 	}
 
 	return &policiesJSONClient{
@@ -318,6 +369,52 @@
 	return out, nil
 }
 
+func (c *policiesJSONClient) TakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "wigeonspring.policy")
+	ctx = ctxsetters.WithServiceName(ctx, "Policies")
+	ctx = ctxsetters.WithMethodName(ctx, "TakeOver")
+	caller := c.callTakeOver
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *TakeOverRequest) (*TakeOverResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeOverRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeOverRequest) when calling interceptor")
+					}
+					return c.callTakeOver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeOverResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeOverResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *policiesJSONClient) callTakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
+	out := new(TakeOverResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =======================
 // Policies Server Handler
 // =======================
@@ -421,6 +518,9 @@
 	case "Pull":
 		s.servePull(ctx, resp, req)
 		return
+	case "TakeOver":
+		s.serveTakeOver(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -788,6 +888,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *policiesServer) serveTakeOver(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveTakeOverJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveTakeOverProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *policiesServer) serveTakeOverJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "TakeOver")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(TakeOverRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Policies.TakeOver
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TakeOverRequest) (*TakeOverResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeOverRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeOverRequest) when calling interceptor")
+					}
+					return s.Policies.TakeOver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeOverResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeOverResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *TakeOverResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeOverResponse and nil error while calling TakeOver. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *policiesServer) serveTakeOverProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "TakeOver")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(TakeOverRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Policies.TakeOver
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TakeOverRequest) (*TakeOverResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeOverRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeOverRequest) when calling interceptor")
+					}
+					return s.Policies.TakeOver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeOverResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeOverResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *TakeOverResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeOverResponse and nil error while calling TakeOver. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *policiesServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1369,28 +1649,31 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 364 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x92, 0x41, 0x4f, 0xfa, 0x40,
-	0x10, 0xc5, 0x53, 0xe8, 0xbf, 0x94, 0x29, 0xff, 0xcb, 0xea, 0xa1, 0x41, 0x0e, 0xb5, 0x17, 0xea,
-	0xa5, 0x35, 0x78, 0xf0, 0x62, 0x3c, 0x78, 0x45, 0x13, 0xb2, 0x26, 0x1e, 0xf4, 0x04, 0x65, 0x80,
-	0x4d, 0xca, 0x6e, 0xdd, 0x2d, 0x08, 0xdf, 0xc7, 0x0f, 0x6a, 0xba, 0xdb, 0x62, 0x4d, 0xc0, 0x83,
-	0x27, 0x66, 0x66, 0x7f, 0x99, 0x79, 0xef, 0x51, 0x18, 0x32, 0x5e, 0xa0, 0xe4, 0xd3, 0x2c, 0xc9,
-	0xa5, 0x28, 0x44, 0x2a, 0xb2, 0x24, 0x17, 0x19, 0x4b, 0xf7, 0xf9, 0xac, 0x2a, 0x62, 0xfd, 0x40,
-	0xce, 0x3e, 0xd8, 0x12, 0x05, 0x57, 0xb9, 0x64, 0x7c, 0x19, 0x9b, 0xa7, 0xf0, 0x09, 0x3a, 0x2f,
-	0x28, 0x15, 0x13, 0x9c, 0xf8, 0xd0, 0x51, 0x28, 0xb7, 0x2c, 0x45, 0xdf, 0x0a, 0xac, 0xa8, 0x4b,
-	0xeb, 0x96, 0x9c, 0xc3, 0x3f, 0xcc, 0x45, 0xba, 0xf2, 0x5b, 0x81, 0x15, 0xd9, 0xd4, 0x34, 0x84,
-	0x80, 0xbd, 0x9a, 0xaa, 0x95, 0xdf, 0x0e, 0xac, 0xc8, 0xa1, 0xba, 0x0e, 0x87, 0xe0, 0x3d, 0xef,
-	0x79, 0x4a, 0xf1, 0x7d, 0x83, 0xaa, 0x28, 0x57, 0xce, 0xd9, 0x12, 0x55, 0xa1, 0x7c, 0x2b, 0x68,
-	0x47, 0x0e, 0xad, 0xdb, 0x70, 0x07, 0x3d, 0x03, 0xaa, 0x5c, 0x70, 0x85, 0x86, 0x5c, 0x2c, 0x50,
-	0x1a, 0xf2, 0x3f, 0xad, 0x5b, 0x72, 0x5d, 0x9e, 0xd9, 0xa2, 0xdf, 0x0a, 0xda, 0x91, 0x37, 0x1a,
-	0xc4, 0x47, 0x5c, 0xc4, 0x95, 0x05, 0xaa, 0x49, 0x32, 0x80, 0x6e, 0x2a, 0xf8, 0x82, 0xc9, 0x35,
-	0xce, 0xb5, 0x3a, 0x97, 0x7e, 0x0f, 0xc2, 0x2b, 0xf0, 0x26, 0x9b, 0x2c, 0xab, 0x25, 0xf6, 0xc1,
-	0xad, 0x6c, 0x9a, 0xcb, 0x5d, 0x7a, 0xe8, 0xc3, 0x37, 0xe8, 0x19, 0xb4, 0x12, 0x79, 0x0b, 0xae,
-	0x3e, 0xc8, 0x2a, 0xd6, 0x1b, 0x5d, 0x1c, 0x95, 0x33, 0xd1, 0x3f, 0xf4, 0x00, 0x97, 0x51, 0xad,
-	0x85, 0x44, 0x9d, 0x9f, 0x4b, 0x75, 0x1d, 0x3e, 0x82, 0x63, 0xb8, 0xbf, 0x04, 0x5f, 0xe0, 0xae,
-	0xd0, 0xd6, 0x7a, 0x54, 0xd7, 0xa3, 0x4f, 0x0b, 0xdc, 0x49, 0x7d, 0x6e, 0x0c, 0x76, 0x19, 0x2e,
-	0x09, 0x8e, 0xaa, 0x6b, 0xfc, 0x41, 0xfd, 0xcb, 0x5f, 0x88, 0xca, 0xf4, 0x18, 0xec, 0x32, 0x84,
-	0x13, 0xcb, 0x1a, 0x51, 0x9e, 0x58, 0xd6, 0x4c, 0xf0, 0xe1, 0xfe, 0xf5, 0xee, 0x07, 0x83, 0xbb,
-	0xe9, 0x3a, 0xcf, 0x30, 0x69, 0x0e, 0x93, 0xd3, 0x1f, 0xf4, 0xcc, 0xd1, 0xa3, 0x9b, 0xaf, 0x00,
-	0x00, 0x00, 0xff, 0xff, 0x91, 0x1a, 0xb8, 0x0f, 0xf5, 0x02, 0x00, 0x00,
+	// 412 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x93, 0x41, 0x8f, 0xd3, 0x30,
+	0x10, 0x85, 0x95, 0x6d, 0xc8, 0xa6, 0x93, 0x22, 0x90, 0xe1, 0x10, 0x95, 0x3d, 0x04, 0x0b, 0xb4,
+	0xe1, 0x40, 0x82, 0xca, 0x81, 0x0b, 0xe2, 0xc0, 0x75, 0x41, 0x54, 0x06, 0x81, 0x04, 0xa7, 0x6c,
+	0x3a, 0x6d, 0x2d, 0x52, 0x3b, 0xd8, 0x69, 0x68, 0x7f, 0x3c, 0x12, 0x8a, 0x9d, 0xb4, 0x29, 0x4a,
+	0x41, 0xe2, 0x94, 0x19, 0xfb, 0xd3, 0xf8, 0xbd, 0x37, 0x0a, 0x5c, 0x73, 0x51, 0xa1, 0x12, 0x59,
+	0x91, 0x96, 0x4a, 0x56, 0x32, 0x97, 0x45, 0x5a, 0xca, 0x82, 0xe7, 0xfb, 0xf2, 0xb6, 0x2d, 0x12,
+	0x73, 0x41, 0x1e, 0xfc, 0xe4, 0x2b, 0x94, 0x42, 0x97, 0x8a, 0x8b, 0x55, 0x62, 0xaf, 0xe8, 0x7b,
+	0xb8, 0xfc, 0x8c, 0x4a, 0x73, 0x29, 0x48, 0x08, 0x97, 0x1a, 0x55, 0xcd, 0x73, 0x0c, 0x9d, 0xc8,
+	0x89, 0xc7, 0xac, 0x6b, 0xc9, 0x43, 0xb8, 0x83, 0xa5, 0xcc, 0xd7, 0xe1, 0x45, 0xe4, 0xc4, 0x2e,
+	0xb3, 0x0d, 0x21, 0xe0, 0xae, 0x33, 0xbd, 0x0e, 0x47, 0x91, 0x13, 0x7b, 0xcc, 0xd4, 0xf4, 0x1a,
+	0x82, 0x8f, 0x7b, 0x91, 0x33, 0xfc, 0xb1, 0x45, 0x5d, 0x35, 0x23, 0x17, 0x7c, 0x85, 0xba, 0xd2,
+	0xa1, 0x13, 0x8d, 0x62, 0x8f, 0x75, 0x2d, 0xdd, 0xc1, 0xc4, 0x82, 0xba, 0x94, 0x42, 0xa3, 0x25,
+	0x97, 0x4b, 0x54, 0x96, 0xbc, 0xcb, 0xba, 0x96, 0xbc, 0x68, 0x9e, 0xa9, 0x31, 0xbc, 0x88, 0x46,
+	0x71, 0x30, 0xbb, 0x4a, 0x06, 0x5c, 0x24, 0xad, 0x05, 0x66, 0x48, 0x72, 0x05, 0xe3, 0x5c, 0x8a,
+	0x25, 0x57, 0x1b, 0x5c, 0x18, 0x75, 0x3e, 0x3b, 0x1e, 0xd0, 0x67, 0x10, 0xcc, 0xb7, 0x45, 0xd1,
+	0x49, 0x9c, 0x82, 0xdf, 0xda, 0xb4, 0x2f, 0x8f, 0xd9, 0xa1, 0xa7, 0xdf, 0x60, 0x62, 0xd1, 0x56,
+	0xe4, 0x2b, 0xf0, 0xcd, 0x83, 0xbc, 0x65, 0x83, 0xd9, 0xa3, 0x41, 0x39, 0x73, 0xf3, 0x61, 0x07,
+	0xb8, 0x89, 0x6a, 0x23, 0x15, 0x9a, 0xfc, 0x7c, 0x66, 0x6a, 0xfa, 0x0e, 0x3c, 0xcb, 0xfd, 0x4f,
+	0xf0, 0x15, 0xee, 0x2a, 0x63, 0x6d, 0xc2, 0x4c, 0x4d, 0x9f, 0xc3, 0xbd, 0x4f, 0xd9, 0x77, 0xfc,
+	0x50, 0xa3, 0xea, 0x39, 0x53, 0x58, 0xf3, 0x26, 0x18, 0x33, 0xd7, 0x65, 0x87, 0x9e, 0x12, 0xb8,
+	0x7f, 0xc4, 0xad, 0xbb, 0xd9, 0x2f, 0x07, 0xfc, 0x79, 0xa7, 0xf8, 0x06, 0xdc, 0x66, 0x3f, 0x24,
+	0x1a, 0x34, 0xd8, 0xdb, 0xf1, 0xf4, 0xf1, 0x5f, 0x88, 0x36, 0xb7, 0x1b, 0x70, 0x9b, 0x1c, 0xcf,
+	0x0c, 0xeb, 0x6d, 0xe3, 0xcc, 0xb0, 0x93, 0x25, 0x7c, 0x01, 0xbf, 0x93, 0x4e, 0x9e, 0x0c, 0xe2,
+	0x7f, 0x04, 0x31, 0x7d, 0xfa, 0x0f, 0xca, 0x0e, 0x7e, 0xfb, 0xe6, 0xeb, 0xeb, 0x13, 0x0e, 0x77,
+	0xd9, 0xa6, 0x2c, 0x30, 0xed, 0x1f, 0xa6, 0xe7, 0x7f, 0xb6, 0x5b, 0xcf, 0x1c, 0xbd, 0xfc, 0x1d,
+	0x00, 0x00, 0xff, 0xff, 0xd9, 0xf0, 0x5c, 0xcf, 0x91, 0x03, 0x00, 0x00,
 }
--- a/internal/transport/policysync/rpc.go
+++ b/internal/transport/policysync/rpc.go
@@ -50,6 +50,15 @@
 	return resp, nil
 }
 
+// TakeOver implements policypb.Policies.
+func (r *Runner) TakeOver(_ context.Context, req *policypb.TakeOverRequest) (*policypb.TakeOverResponse, error) {
+	in := distribution.Input{TakeOvers: []distribution.TakeOver{{Revision: req.Revision}}}
+	if !r.inputs.Offer(in) {
+		return nil, twirp.NewError(twirp.ResourceExhausted, "the node is busy")
+	}
+	return &policypb.TakeOverResponse{}, nil
+}
+
 // call sends one request of the core to a peer.
 func (r *Runner) call(ctx context.Context, c distribution.Call) distribution.Reply {
 	reply := distribution.Reply{ID: c.ID}
@@ -66,6 +75,8 @@
 		reply.Pull, reply.Err = pull(ctx, client, c.Pull)
 	case c.Sync != nil:
 		reply.Sync, reply.Err = syncTable(ctx, client, c.Sync)
+	case c.TakeOver != nil:
+		_, reply.Err = client.TakeOver(ctx, &policypb.TakeOverRequest{Revision: c.TakeOver.Revision})
 	}
 	return reply
 }
