Use no connection again after a refusal that names no request

A backend server that writes an earlier refusal once more on a kept connection made the owner take it for the answer to the next request, which was running: the caller was told "not run", and a request that must not be repeated could run on a second backend server. Refusals that repeat the request id were told apart by it; one without an id was not.

The connection of such a refusal is closed now. Ruled out: to trust no refusal without an id, which would end requests as unknown that have not run; to close after every refusal, which the id makes needless.

TestRepeatedRefusalAnswersNoOtherRequest failed before (a request that ran was answered 503) and passes; with ids it passed before.

--- a/internal/transport/backend/exchange.go
+++ b/internal/transport/backend/exchange.go
@@ -76,7 +76,8 @@
 		x.abandon()
 		return nil, x.classify(err, untouched)
 	}
-	if got := resp.Header.Get(p.opt.IDHeader); got != "" && got != id && !p.off.requestID {
+	got := resp.Header.Get(p.opt.IDHeader)
+	if got != "" && got != id && !p.off.requestID {
 		x.abandon()
 		p.stray()
 		return nil, x.fail(evidence.Reset, ReasonMismatch, errors.New("the answer belongs to another request"))
@@ -85,6 +86,9 @@
 		x.abandon()
 		return nil, x.fail(evidence.Truncated, ReasonNoLength, errors.New("the end of the answer cannot be recognized"))
 	}
+	// Written once more, a refusal that names no request would pass for the answer to the
+	// next one.
+	x.last = got == "" && p.opt.NotRun != nil && p.opt.NotRun(resp)
 	resp.Body = &body{exchange: x, ReadCloser: resp.Body, whole: req.Method == http.MethodHead || resp.ContentLength == 0}
 	return &Answer{Response: resp, exchange: x}, nil
 }
@@ -128,7 +132,9 @@
 	conn   *conn
 	addr   string
 	upload *upload
-	once   sync.Once
+	// last is set if the connection must not be used again.
+	last bool
+	once sync.Once
 }
 
 // abandon closes the connection, so that a late answer reaches nobody.
@@ -141,6 +147,10 @@
 
 // complete ends an exchange whose answer was read to the end.
 func (x *exchange) complete() {
+	if x.last {
+		x.abandon()
+		return
+	}
 	x.once.Do(func() {
 		x.conn.finish()
 		x.cancel()
--- a/internal/transport/backend/exchange_test.go
+++ b/internal/transport/backend/exchange_test.go
@@ -180,6 +180,44 @@
 	}
 }
 
+// Guards against an earlier refusal that a backend server writes once more on a kept
+// connection: taken for the answer to the next request, it says that a request has not
+// run that is running.
+func TestRepeatedRefusalAnswersNoOtherRequest(t *testing.T) {
+	for _, named := range []bool{false, true} {
+		refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+		if named {
+			refusal += header.RequestID + ": first\r\n"
+		}
+		var refused sync.Map // of net.Conn
+		s := serveScript(t, func(_ int, r *http.Request, c net.Conn) bool {
+			if r.URL.Path == "/refused" {
+				refused.Store(c, true)
+				return say(c, refusal+"\r\n")
+			}
+			if _, again := refused.Load(c); again && !say(c, refusal+"\r\n") {
+				return false
+			}
+			return ok(c, "ran")
+		})
+		p := NewPool(Options{Addr: s.addr, MaxConns: 2, NotRun: func(resp *http.Response) bool { return resp.Header.Get("X-Not-Run") != "" }})
+		t.Cleanup(func() { p.Close(); waitClosed(t, p) })
+		a, err := p.Do(context.Background(), newRequest(t, "POST", "/refused", ""), "first", false, yes)
+		if err != nil || a.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("refusal: %+v, %v", a, err)
+		}
+		_ = a.Body.Close()
+		time.Sleep(20 * time.Millisecond) // The connection may come back to the pool.
+		a, err = p.Do(context.Background(), newRequest(t, "POST", "/runs", ""), "second", false, yes)
+		if err == nil {
+			_ = a.Body.Close()
+		}
+		if err == nil && a.StatusCode != http.StatusOK && s.count("/runs") > 0 {
+			t.Errorf("named %t: a request that ran was answered %d", named, a.StatusCode)
+		}
+	}
+}
+
 // extraAnswers lets the backend server answer every request twice in one segment
 // and returns how many requests got an answer that is not their own, at most
 // limit.
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -40,6 +40,9 @@
 	IDHeader string
 	// CloseDelimited accepts answers that end with their connection.
 	CloseDelimited bool
+	// NotRun reports whether an answer states that its request was not run; nil means
+	// that none does.
+	NotRun func(*http.Response) bool
 }
 
 // distrust is how long after an answer that belongs to no request a connection is
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -218,6 +218,7 @@
 		Trials:         s.Backend.Detector == settings.DetectorTrials,
 		IDHeader:       n.dialect().RequestID,
 		CloseDelimited: n.opts.Adapter != nil,
+		NotRun:         n.dialect().ProvesNotRun,
 	})
 	n.peers = peer.NewPool(peer.Options{MaxPeers: s.Limits.MaxPeerConnections})
 	n.owner = proxy.NewOwner(proxy.OwnerOptions{
--- a/internal/transport/proxy/backends.go
+++ b/internal/transport/proxy/backends.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -20,9 +21,10 @@
 	IdleTimeout time.Duration
 	// Ramp is the duration of the cold start ramp; see admission.Options.
 	Ramp time.Duration
-	// IDHeader and CloseDelimited are those of the connections; see backend.Options.
+	// IDHeader, CloseDelimited and NotRun are those of the connections; see backend.Options.
 	IDHeader       string
 	CloseDelimited bool
+	NotRun         func(*http.Response) bool
 	// Trials makes a backend server that fails suspect at once and tests it with
 	// idempotent requests; see package suspicion.
 	Trials bool
@@ -88,7 +90,7 @@
 			id: a.Backend, service: a.Service, address: a.Address, incarnation: a.Incarnation,
 			pool: backend.NewPool(backend.Options{
 				Addr: a.Address, MaxConns: slots + 1, DialTimeout: b.opt.DialTimeout, IdleTimeout: b.opt.IdleTimeout,
-				IDHeader: b.opt.IDHeader, CloseDelimited: b.opt.CloseDelimited,
+				IDHeader: b.opt.IDHeader, CloseDelimited: b.opt.CloseDelimited, NotRun: b.opt.NotRun,
 			}),
 			keeper: newKeeper(admission.NewGate(admission.Options{
 				Slots: slots, QueueLimit: limits.Queue, CallerInFlight: limits.CallerInFlight,
