Read the other entries where one of another writer cannot be read

One entry that is nested more than 10,000 levels deep, or whose revision is no number of the right size, made encoding/json refuse a whole listing: the nodes never became ready, did not find each other and no longer followed the configuration. No process ended. An announcement with port 0 was accepted.

Ruled out: a decoder that takes anything, which would take a cut answer for a listing; a bound below 10,000 levels, which changes nothing.

--- a/internal/state/platform/call.go
+++ b/internal/state/platform/call.go
@@ -23,6 +23,8 @@
 	ContentType string
 	// MaxAnswerBytes bounds an answer; 0 means no bound.
 	MaxAnswerBytes int64
+	// Decode reads an answer; nil means json.Unmarshal.
+	Decode func(answer []byte, into any) error
 }
 
 // RestLimit is how long a connection may rest before it is closed instead of used
@@ -88,7 +90,11 @@
 	if into == nil {
 		return nil
 	}
-	if err := json.Unmarshal(answer, into); err != nil {
+	decode := c.Decode
+	if decode == nil {
+		decode = json.Unmarshal
+	}
+	if err := decode(answer, into); err != nil {
 		return fault.New(call.Step, c.Base, fmt.Errorf("%w: unreadable answer: %w", ErrUnavailable, err))
 	}
 	return nil
--- a/internal/transport/node/seeds.go
+++ b/internal/transport/node/seeds.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -137,7 +138,11 @@
 	if err := json.Unmarshal(o.Value, &list); err != nil {
 		return nil, fault.New("decode seeds", o.Key, err)
 	}
-	return list, nil
+	// An address that no datagram can be sent to is of another writer.
+	return slices.DeleteFunc(list, func(s seed) bool {
+		addr, err := netip.ParseAddrPort(s.Addr)
+		return err != nil || addr.Port() == 0
+	}), nil
 }
 
 // registerSeed adds this node to the seeds of its failure domain if fewer than
