Replace connections between nodes that have fallen silent

A connection on which requests wait and nothing was heard for 1 s is asked for a sign of life. If only a new connection to the same node answers, it takes the place of the old one, and the requests on that one end after another second; those whose body the owner has not asked for are tried elsewhere. If no connection answers, the node may be paused or cut off, and all stays as it is.

--- /dev/null
+++ b/internal/transport/peer/check_test.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/standin/relay"
+)
+
+// linked returns a pool that reaches a server through a link.
+func linked(t *testing.T, h http.HandlerFunc) (p *Pool, link *relay.Relay, s *testServer) {
+	t.Helper()
+	s = serve(t, h)
+	link, err := relay.New(relay.Options{Listen: "127.0.0.1:0", Target: s.addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- link.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return newTestPool(t, Options{DoubtAfter: 100 * time.Millisecond, CheckTimeout: 200 * time.Millisecond}), link, s
+}
+
+// Guards against requests that wait for their deadlines on a connection that has fallen
+// silent, while the peer answers on others.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	p, link, s := linked(t, func(http.ResponseWriter, *http.Request) {})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := get(ctx, p, link.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	link.Silence()
+	var e *Error
+	begun := time.Now()
+	if err := get(ctx, p, link.Addr()); !errors.As(err, &e) || e.Reason != ReasonLost || e.NotSent {
+		t.Fatalf("request on a silent connection: %v", err)
+	}
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Errorf("noticed after %s", took)
+	}
+	if err := get(ctx, p, link.Addr()); err != nil || s.conns.Load() != 2 {
+		t.Fatalf("the next request: %v, %d connections", err, s.conns.Load())
+	}
+}
+
+// Guards against a connection that is given up because the work on it takes long.
+func TestSlowWorkKeepsItsConnection(t *testing.T) {
+	p, link, s := linked(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodHead {
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	for range 3 {
+		if err := get(context.Background(), p, link.Addr()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// Guards against an answer that is lost because its peer was paused or cut off for a
+// while, when no connection to it works.
+func TestAnswerSurvivesAShortCut(t *testing.T) {
+	p, link, _ := linked(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodHead {
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	if err := get(context.Background(), p, link.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	link.Set(relay.Link{CutIn: true, CutOut: true})
+	time.AfterFunc(1500*time.Millisecond, func() { link.Set(relay.Link{}) })
+	if err := get(context.Background(), p, link.Addr()); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -26,6 +26,11 @@
 	DefaultPingAfter = 5 * time.Second
 	// DefaultPingTimeout closes a connection whose ping was not answered.
 	DefaultPingTimeout = 2 * time.Second
+	// DefaultDoubtAfter is the silence after which a connection on which requests wait is
+	// checked. Work that takes longer costs a check of 150 B.
+	DefaultDoubtAfter = time.Second
+	// DefaultCheckTimeout bounds the wait for the answer to a check.
+	DefaultCheckTimeout = 500 * time.Millisecond
 	// continueTimeout keeps the body of a request that expects an interim response
 	// at the caller for as long as the owner has not asked for it.
 	continueTimeout = 24 * time.Hour
@@ -61,6 +66,10 @@
 	MaxPeers    int
 	PingAfter   time.Duration
 	PingTimeout time.Duration
+	// DoubtAfter is the silence after which a connection on which requests wait is
+	// checked, and CheckTimeout bounds the wait for the answer.
+	DoubtAfter   time.Duration
+	CheckTimeout time.Duration
 }
 
 // Pool holds one connection to each peer in use. It is safe for concurrent use.
@@ -84,6 +93,14 @@
 	err    error
 	// users counts requests that wait for the dial or are in flight.
 	users int
+	// waiting counts requests that wait for their response, heard is when the last one
+	// came or the first of them was sent, and doubt checks the connection.
+	waiting int
+	heard   time.Time
+	doubt   *time.Timer
+	// replaced is set if another connection has taken the place of this one, which ends
+	// with its last request.
+	replaced bool
 }
 
 // NewPool returns a pool without connections.
@@ -92,6 +109,8 @@
 	o.MaxPeers = cmp.Or(o.MaxPeers, DefaultMaxPeers)
 	o.PingAfter = cmp.Or(o.PingAfter, DefaultPingAfter)
 	o.PingTimeout = cmp.Or(o.PingTimeout, DefaultPingTimeout)
+	o.DoubtAfter = cmp.Or(o.DoubtAfter, DefaultDoubtAfter)
+	o.CheckTimeout = cmp.Or(o.CheckTimeout, DefaultCheckTimeout)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &Pool{
@@ -122,7 +141,9 @@
 	if err != nil {
 		return nil, err
 	}
+	p.await(l)
 	resp, err := l.client.RoundTrip(req.WithContext(ctx))
+	p.awaited(l, err == nil)
 	if err != nil {
 		p.release(l)
 		return nil, classify(addr, err)
@@ -213,8 +234,7 @@
 				Err: fault.Newf("connect to owner", addr, "all %d peer connections are in use", p.opt.MaxPeers)}
 		}
 		l = &link{addr: addr, ready: make(chan struct{}), users: 1}
-		l.elem = p.recent.PushFront(l)
-		p.peers[addr] = l
+		p.add(l)
 		p.mu.Unlock()
 		go p.dial(l)
 	}
@@ -266,6 +286,11 @@
 	return false
 }
 
+func (p *Pool) add(l *link) {
+	l.elem = p.recent.PushFront(l)
+	p.peers[l.addr] = l
+}
+
 func (p *Pool) remove(l *link) {
 	delete(p.peers, l.addr)
 	p.recent.Remove(l.elem)
@@ -274,7 +299,11 @@
 func (p *Pool) release(l *link) {
 	p.mu.Lock()
 	l.users--
+	last := l.replaced && l.users == 0
 	p.mu.Unlock()
+	if last {
+		_ = l.client.Close()
+	}
 }
 
 // Len returns the number of connections, including those being dialed.
