Let the link to the platform fail in the soak and in a test of policies

The soak cut links between nodes only, so that no run saw a connection to the platform that fell silent. The faults of the platform's link have a source of their own; the other faults of a seed are the same.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -93,7 +93,9 @@
 	// backends lists the indexes of the started backend servers by service.
 	backends map[string][]int
 	relays   map[int]*relay.Relay
-	floors   map[string]int
+	// platformLink lies between the nodes and the platform, if it is set.
+	platformLink *relay.Relay
+	floors       map[string]int
 	// loads counts the loads, whose operations have ids of their own.
 	loads int
 	// token is the operator token of the nodes.
@@ -220,12 +222,25 @@
 // later.
 func (f *fleet) addRelay(i int) *relay.Relay {
 	f.t.Helper()
-	r, err := relay.New(relay.Options{Listen: f.relayAddr(i), Target: f.peerAddr(i)})
+	f.relays[i] = f.startRelay(f.relayAddr(i), f.peerAddr(i))
+	return f.relays[i]
+}
+
+// addPlatformLink puts a relay between the platform and the nodes that are started
+// later. The command-line tool and the tests reach the platform without it.
+func (f *fleet) addPlatformLink() *relay.Relay {
+	f.t.Helper()
+	f.platformLink = f.startRelay(f.addr(0, 1), f.addr(0, 0))
+	return f.platformLink
+}
+
+func (f *fleet) startRelay(listen, target string) *relay.Relay {
+	f.t.Helper()
+	r, err := relay.New(relay.Options{Listen: listen, Target: target})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	go func() { _ = r.Run(f.ctx) }()
-	f.relays[i] = r
 	return r
 }
 
@@ -238,6 +253,10 @@
 	if f.relays[i] != nil {
 		advertise = f.relayAddr(i)
 	}
+	platform := f.platformURL()
+	if f.platformLink != nil {
+		platform = "http://" + f.platformLink.Addr()
+	}
 	text := fmt.Sprintf(`
 [node]
 id = %q
@@ -265,7 +284,7 @@
 [backend]
 detector = %q
 `, nodeName(i), domainOf(i), domainOf(i), f.callerAddr(i), f.peerAddr(i), advertise,
-		strings.TrimPrefix(f.operatorURL(i), "http://"), f.platformURL(), f.peerAddr(1), f.peerAddr(2), f.token,
+		strings.TrimPrefix(f.operatorURL(i), "http://"), platform, f.peerAddr(1), f.peerAddr(2), f.token,
 		cmp.Or(f.detector, settings.Defaults().Backend.Detector))
 	path := filepath.Join(f.t.TempDir(), nodeName(i)+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/e2e/policy_test.go
+++ b/e2e/policy_test.go
@@ -56,6 +56,28 @@
 	}
 }
 
+// Guards against a policy that comes into force late because the connections on which
+// the nodes wait for it have fallen silent.
+func TestSilentPlatformConnectionsDelayNoPolicy(t *testing.T) {
+	f := newFleet(t, 26600, 6)
+	link := f.addPlatformLink()
+	f.start("booking", bookingPolicy, 5, bookingFloor)
+	apply := func(timeout string) (epoch uint64) {
+		if out, code := f.ctl(1, "policy", "apply", writePolicy(t, "p.toml", timeout)); code != 0 {
+			t.Fatalf("apply: %s", out)
+		}
+		return f.storedEpoch()
+	}
+	// After a change, all watchers wait on connections that were just used.
+	first := apply("2100ms")
+	f.eventually(inForceBound, "a policy in force before the silence", func() bool { return f.epochEverywhere("booking", first) })
+	link.Silence()
+	start := time.Now()
+	second := apply("2200ms")
+	f.eventually(inForceBound-time.Since(start), "a policy in force after the silence", func() bool { return f.epochEverywhere("booking", second) })
+	t.Logf("in force %v after the operator began", time.Since(start))
+}
+
 // storedEpoch returns the highest epoch that any node has in force once the
 // command-line tool reports it.
 func (f *fleet) storedEpoch() uint64 {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -93,8 +93,9 @@
 	for i := 1; i <= soakNodes; i++ {
 		f.addRelay(i)
 	}
+	f.addPlatformLink()
 	f.start("booking", bookingPolicy, 5, bookingFloor)
-	s := &soak{fleet: f, rng: rand.New(rand.NewPCG(seed, 0)), down: map[int]bool{}}
+	s := &soak{fleet: f, seed: seed, rng: rand.New(rand.NewPCG(seed, 0)), down: map[int]bool{}}
 	stop := s.watchEpochs()
 	l := f.startLoad("booking", bookingHost, 120, soakFaultTime+7*time.Second, 1, 2, 3, 4, 5, 6)
 	s.injectFaults()
@@ -119,7 +120,8 @@
 // soak is the state of one run.
 type soak struct {
 	*fleet
-	rng *rand.Rand
+	seed uint64
+	rng  *rand.Rand
 	// down holds the nodes that a fault has stopped or paused.
 	down map[int]bool
 	// starts counts the processes of each node.
@@ -140,6 +142,7 @@
 	for at := time.Second; at < soakFaultTime; at += time.Duration(300+s.rng.IntN(1200)) * time.Millisecond {
 		steps = append(steps, s.fault(at, time.Duration(200+s.rng.IntN(4800))*time.Millisecond)...)
 	}
+	steps = append(steps, s.platformLinkFaults()...)
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	start := time.Now()
 	for _, step := range steps {
@@ -151,6 +154,29 @@
 	}
 }
 
+// platformLinkFaults draws faults of the link to the platform. They have a source of
+// their own, so that a seed draws the same other faults as before.
+func (s *soak) platformLinkFaults() (steps []step) {
+	rng := rand.New(rand.NewPCG(s.seed, 1))
+	link := s.platformLink
+	set := func(l relay.Link) func() { return func() { link.Set(l) } }
+	for range 4 {
+		at := time.Second + time.Duration(rng.Int64N(int64(soakFaultTime-time.Second)))
+		end := at + time.Duration(200+rng.IntN(4800))*time.Millisecond
+		switch rng.IntN(4) {
+		case 0:
+			steps = append(steps, step{at, "link to the platform: connections reset", link.Reset})
+		case 1:
+			steps = append(steps, step{at, "link to the platform: cut", set(relay.Link{CutIn: true, CutOut: true})}, step{end, "", set(relay.Link{})})
+		case 2:
+			steps = append(steps, step{at, "link to the platform: cut from it", set(relay.Link{CutOut: true})}, step{end, "", set(relay.Link{})})
+		default:
+			steps = append(steps, step{at, "link to the platform: connections silent", link.Silence})
+		}
+	}
+	return steps
+}
+
 // fault draws a fault that begins at the given time, and its end.
 func (s *soak) fault(at, lasts time.Duration) []step {
 	node, server := 1+s.rng.IntN(soakNodes), 1+s.rng.IntN(12)
