Test that digests alone spread a policy during an outage

TestInvariantsDependOnTheirMechanism no longer shows that anti-entropy is needed by itself, because nodes may also read the platform for one that is lost.

--- a/internal/coordination/distribution/silence_test.go
+++ b/internal/coordination/distribution/silence_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/policy"
 )
 
 const (
@@ -92,3 +94,29 @@
 	}
 	return late
 }
+
+// Guards against a policy that stays in the failure domain that learned of it while the
+// platform answers nobody.
+func TestDigestsSpreadAPolicyDuringAnOutage(t *testing.T) {
+	lacking := func(disabled Disabled) (nodes int) {
+		for seed := range int64(20) {
+			s := newSim(seed, 3, 5, disabled)
+			s.bootRunning()
+			s.runUntil(3 * time.Second)
+			s.silenceWatches()
+			s.platformSilent = true
+			s.epochs["booking"] = 1
+			have := Have{Service: "booking", Epoch: 1, Hash: policy.Hash(document("booking", 1))}
+			s.step(s.nodes[0], Input{Heard: []Heard{{From: s.nodes[1].member.ID, Have: have, Text: document("booking", 1)}}})
+			s.runUntil(3*time.Second + bound)
+			nodes += len(s.behind("booking"))
+		}
+		return nodes
+	}
+	if n := lacking(Disabled{}); n > 0 {
+		t.Errorf("%d nodes lack the policy %s later", n, bound)
+	}
+	if lacking(Disabled{AntiEntropy: true}) == 0 {
+		t.Error("no node lacks the policy with the mechanism switched off")
+	}
+}
