--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -30,7 +30,7 @@
 // platformSource is the state of the watch on the platform.
 type platformSource struct {
 	watcher bool
-	// takenOver is until when the node watches for a peer.
+	// takenOver is until when the node watches in place of others.
 	takenOver time.Time
 	// request is the waiting request; nil if there is none.
 	request  *PlatformRequest
--- a/internal/coordination/distribution/takeover.go
+++ b/internal/coordination/distribution/takeover.go
@@ -8,17 +8,17 @@
 	takeOverPeers = 4
 	// takeOverTime is how long a peer watches. Asked again, it goes on.
 	takeOverTime = 3 * time.Second
-	// doubters is the mean number of members that watch by themselves for each probe that
-	// every member sends and that is not answered: all members of a small fleet, and
-	// four a second of 2,100 if a failure domain is lost.
+	// doubters in the number of members is the chance that a node watches after a probe
+	// that was not answered: all nodes of a small fleet do, and four a second of 2,100 if
+	// a failure domain is lost.
 	doubters = 48
 	// freshRevision is the age up to which a revision of the platform can be watched from;
 	// it is below the time for which the platform keeps its history.
 	freshRevision = 10 * time.Second
 )
 
-// watches reports whether the node watches the platform, for its failure domain or for
-// a peer.
+// watches reports whether the node watches the platform, as the watcher of its failure
+// domain or in place of others.
 func (c *Core) watches() bool { return c.source.watcher || c.now.Before(c.source.takenOver) }
 
 // askTakeOver asks members at random to watch the platform, which may answer others
