Wait for the run itself before a test stops its node

The test was wrong about what runs. Change: the test waits for the start of the backend server's handler; its checks are the same. A new test stops the node at 60 or more moments around the request for the body and checks that "not run" and the number of runs agree; it fails if only one of the two outcomes occurs.

--- a/internal/transport/proxy/expect_continue_test.go
+++ b/internal/transport/proxy/expect_continue_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -143,23 +144,21 @@
 	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) {
 		in.ExpectContinue, in.MaxBufferedBodyBytes, in.FreeRefusals = true, 1<<20, 4
 	})
-	free := make(chan struct{})
+	begun, free := make(chan struct{}), make(chan struct{})
 	f.serve(1, "b1", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		close(begun)
 		<-free
 	})
 	f.nodes[1].backends.get("b1").admitter.controller.SetSlots(1)
-	load := func(inUse, queued int) func() bool {
-		return func() bool {
-			l, _ := f.nodes[1].backends.Load("b1")
-			return l.InUse == inUse && l.Queued == queued
-		}
-	}
 	running, waiting := make(chan result, 1), make(chan result, 1)
 	go func() { running <- f.send(0, "POST", "/1", strings.NewReader("x")) }()
-	waitFor(t, load(1, 0))
+	<-begun // A slot in use does not suffice: the body may not have been asked for yet.
 	go func() { waiting <- f.send(0, "POST", "/2", strings.NewReader("x")) }()
-	waitFor(t, load(1, 1))
+	waitFor(t, func() bool {
+		l, _ := f.nodes[1].backends.Load("b1")
+		return l.InUse == 1 && l.Queued == 1
+	})
 	f.nodes[0].ingress.StopAttempts()
 	if got := <-waiting; got.outcome != header.NotRun || got.status != http.StatusServiceUnavailable {
 		t.Fatalf("the waiting request: %+v", got)
@@ -169,3 +168,42 @@
 		t.Fatalf("the running request: %+v", got)
 	}
 }
+
+// Guards against a request that is reported as not run although it runs, if its node stops
+// at any moment between the owner's decision to run it and the arrival of its body there.
+func TestStopWhileBodyIsRequestedIsReportedTruthfully(t *testing.T) {
+	const rounds, maxRounds = 60, 1000
+	notRun, answered := 0, 0
+	for i := 0; i < rounds || (notRun == 0 || answered == 0) && i < maxRounds; i++ {
+		f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) {
+			in.ExpectContinue, in.MaxBufferedBodyBytes, in.FreeRefusals = true, 1<<20, 4
+		})
+		var runs atomic.Int32
+		f.serve(1, "b1", func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			_, _ = io.Copy(io.Discard, r.Body)
+		})
+		done := make(chan result, 1)
+		go func() { done <- f.send(0, "POST", "/", strings.NewReader("x")) }()
+		for l, _ := f.nodes[1].backends.Load("b1"); l.InUse == 0 && runs.Load() == 0; l, _ = f.nodes[1].backends.Load("b1") {
+			runtime.Gosched()
+		}
+		time.Sleep(time.Duration(i%6) * 50 * time.Microsecond)
+		f.nodes[0].ingress.StopAttempts()
+		got := <-done
+		if err := f.nodes[1].owner.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		switch {
+		case got.outcome == header.NotRun && runs.Load() == 0:
+			notRun++
+		case got.outcome == header.Answered && runs.Load() == 1:
+			answered++
+		default:
+			t.Fatalf("round %d: %+v after %d runs", i, got, runs.Load())
+		}
+	}
+	if notRun == 0 || answered == 0 {
+		t.Errorf("%d requests not run, %d answered: the moments do not cover both outcomes", notRun, answered)
+	}
+}
