Keep backend servers in service while their node stops

Change: admission.Controller.StopBy admits, until the exit, only requests that are expected to end before it (their deadline passes before, or the 90th percentile of their route's service times fits with a reserve) and refuses the others, queued ones too. Other nodes are told that the node leaves when nothing more is admitted. The setting drain.kill_after takes the platform's time until the kill and replaces drain.timeout. A draining ingress goes on with requests that may be calls of requests that run on its VM. Just before the end of the drain, callers whose request still runs get 502, or 503 if it has not run, instead of a closed connection. Closing idle connections no longer takes up to 2 s after the drain.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -27,6 +27,9 @@
 	medianSamples = 31
 	// maxMedians bounds the routes of a backend server for which a median is kept.
 	maxMedians = 64
+	// stopReserve, in percent of the 90th percentile of the recent service times of a
+	// route, is the time that a request is given to end before the process exits.
+	stopReserve = 125
 	// minMedianSamples is the smallest number of service times with which the median is
 	// used.
 	minMedianSamples = 5
@@ -76,6 +79,8 @@
 	BackendDraining Reason = "backend_draining"
 	// BackendEjected means that the backend server is ejected.
 	BackendEjected Reason = "backend_ejected"
+	// NodeStopping means that the request might not end before the process exits.
+	NodeStopping Reason = "node_stopping"
 	// DuplicateTicket means that the ticket is already queued or in flight.
 	DuplicateTicket Reason = "duplicate_ticket"
 )
@@ -149,6 +154,9 @@
 
 	medians medians
 
+	// end is when the process exits; zero means that no exit is planned. See StopBy.
+	end time.Time
+
 	disabled disabledMechanisms
 }
 
@@ -293,10 +301,10 @@
 	}
 	var next time.Time
 	for _, e := range c.queue {
-		if e.Deadline.IsZero() {
+		if e.Deadline.IsZero() && c.end.IsZero() {
 			break // The queue is in deadline order; entries without a deadline are last.
 		}
-		if at := c.expiry(&e.Request); next.IsZero() || at.Before(next) {
+		if at := c.latestStart(&e.Request); next.IsZero() || at.Before(next) {
 			next = at
 		}
 	}
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -86,6 +86,9 @@
 
 // lateReason returns why it is too late to start a request, or None.
 func (c *Controller) lateReason(r *Request) Reason {
+	if !c.end.IsZero() && !c.now.Before(c.stopExpiry(r)) {
+		return NodeStopping
+	}
 	if r.Deadline.IsZero() {
 		return None
 	}
@@ -98,6 +101,22 @@
 	return None
 }
 
+// latestStart returns the time from which lateReason refuses a request. The request has a
+// deadline, or an exit of the process is planned.
+func (c *Controller) latestStart(r *Request) time.Time {
+	switch {
+	case c.end.IsZero():
+		return c.expiry(r)
+	case r.Deadline.IsZero():
+		return c.stopExpiry(r)
+	}
+	at := c.expiry(r)
+	if stop := c.stopExpiry(r); stop.Before(at) {
+		return stop
+	}
+	return at
+}
+
 // expiry returns the time from which it is too late to start a request with a deadline. A
 // remaining time equal to the median service time of its route is still sufficient.
 func (c *Controller) expiry(r *Request) time.Time {
@@ -106,3 +125,57 @@
 	}
 	return r.Deadline
 }
+
+// StopBy announces that the process exits at end. From now on, requests are admitted only if
+// they will end before: their deadline has passed by then, or the 90th percentile of the
+// recent service times of their route, with a reserve, fits into the time left. Other
+// requests, also those in the queue, are refused with NodeStopping, so that they can be tried
+// elsewhere. A planned stop thus costs the service the use of a backend server for little
+// more than one service time, rather than for the whole drain.
+func (c *Controller) StopBy(now, end time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end = end
+	c.advance(now)
+}
+
+// LatestStart returns the time after which no route with known service times is admitted any
+// more, or zero if StopBy was not called or no service times are known.
+func (c *Controller) LatestStart(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(now)
+	var latest time.Time
+	if c.end.IsZero() {
+		return latest
+	}
+	for route := range c.medians {
+		if at, ok := c.routeStop(route); ok && at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
+// stopExpiry returns the time from which a request might not end before the process exits.
+func (c *Controller) stopExpiry(r *Request) time.Time {
+	if !r.Deadline.IsZero() && !r.Deadline.After(c.end) {
+		return c.end
+	}
+	at, _ := c.routeStop(r.Route)
+	return at
+}
+
+// routeStop returns the time from which a request of a route might not end before the process
+// exits, or false if its service times are not known.
+func (c *Controller) routeStop(route string) (time.Time, bool) {
+	w := c.medians[route]
+	if w == nil {
+		return time.Time{}, false
+	}
+	usual, ok := w.percentile90(c.now)
+	if !ok {
+		return time.Time{}, false
+	}
+	return c.end.Add(-usual * stopReserve / 100), true
+}
--- a/internal/coordination/admission/median.go
+++ b/internal/coordination/admission/median.go
@@ -64,6 +64,16 @@
 	return m.sorted[len(m.sorted)/2], true
 }
 
+// percentile90 returns the service time that nine in ten recent requests did not exceed, or
+// false if there are too few.
+func (m *windowedMedian) percentile90(now time.Time) (time.Duration, bool) {
+	m.expire(now)
+	if len(m.sorted) < minMedianSamples {
+		return 0, false
+	}
+	return m.sorted[len(m.sorted)*9/10], true
+}
+
 func (m *windowedMedian) expire(now time.Time) {
 	for len(m.samples) > 0 && now.Sub(m.samples[0].at) > medianWindow {
 		m.drop()
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -80,6 +80,20 @@
 type Drain struct {
 	Notice  Duration `toml:"notice" allowed:"0s to 1m" doc:"Time after SIGTERM during which the node still accepts requests but reports that it is not ready."`
 	Timeout Duration `toml:"timeout" allowed:"0s to 10m" doc:"Time that requests in flight have to finish after SIGTERM."`
+	// KillAfter takes precedence over Timeout; see Limit.
+	KillAfter Duration `toml:"kill_after" allowed:"0s (not known) or 1s to 10m" doc:"Time from SIGTERM until the platform kills the process. If set, requests in flight may finish until 500 ms before, and timeout has no effect."`
+}
+
+// killMargin is the time between the end of the drain and the kill by the platform. The
+// process closes its connections and exits meanwhile.
+const killMargin = 500 * time.Millisecond
+
+// Limit returns the time that requests in flight have to finish after SIGTERM.
+func (d Drain) Limit() time.Duration {
+	if d.KillAfter > 0 {
+		return time.Duration(d.KillAfter) - killMargin
+	}
+	return time.Duration(d.Timeout)
 }
 
 // Backend configures how the node treats the backend servers that it owns.
@@ -247,6 +261,7 @@
 	"listen.metrics_listen":           validOptionalAddress,
 	"platform.form":                   func(v any) bool { return v == "" || v == FormObjects },
 	"drain.notice":                    durationBetween(0, time.Minute),
+	"drain.kill_after":                func(v any) bool { return v == Duration(0) || durationBetween(time.Second, 10*time.Minute)(v) },
 	"backend.detector":                func(v any) bool { return v == DetectorCUSUM || v == DetectorTrials },
 	"backend.lease":                   durationBetween(time.Second, 10*time.Minute),
 	"fleet.floor_percent":             integerBetween(0, 100),
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -40,7 +40,7 @@
 	operatorWriteTimeout = 3 * time.Minute
 	// closeTimeout bounds the shutdown of the servers after the drain.
 	closeTimeout = 2 * time.Second
-	// shortCloseTimeout bounds the shutdown of the servers if the drain timed out.
+	// shortCloseTimeout bounds the shutdown of the servers at the end of the drain timeout.
 	shortCloseTimeout = 100 * time.Millisecond
 	reasonNotReady    = "node_not_ready"
 )
@@ -217,16 +217,28 @@
 	return fault.Newf("drain backend server", string(id), "not owned by this node")
 }
 
-// keepBackendsInService delays the shutdown for at most the notice time of the settings.
-// Meanwhile, the backend servers of this node accept requests from other nodes. The delay
-// ends early enough for a request with the longest timeout to end before the drain times
-// out.
-func (n *Node) keepBackendsInService(ctx context.Context) {
-	s := n.opts.Settings.Drain
-	longest := n.policies.LongestTimeout()
-	if left := time.Duration(s.Timeout) - longest; longest > 0 && left > 0 {
-		sleep(ctx, min(left, time.Duration(s.Notice)))
+// keepBackendsInService delays the shutdown while the process runs anyway, until all
+// requests of callers have ended. Meanwhile, the backend servers of this node accept requests
+// that will end by the given time. The delay ends early if no such requests are expected.
+func (n *Node) keepBackendsInService(ctx context.Context, end time.Time) {
+	for ctx.Err() == nil {
+		until := n.backends.LatestStart()
+		if longest := n.policies.LongestTimeout(); longest > 0 {
+			until = latest(until, end.Add(-longest))
+		}
+		left := time.Until(until)
+		if left <= 0 {
+			return
+		}
+		sleep(ctx, left) // The service times may have changed by then.
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // waitForNotice keeps serving callers until the platform has had time to learn from the
@@ -242,19 +254,30 @@
 // distant caller.
 const drainMargin = 500 * time.Millisecond
 
-// drainCallers waits for the requests of callers in flight. Shortly before the deadline of
-// ctx, it stops their attempts, so that requests that no backend server has started are
-// refused.
-func (n *Node) drainCallers(ctx context.Context) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
+// answerMargin is the time before the end of the drain in which the remaining requests of
+// callers are answered with what is known about them.
+const answerMargin = 100 * time.Millisecond
+
+// drainCallers waits for the requests of callers in flight. Shortly before the deadline, it
+// stops their attempts, so that requests that no backend server has started are refused.
+// Just before the deadline, it ends the others, so that each caller gets an answer instead
+// of a closed connection.
+func (n *Node) drainCallers(ctx context.Context, deadline time.Time) {
+	drained := func(margin time.Duration) bool {
+		early, cancel := context.WithDeadline(ctx, deadline.Add(-margin))
+		defer cancel()
+		return n.ingress.Drain(early) == nil
+	}
+	if drained(drainMargin) {
 		return
 	}
-	early, cancel := context.WithDeadline(ctx, deadline.Add(-drainMargin))
-	defer cancel()
-	if n.ingress.Drain(early) != nil {
-		n.ingress.StopAttempts()
+	n.ingress.StopAttempts()
+	if drained(answerMargin) {
+		return
 	}
+	n.log.Warn("drain timeout interrupts requests of callers")
+	n.ingress.EndRequests()
+	_ = n.ingress.Drain(ctx) // The caller waits again and reports an error.
 }
 
 // shutDown stops the node gracefully: new requests are refused as not run, requests in
@@ -264,30 +287,37 @@
 	n.stopping.Store(true)
 	n.log.Info("shutting down")
 	since := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.opts.Settings.Drain.Timeout))
+	deadline := since.Add(n.opts.Settings.Drain.Limit())
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	n.keepBackendsInService(ctx)
+	end := deadline.Add(-drainMargin)
+	n.backends.StopBy(end)
+	n.ingress.AcceptCallsUntil(end)
+	inService, callersDone := context.WithCancel(ctx)
+	go func() {
+		defer callersDone()
+		n.waitForNotice(ctx, since)
+		n.drainCallers(ctx, deadline)
+	}()
+	n.keepBackendsInService(inService, end)
 	// From now on, other nodes send their requests elsewhere, so that those that run here
 	// end before the platform kills the process.
+	n.log.Info("backend servers are out of service", zap.Duration("after", time.Since(since)))
 	n.owner.Stop()
 	n.records.leases.Stop()
 	if err := n.gossip.Leave(ctx); err != nil {
 		n.log.Warn("cannot tell other nodes that this node is leaving", zap.Error(err))
 	}
-	n.waitForNotice(ctx, since)
-	n.drainCallers(ctx)
-	if err := n.ingress.Drain(ctx); err != nil {
-		n.log.Warn("drain timeout interrupted requests of callers", zap.Error(err))
-	}
+	<-inService.Done()
 	if err := n.owner.Drain(ctx); err != nil {
 		n.log.Warn("drain timeout interrupted requests of other nodes", zap.Error(err))
 	}
-	n.records.leases.ReleaseAll()
-	// Requests that did not end within the drain timeout are not waited for again.
-	wait := closeTimeout
-	if ctx.Err() != nil {
-		wait = shortCloseTimeout
+	if err := n.ingress.Drain(ctx); err != nil {
+		n.log.Warn("drain timeout interrupted responses to callers", zap.Error(err))
 	}
+	n.records.leases.ReleaseAll()
+	// Connections without a request are not waited for beyond the end of the drain.
+	wait := min(closeTimeout, max(time.Until(deadline), shortCloseTimeout))
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), wait)
 	defer cancelClose()
 	for _, s := range servers {
--- a/internal/transport/proxy/active_requests.go
+++ b/internal/transport/proxy/active_requests.go
@@ -22,6 +22,13 @@
 	}
 }
 
+// any reports whether a request runs.
+func (r *activeRequests) any() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all > 0
+}
+
 // repeatShare returns the share of repeats among the running requests.
 func (r *activeRequests) repeatShare() float64 {
 	r.mu.Lock()
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -115,7 +115,7 @@
 	}
 	// The result of an attempt is not counted for or against its target if the caller
 	// went away or stopped sending, or if another attempt brought the response first.
-	if t.state != retry.Answered && (c.request.Context().Err() != nil || superseded(ctx) || c.body.failed.Load()) {
+	if t.state != retry.Answered && (c.request.Context().Err() != nil || superseded(ctx) || errors.Is(context.Cause(ctx), errStopping) || c.body.failed.Load()) {
 		t.outcome = routing.Abandoned
 	}
 }
--- a/internal/transport/proxy/backends.go
+++ b/internal/transport/proxy/backends.go
@@ -41,6 +41,8 @@
 
 	mu   sync.RWMutex
 	byID map[registry.BackendID]*ownedBackend
+	// end is when the process exits; zero means that no exit is planned.
+	end time.Time
 }
 
 // ownedBackend is a backend server that this node owns.
@@ -102,6 +104,9 @@
 		if b.opt.SuspicionTrials {
 			o.tracker = &suspicion.Tracker{}
 		}
+		if !b.end.IsZero() {
+			o.admitter.controller.StopBy(b.opt.Now(), b.end)
+		}
 		b.byID[a.Backend] = o
 	}
 	o.draining = a.Draining
@@ -141,6 +146,32 @@
 	}
 }
 
+// StopBy announces that the process exits at end, so that only requests that will end
+// before are admitted; see admission.Controller.StopBy.
+func (b *Backends) StopBy(end time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end = end
+	for _, o := range b.byID {
+		o.admitter.controller.StopBy(b.opt.Now(), end)
+		o.admitter.deliverDecisions()
+	}
+}
+
+// LatestStart returns the time after which no backend server admits requests whose service
+// times are known, or zero if there is none; see admission.Controller.LatestStart.
+func (b *Backends) LatestStart() time.Time {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var latest time.Time
+	for _, o := range b.byID {
+		if at := o.admitter.controller.LatestStart(b.opt.Now()); at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
 // Close removes all backend servers.
 func (b *Backends) Close() {
 	b.mu.Lock()
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -47,6 +47,9 @@
 	route   *policy.Route
 	caller  string
 
+	// keepUntilEnd exempts the request from Ingress.EndRequests, once its response begins.
+	keepUntilEnd func() bool
+
 	// responded is set when a complete response has been written to the caller.
 	responded bool
 
@@ -120,6 +123,9 @@
 		}
 		t.done(0)
 		c.recordFailure(t)
+		if errors.Is(context.Cause(ctx), errStopping) {
+			c.reason, c.timeout = reasonStopping, false
+		}
 		if d.Action == retry.Retry {
 			c.publish(event.RequestRetried, string(d.Reason), event.Field{Key: "after", Value: c.reason})
 		}
@@ -141,16 +147,27 @@
 }
 
 // repeatProbability returns the probability that the request is a call made by a repeat
-// that runs on this VM. A call of a backend server cannot be distinguished from the
-// request of any other caller. Only idempotent requests for another service count as
-// calls, because the calls of backend servers have these properties.
+// that runs on this VM.
 func (c *call) repeatProbability() float64 {
-	if c.in.opt.Owner == nil || !c.route.Idempotent || string(c.service) == c.in.opt.LocalService {
+	if c.in.opt.Owner == nil || !c.resemblesCall() {
 		return 0
 	}
 	return c.in.opt.Owner.active.repeatShare()
 }
 
+// resemblesCall reports whether the request may be a call made by a backend server on this
+// VM. A call cannot be distinguished from the request of any other caller. Only idempotent
+// requests for another service count as calls, because the calls of backend servers have
+// these properties.
+func (c *call) resemblesCall() bool {
+	return c.route.Idempotent && string(c.service) != c.in.opt.LocalService
+}
+
+// mayBeCall reports whether a draining ingress serves the request as a call.
+func (c *call) mayBeCall() bool {
+	return c.resemblesCall() && !c.deadline.After(*c.in.callsUntil.Load())
+}
+
 // countAttempt counts an attempt that has ended.
 func (c *call) countAttempt(t *ingressAttempt) {
 	if t.reply.RefusedByBackend {
@@ -225,6 +242,7 @@
 // forwardResponse sends the response of an attempt to the caller.
 func (c *call) forwardResponse(t *ingressAttempt) {
 	defer t.close()
+	c.keepUntilEnd()
 	resp := t.reply.Response
 	h := c.w.Header()
 	copyHeader(h, resp)
--- a/internal/transport/proxy/drain.go
+++ b/internal/transport/proxy/drain.go
@@ -10,7 +10,7 @@
 	mu       sync.Mutex
 	inFlight int
 	draining bool
-	empty    chan struct{} // closed when draining and nothing is in flight
+	empty    chan struct{} // closed when nothing is in flight; nil if nobody waits for it
 }
 
 // enter reports whether a new request may start. If so, leave must be called when the
@@ -25,33 +25,44 @@
 	return true
 }
 
+// enterLate counts a request that starts although the drainer drains. leave must be called
+// when it ends.
+func (d *drainer) enterLate() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inFlight++
+}
+
 func (d *drainer) leave() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inFlight--
-	if d.draining && d.inFlight == 0 {
+	if d.inFlight == 0 && d.empty != nil {
 		close(d.empty)
+		d.empty = nil
 	}
 }
 
-// beginDrain causes new requests to be refused. The returned channel is closed when no
-// request is in flight.
-func (d *drainer) beginDrain() <-chan struct{} {
+// beginDrain causes new requests to be refused.
+func (d *drainer) beginDrain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.draining {
-		d.draining = true
-		d.empty = make(chan struct{})
-		if d.inFlight == 0 {
-			close(d.empty)
-		}
-	}
-	return d.empty
+	d.draining = true
 }
 
-// drain refuses new requests and waits until those in flight have ended or ctx is done.
+// drain refuses new requests and waits until none is in flight or ctx is done.
 func (d *drainer) drain(ctx context.Context) error {
-	empty := d.beginDrain()
+	d.mu.Lock()
+	d.draining = true
+	if d.inFlight == 0 {
+		d.mu.Unlock()
+		return nil
+	}
+	if d.empty == nil {
+		d.empty = make(chan struct{})
+	}
+	empty := d.empty
+	d.mu.Unlock()
 	select {
 	case <-empty:
 		return nil
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -103,6 +104,11 @@
 	// the process exits.
 	attemptCtx     context.Context
 	cancelAttempts context.CancelFunc
+	// requestCtx is canceled by EndRequests.
+	requestCtx  context.Context
+	endRequests context.CancelFunc
+	// callsUntil is set by AcceptCallsUntil.
+	callsUntil atomic.Pointer[time.Time]
 	drainer
 
 	disabled disabledIngressMechanisms
@@ -131,6 +137,7 @@
 	}
 	in := &Ingress{opt: o, tracer: o.Tracing.Tracer(tracerName), bodyBuffer: newByteBudget(cmp.Or(o.BodyBufferBytes, defaultBodyBufferBytes))}
 	in.attemptCtx, in.cancelAttempts = context.WithCancel(context.Background())
+	in.requestCtx, in.endRequests = context.WithCancel(context.Background())
 	in.rngs.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	return in
 }
@@ -139,10 +146,24 @@
 // ended or ctx is done.
 func (in *Ingress) Drain(ctx context.Context) error { return in.drain(ctx) }
 
+// AcceptCallsUntil makes an ingress that drains serve the calls that the backend servers on
+// this VM make while they still run requests, which would fail without them. Only requests
+// whose deadline is before the given time are served.
+func (in *Ingress) AcceptCallsUntil(t time.Time) { in.callsUntil.Store(&t) }
+
+// callsExpected reports whether a draining ingress serves calls.
+func (in *Ingress) callsExpected() bool {
+	return in.callsUntil.Load() != nil && in.opt.Owner != nil && in.opt.Owner.active.any()
+}
+
 // StopAttempts prevents new attempts, because the process exits soon. Requests that no
 // backend server has begun to process are reported as not run; the others continue.
 func (in *Ingress) StopAttempts() { in.cancelAttempts() }
 
+// EndRequests ends the requests whose response has not begun, because the process exits
+// now. Each caller is told whether the request has run, as far as that is known.
+func (in *Ingress) EndRequests() { in.endRequests() }
+
 // ServeHTTP implements http.Handler.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{in: in, w: w, start: in.opt.Now()}
@@ -155,10 +176,14 @@
 			linger(c.control, r, body)
 		}
 	}()
-	if !in.enter() {
+	late := !in.enter()
+	if late {
 		w.Header().Set("Connection", "close")
-		c.refuse(http.StatusServiceUnavailable, reasonStopping)
-		return
+		if !in.callsExpected() {
+			c.refuse(http.StatusServiceUnavailable, reasonStopping)
+			return
+		}
+		in.enterLate()
 	}
 	defer in.leave()
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
@@ -168,8 +193,16 @@
 		return
 	}
 	defer c.body.releaseMemory()
+	if late && !c.mayBeCall() {
+		c.refuse(http.StatusServiceUnavailable, reasonStopping)
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	c.keepUntilEnd = context.AfterFunc(in.requestCtx, func() { end(errStopping) })
+	defer c.keepUntilEnd()
 	c.run(ctx)
 }
 
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -200,6 +200,9 @@
 		if trial {
 			b.tracker.EndTrial()
 		}
+		if reason == reasonStopping {
+			load.Weight = 0 // Ingress nodes avoid the backend server for a moment.
+		}
 		return notRun(reason, &load)
 	}
 	return o.dispatch(ctx, a, b, ticket, trial, &load)
--- /dev/null
+++ b/internal/transport/proxy/stop_test.go
@@ -0,0 +1,99 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
+)
+
+// Guards against callers whose connection is closed without an answer at the end of a
+// planned stop, while their request runs, waits at an owner or brings its response.
+func TestEveryCallerIsAnsweredWhenDrainEnds(t *testing.T) {
+	for _, owner := range []int{0, 1} {
+		f := newFleet(t, 2)
+		begun, free := make(chan string, 2), make(chan struct{})
+		f.serve(owner, "b1", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/begun" {
+				_, _ = io.WriteString(w, "first ")
+				_ = http.NewResponseController(w).Flush()
+			}
+			begun <- r.URL.Path
+			select {
+			case <-free:
+			case <-r.Context().Done():
+			}
+			_, _ = io.WriteString(w, "last")
+		})
+		f.nodes[owner].backends.get("b1").admitter.controller.SetSlots(2)
+		results := map[string]chan result{}
+		for _, path := range []string{"/begun", "/running", "/waiting"} {
+			ch := make(chan result, 1)
+			results[path] = ch
+			go func() { ch <- f.send(0, "POST", path, nil) }()
+			if path != "/waiting" {
+				<-begun
+			}
+		}
+		waitFor(t, func() bool { l, _ := f.nodes[owner].backends.Load("b1"); return l.Queued == 1 })
+		f.nodes[0].ingress.StopAttempts()
+		f.nodes[0].ingress.EndRequests()
+		if got := <-results["/running"]; got.status != http.StatusBadGateway || got.outcome != header.Unknown || got.reason != reasonStopping {
+			t.Errorf("owner %d: the running request: %+v", owner, got)
+		}
+		// Only an owner in the same process proves that a waiting request has not run.
+		want := map[int]string{0: header.NotRun, 1: header.Unknown}[owner]
+		if got := <-results["/waiting"]; got.outcome != want || got.err != nil {
+			t.Errorf("owner %d: the waiting request: %+v", owner, got)
+		}
+		close(free)
+		if got := <-results["/begun"]; got.body != "first last" || got.err != nil {
+			t.Errorf("owner %d: the response that had begun: %+v", owner, got)
+		}
+	}
+}
+
+// Guards against calls of a backend server that are refused because its node stops. The
+// request that makes the call then fails, although it was accepted before.
+func TestCallsOfRunningRequestsAreServedDuringDrain(t *testing.T) {
+	f := newFleet(t, 2)
+	f.nodes[0].ingress.opt.LocalService = "parent"
+	free, begun := make(chan struct{}), make(chan struct{}, 1)
+	f.serve(0, "b1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/parent" {
+			begun <- struct{}{}
+			<-free
+		}
+	})
+	parent := make(chan result, 1)
+	go func() { parent <- f.send(0, "POST", "/parent", nil) }()
+	<-begun
+	in := f.nodes[0].ingress
+	in.AcceptCallsUntil(time.Now().Add(3 * time.Second))
+	short, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	_ = in.Drain(short)
+	if got := f.send(0, "GET", "/call", nil); got.outcome != header.Answered {
+		t.Errorf("a call during the drain: %+v", got)
+	}
+	if got := f.send(0, "POST", "/new", strings.NewReader("x")); got.reason != reasonStopping {
+		t.Errorf("a request that cannot be a call: %+v", got)
+	}
+	in.AcceptCallsUntil(time.Now().Add(time.Second)) // The route allows 2 s.
+	if got := f.send(0, "GET", "/late", nil); got.reason != reasonStopping {
+		t.Errorf("a call that may not end in time: %+v", got)
+	}
+	in.AcceptCallsUntil(time.Now().Add(3 * time.Second))
+	close(free)
+	<-parent
+	if err := in.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := f.send(0, "GET", "/after", nil); got.reason != reasonStopping {
+		t.Errorf("a call after the last request has ended: %+v", got)
+	}
+}
