Recover the reply to an attempt whose connection failed

Cause: when a connection between two nodes falls silent or is reset, the ingress node does not know whether the owner received the attempt, runs it or has answered. It noticed silence after 1.5 s or more and then reported unknown, or let the caller wait. Change: an owner acknowledges an attempt with an interim response; a missing one has the connection checked within 150 ms, and one silent connection has all others checked. On the new connection the ingress node asks for the attempt by the number that its process gave it. coordination/attempts decides: withdrawn (never received, or not dispatched and without its body: proved not run, refused from then on), waiting or running (the query waits for the reply), ended (the reply is sent again; at most 64 KB each and 4 MB in all are kept, for 5 s) or forgotten (outcome unknown). After a reset an attempt goes on for 300 ms so that it can be asked for. Waits: CheckTimeout is 250 ms instead of 500 ms, as a connection that is declared silent no longer costs its requests. A node of an older version answers a query with no outcome, which counts as unknown. Also: connections that another one has replaced are closed with the pool.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -28,8 +28,12 @@
 	// maxMedians bounds the routes of a backend server for which a median is kept.
 	maxMedians = 64
 	// stopReserve, in percent of the 90th percentile of the recent service times of a
-	// route, is the time that a request is given to end before the process exits.
-	stopReserve = 125
+	// route, is the time that a request that may run again is given to end before the
+	// process exits. stopReserveOnce, in percent of the longest of at least
+	// minStopSamples service times, is that of other requests.
+	stopReserve     = 125
+	stopReserveOnce = 150
+	minStopSamples  = 15
 	// minMedianSamples is the smallest number of service times with which the median is
 	// used.
 	minMedianSamples = 5
@@ -116,6 +120,8 @@
 	// Objective is the time until which the response is fully useful; zero means that the
 	// request does not state one.
 	Objective time.Time
+	// Repeatable marks a request that may run again if it is interrupted.
+	Repeatable bool
 	// Remote marks a request from another region.
 	Remote bool
 }
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -127,11 +127,11 @@
 }
 
 // StopBy announces that the process exits at end. From now on, requests are admitted only if
-// they will end before: their deadline has passed by then, or the 90th percentile of the
-// recent service times of their route, with a reserve, fits into the time left. Other
-// requests, also those in the queue, are refused with NodeStopping, so that they can be tried
-// elsewhere. A planned stop thus costs the service the use of a backend server for little
-// more than one service time, rather than for the whole drain.
+// they will end before: their deadline has passed by then, or the usual service time of their
+// route fits into the time left, with a reserve that is larger for requests that must not be
+// repeated. Other requests, also those in the queue, are refused with NodeStopping, so that
+// they can be tried elsewhere. A planned stop thus costs the service the use of a backend
+// server for little more than one service time, rather than for the whole drain.
 func (c *Controller) StopBy(now, end time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -150,7 +150,7 @@
 		return latest
 	}
 	for route := range c.medians {
-		if at, ok := c.routeStop(route); ok && at.After(latest) {
+		if at, ok := c.routeStop(route, true); ok && at.After(latest) {
 			latest = at
 		}
 	}
@@ -162,20 +162,25 @@
 	if !r.Deadline.IsZero() && !r.Deadline.After(c.end) {
 		return c.end
 	}
-	at, _ := c.routeStop(r.Route)
+	at, _ := c.routeStop(r.Route, r.Repeatable)
 	return at
 }
 
 // routeStop returns the time from which a request of a route might not end before the process
 // exits, or false if its service times are not known.
-func (c *Controller) routeStop(route string) (time.Time, bool) {
+func (c *Controller) routeStop(route string, repeatable bool) (time.Time, bool) {
 	w := c.medians[route]
 	if w == nil {
 		return time.Time{}, false
 	}
 	usual, ok := w.percentile90(c.now)
+	reserve := time.Duration(stopReserve)
+	if !repeatable {
+		usual, ok = w.longest(c.now, minStopSamples)
+		reserve = stopReserveOnce
+	}
 	if !ok {
 		return time.Time{}, false
 	}
-	return c.end.Add(-usual * stopReserve / 100), true
+	return c.end.Add(-usual * reserve / 100), true
 }
--- a/internal/coordination/admission/median.go
+++ b/internal/coordination/admission/median.go
@@ -74,6 +74,16 @@
 	return m.sorted[len(m.sorted)*9/10], true
 }
 
+// longest returns the longest of at least minSamples recent service times, or false if there
+// are fewer.
+func (m *windowedMedian) longest(now time.Time, minSamples int) (time.Duration, bool) {
+	m.expire(now)
+	if len(m.sorted) < minSamples {
+		return 0, false
+	}
+	return m.sorted[len(m.sorted)-1], true
+}
+
 func (m *windowedMedian) expire(now time.Time) {
 	for len(m.samples) > 0 && now.Sub(m.samples[0].at) > medianWindow {
 		m.drop()
--- a/internal/coordination/admission/stop_test.go
+++ b/internal/coordination/admission/stop_test.go
@@ -29,26 +29,30 @@
 	end := at(5 * time.Second)
 	cases := []struct {
 		name     string
+		once     bool
 		route    string
 		deadline time.Duration
 		offered  time.Duration
 		want     Reason
 	}{
-		{"fits", "short", time.Minute, 4 * time.Second, None},
-		{"no longer fits", "short", time.Minute, 4800 * time.Millisecond, NodeStopping},
-		{"long work fits early", "long", time.Minute, 2400 * time.Millisecond, None},
-		{"long work no longer fits", "long", time.Minute, 2600 * time.Millisecond, NodeStopping},
-		{"without a deadline", "long", 0, 2600 * time.Millisecond, NodeStopping},
-		{"unknown service time", "other", time.Minute, 0, NodeStopping},
-		{"unknown service time with a deadline before the end", "other", 4900 * time.Millisecond, 0, None},
-		{"after the end", "short", time.Minute, 6 * time.Second, NodeStopping},
+		{"fits", false, "short", time.Minute, 4 * time.Second, None},
+		{"no longer fits", false, "short", time.Minute, 4800 * time.Millisecond, NodeStopping},
+		{"long work fits early", false, "long", time.Minute, 2400 * time.Millisecond, None},
+		{"long work no longer fits", false, "long", time.Minute, 2600 * time.Millisecond, NodeStopping},
+		{"must not be repeated and fits", true, "long", time.Minute, 1900 * time.Millisecond, None},
+		{"must not be repeated and no longer fits", true, "long", time.Minute, 2100 * time.Millisecond, NodeStopping},
+		{"must not be repeated, few service times", true, "short", time.Minute, 0, NodeStopping},
+		{"without a deadline", false, "long", 0, 2600 * time.Millisecond, NodeStopping},
+		{"unknown service time", false, "other", time.Minute, 0, NodeStopping},
+		{"unknown service time with a deadline before the end", false, "other", 4900 * time.Millisecond, 0, None},
+		{"after the end", false, "short", time.Minute, 6 * time.Second, NodeStopping},
 	}
 	for _, c := range cases {
 		ctrl := newWarm(2, 4)
 		observe(ctrl, t0, "short", repeated(200*time.Millisecond, 5)...)
-		observe(ctrl, t0, "long", append(repeated(time.Second, 5), 2*time.Second)...)
+		observe(ctrl, t0, "long", repeated(2*time.Second, 15)...)
 		ctrl.StopBy(t0, end)
-		r := Request{Ticket: 1, Route: c.route}
+		r := Request{Ticket: 1, Route: c.route, Repeatable: !c.once}
 		if c.deadline > 0 {
 			r.Deadline = at(c.deadline)
 		}
@@ -59,9 +63,9 @@
 
 	ctrl := newWarm(1, 4)
 	observe(ctrl, t0, "long", repeated(2*time.Second, 5)...)
-	ctrl.Offer(t0, Request{Ticket: 1, Route: "long"})
-	ctrl.Offer(t0, Request{Ticket: 2, Route: "long", Deadline: at(time.Minute)})
-	ctrl.Offer(t0, Request{Ticket: 3, Route: "long"})
+	ctrl.Offer(t0, Request{Ticket: 1, Route: "long", Repeatable: true})
+	ctrl.Offer(t0, Request{Ticket: 2, Route: "long", Repeatable: true, Deadline: at(time.Minute)})
+	ctrl.Offer(t0, Request{Ticket: 3, Route: "long", Repeatable: true})
 	ctrl.StopBy(t0, end)
 	if got := ctrl.LatestStart(t0); got != at(2500*time.Millisecond) {
 		t.Fatalf("latest start %s after the announcement of the stop", got.Sub(t0))
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -59,6 +59,13 @@
 	// ExpectedInstance and Instance identify backend servers; see Dialect.
 	ExpectedInstance = "Wigeonspring-Expected-Instance"
 	Instance         = "Wigeonspring-Instance"
+	// Origin identifies the ingress process that makes an attempt, and Sequence numbers
+	// its attempts. With both, the ingress node can ask for the attempt on another
+	// connection.
+	Origin   = "Wigeonspring-Origin"
+	Sequence = "Wigeonspring-Sequence"
+	// Recover marks a request that asks an owner what became of an attempt.
+	Recover = "Wigeonspring-Recover"
 	// BackendNotRun marks a response of a backend server that did not run the request.
 	BackendNotRun = "Wigeonspring-Backend-Not-Run"
 )
--- a/internal/protocol/header/header_test.go
+++ b/internal/protocol/header/header_test.go
@@ -26,11 +26,18 @@
 				TimeLeft: time.Duration(ms) * time.Millisecond, AnswerWithin: time.Duration(attempt) * time.Millisecond, Attempt: attempt, Caller: CallerName(name), Region: "r",
 				Baseline:   evidence.Baseline{FailureRate: float64(int(rate*1000)) / 1000, Median: time.Duration(samples) * time.Microsecond, Samples: samples},
 				Idempotent: incarnation&1 != 0, Trial: incarnation&2 != 0, Explore: incarnation&4 != 0, NoBetterBackend: incarnation&8 != 0, Repeat: incarnation&16 != 0,
+				Origin: "n1.0", Sequence: incarnation,
 				Rank: attempt % 5, Objective: time.Duration(attempt) * time.Millisecond,
 			}
 			h := http.Header{}
 			in.Write(h)
 			out, err := ReadHop(h)
+			query := Recovery{RequestID: in.RequestID, Origin: "n1.0", Sequence: incarnation, Incarnation: incarnation, TimeLeft: in.TimeLeft}
+			qh := http.Header{}
+			query.Write(qh)
+			if readBack, err := ReadRecovery(qh); err != nil || readBack != query {
+				return false
+			}
 			load := evidence.Load{Slots: samples, InUse: attempt, Queued: 2, Weight: 0.25}
 			back, loadErr := ParseLoad(FormatLoad(load))
 			return err == nil && out == in && loadErr == nil && back == load
@@ -64,6 +71,14 @@
 			t.Errorf("without %s read as %+v", name, hop)
 		}
 	}
+	for name, value := range map[string]string{RequestID: "", Origin: "", Sequence: "-1", OwnerIncarnation: "x", DeadlineMillis: ""} {
+		h := http.Header{}
+		(&Recovery{RequestID: NewRequestID(), Origin: "n1.0", Sequence: 1}).Write(h)
+		h.Set(name, value)
+		if q, err := ReadRecovery(h); err == nil {
+			t.Errorf("%s %q read as %+v", name, value, q)
+		}
+	}
 	for _, s := range []string{"a b", "a\nb", "a,b", strings.Repeat("a", maxCaller+1)} {
 		if v := CallerName(s); v != "" {
 			t.Errorf("caller %q read as %q", s, v)
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -33,6 +33,11 @@
 	// Trial is set if the request may test a suspect backend server, because the request
 	// is retried elsewhere if it fails, or because no other backend server is left for it.
 	Trial bool
+	// Origin identifies the ingress process. If it is empty, the attempt cannot be recovered;
+	// see Recovery.
+	Origin string
+	// Sequence numbers the attempts of the ingress process in the order of their start.
+	Sequence uint64
 	// Objective is the time left in which a response is fully useful to the caller. 0
 	// means that there is no objective or that it has passed.
 	Objective time.Duration
@@ -92,6 +97,10 @@
 	if hop.NoBetterBackend {
 		set(NoBetterBackend, flagSet)
 	}
+	if hop.Origin != "" {
+		set(Origin, hop.Origin)
+		set(Sequence, strconv.FormatUint(hop.Sequence, 10))
+	}
 }
 
 // ReadHop reads the headers that Write sets.
@@ -126,6 +135,9 @@
 			return hop, err
 		}
 	}
+	if hop.Origin, hop.Sequence, err = readOrigin(h); err != nil {
+		return hop, err
+	}
 	if hop.Incarnation, err = strconv.ParseUint(h.Get(OwnerIncarnation), 10, 64); err != nil {
 		return hop, fmt.Errorf("%s: invalid incarnation", OwnerIncarnation)
 	}
@@ -143,3 +155,64 @@
 	hop.Baseline, err = ParseBaseline(h.Get(Baseline))
 	return hop, err
 }
+
+// maxOriginBytes bounds the length of the name of an ingress process.
+const maxOriginBytes = 128
+
+// readOrigin reads the headers Origin and Sequence, which are absent or present together.
+func readOrigin(h http.Header) (origin string, sequence uint64, err error) {
+	origin = h.Get(Origin)
+	if origin == "" {
+		return "", 0, nil
+	}
+	if len(origin) > maxOriginBytes {
+		return "", 0, fmt.Errorf("%s: longer than %d bytes", Origin, maxOriginBytes)
+	}
+	if sequence, err = strconv.ParseUint(h.Get(Sequence), 10, 64); err != nil {
+		return "", 0, fmt.Errorf("%s: invalid sequence", Sequence)
+	}
+	return origin, sequence, nil
+}
+
+// Recovery asks an owner what became of an attempt whose connection failed. The reply is that
+// to the attempt itself, as soon as it is complete. If the owner has not received the attempt,
+// it refuses it from then on, and the reply is that it has not run.
+type Recovery struct {
+	RequestID string
+	Origin    string
+	Sequence  uint64
+	// Incarnation is the incarnation of the owner to which the attempt was sent.
+	Incarnation uint64
+	// TimeLeft is the time left for the request.
+	TimeLeft time.Duration
+}
+
+// Write sets the headers of the query in h.
+func (r *Recovery) Write(h http.Header) {
+	h[Recover] = []string{flagSet}
+	h[RequestID] = []string{r.RequestID}
+	h[Origin] = []string{r.Origin}
+	h[Sequence] = []string{strconv.FormatUint(r.Sequence, 10)}
+	h[OwnerIncarnation] = []string{strconv.FormatUint(r.Incarnation, 10)}
+	h[DeadlineMillis] = []string{FormatDeadline(r.TimeLeft)}
+}
+
+// ReadRecovery reads the headers that Recovery.Write sets.
+func ReadRecovery(h http.Header) (Recovery, error) {
+	r := Recovery{RequestID: h.Get(RequestID)}
+	if !UsableRequestID(r.RequestID) {
+		return r, fmt.Errorf("%s: invalid request id", RequestID)
+	}
+	var err error
+	if r.Origin, r.Sequence, err = readOrigin(h); err != nil {
+		return r, err
+	}
+	if r.Origin == "" {
+		return r, fmt.Errorf("%s: missing", Origin)
+	}
+	if r.Incarnation, err = strconv.ParseUint(h.Get(OwnerIncarnation), 10, 64); err != nil {
+		return r, fmt.Errorf("%s: invalid incarnation", OwnerIncarnation)
+	}
+	r.TimeLeft, err = ParseDeadline(h.Get(DeadlineMillis))
+	return r, err
+}
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -158,7 +158,7 @@
 	rpc := chi.NewRouter()
 	n.mountRPC(rpc)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(header.Backend) != "" {
+		if r.Header.Get(header.Backend) != "" || r.Header.Get(header.Recover) != "" {
 			n.owner.ServeHTTP(w, r)
 			return
 		}
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -7,9 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/fault"
@@ -32,8 +35,19 @@
 	// requests wait is checked. A request that takes longer than this costs a check of
 	// 150 B.
 	DefaultCheckAfter = time.Second
-	// DefaultCheckTimeout bounds the wait for the response to a check.
-	DefaultCheckTimeout = 500 * time.Millisecond
+	// DefaultAckTimeout is the time within which a peer acknowledges a recoverable request,
+	// many times a round trip of 16 ms between regions.
+	DefaultAckTimeout = 150 * time.Millisecond
+	// DefaultCheckTimeout is the time without a response to a check after which another
+	// connection is tried. It is above the first retransmission time of TCP, 200 ms.
+	DefaultCheckTimeout = 250 * time.Millisecond
+	// DefaultSilentGrace is how long a connection is kept after another one has taken its
+	// place.
+	DefaultSilentGrace = time.Second
+	// responseTimeout bounds the wait for the response to the check of a new connection.
+	responseTimeout = 500 * time.Millisecond
+	// checkAllInterval is the shortest time between two checks of all connections.
+	checkAllInterval = time.Second
 	// continueTimeout is longer than any request. The body of a request that expects
 	// an interim response is therefore sent only when the owner asks for it.
 	continueTimeout = 24 * time.Hour
@@ -70,10 +84,14 @@
 	PingAfter   time.Duration
 	PingTimeout time.Duration
 	// CheckAfter is the time without a response after which a connection on which
-	// requests wait is checked. CheckTimeout bounds the wait for the response to the
-	// check.
+	// requests wait is checked, AckTimeout that without an acknowledgment of a recoverable
+	// request. CheckTimeout is the wait for the response to the check, after which another
+	// connection is tried. SilentGrace is how long the first one is kept if the other one
+	// works.
 	CheckAfter   time.Duration
+	AckTimeout   time.Duration
 	CheckTimeout time.Duration
+	SilentGrace  time.Duration
 }
 
 // Pool holds one connection to each peer in use. It is safe for concurrent use.
@@ -85,6 +103,11 @@
 	peers  map[string]*peerConn
 	recent *list.List // of *peerConn, most recently used first
 	closed bool
+	// replaced holds the connections whose place another one has taken. Each is closed after
+	// its last request.
+	replaced map[*peerConn]struct{}
+	// allChecked is when all connections were last checked.
+	allChecked time.Time
 }
 
 // peerConn is the connection to one peer.
@@ -103,9 +126,16 @@
 	waiting      int
 	lastActivity time.Time
 	checkTimer   *time.Timer
-	// replaced is set if another connection has taken the place of this one. This one is
-	// then closed after its last request.
-	replaced bool
+	checking     bool
+	// acknowledges is set once the peer has acknowledged a request.
+	acknowledges atomic.Bool
+	// silent is closed when another connection has taken the place of this one because the
+	// peer no longer responds on it.
+	silent chan struct{}
+}
+
+func newPeerConn(addr string) *peerConn {
+	return &peerConn{addr: addr, ready: make(chan struct{}), silent: make(chan struct{})}
 }
 
 // NewPool returns a pool without connections.
@@ -115,13 +145,16 @@
 	o.PingAfter = cmp.Or(o.PingAfter, DefaultPingAfter)
 	o.PingTimeout = cmp.Or(o.PingTimeout, DefaultPingTimeout)
 	o.CheckAfter = cmp.Or(o.CheckAfter, DefaultCheckAfter)
+	o.AckTimeout = cmp.Or(o.AckTimeout, DefaultAckTimeout)
 	o.CheckTimeout = cmp.Or(o.CheckTimeout, DefaultCheckTimeout)
+	o.SilentGrace = cmp.Or(o.SilentGrace, DefaultSilentGrace)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &Pool{
-		opt:    o,
-		peers:  make(map[string]*peerConn),
-		recent: list.New(),
+		opt:      o,
+		peers:    make(map[string]*peerConn),
+		replaced: make(map[*peerConn]struct{}),
+		recent:   list.New(),
 		transport: &http.Transport{
 			DialContext:           (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
 			Protocols:             protocols,
@@ -240,7 +273,8 @@
 			return nil, &Error{NotProcessed: true, Reason: ReasonLimit,
 				Err: fault.Newf("connect to owner", addr, "all %d peer connections are in use", p.opt.MaxPeers)}
 		}
-		c = &peerConn{addr: addr, ready: make(chan struct{}), users: 1}
+		c = newPeerConn(addr)
+		c.users = 1
 		p.add(c)
 		p.mu.Unlock()
 		go p.dial(c)
@@ -306,13 +340,22 @@
 func (p *Pool) release(c *peerConn) {
 	p.mu.Lock()
 	c.users--
-	last := c.replaced && c.users == 0
+	_, replaced := p.replaced[c]
+	last := replaced && c.users == 0
 	p.mu.Unlock()
 	if last {
-		_ = c.client.Close()
+		p.closeReplaced(c)
 	}
 }
 
+// closeReplaced closes a connection whose place another one has taken.
+func (p *Pool) closeReplaced(c *peerConn) {
+	p.mu.Lock()
+	delete(p.replaced, c)
+	p.mu.Unlock()
+	_ = c.client.Close()
+}
+
 // Len returns the number of connections, including those being dialed.
 func (p *Pool) Len() int {
 	p.mu.Lock()
@@ -347,11 +390,10 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	conns := make([]*peerConn, 0, len(p.peers))
-	for _, c := range p.peers {
-		conns = append(conns, c)
-	}
+	conns := slices.Collect(maps.Values(p.peers))
+	conns = slices.AppendSeq(conns, maps.Keys(p.replaced))
 	clear(p.peers)
+	clear(p.replaced)
 	p.recent.Init()
 	p.mu.Unlock()
 	for _, c := range conns {
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -29,6 +32,8 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           h,
+		ConnContext:       withConnection,
+		ConnState:         recordClosed,
 		Protocols:         protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
 		HTTP2: &http.HTTP2Config{
@@ -39,3 +44,31 @@
 		},
 	}
 }
+
+// closedConns holds, for each open connection of a server, the channel that is closed with it.
+var closedConns sync.Map // net.Conn -> chan struct{}
+
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	closed := make(chan struct{})
+	closedConns.Store(c, closed)
+	return context.WithValue(ctx, connectionKey{}, closed)
+}
+
+func recordClosed(c net.Conn, state http.ConnState) {
+	if state != http.StateClosed {
+		return
+	}
+	if closed, ok := closedConns.LoadAndDelete(c); ok {
+		close(closed.(chan struct{}))
+	}
+}
+
+// ConnectionClosed returns a channel that is closed when the connection of a request is
+// closed, as opposed to the end of only its stream. ctx is the context of the request. The
+// channel is nil if the request did not arrive at a server of this package.
+func ConnectionClosed(ctx context.Context) <-chan struct{} {
+	closed, _ := ctx.Value(connectionKey{}).(chan struct{})
+	return closed
+}
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -47,6 +48,8 @@
 	failed  bool
 	body    io.ReadCloser
 	hop     header.Hop
+	// recovering is set once the owner is asked what became of the attempt.
+	recovering atomic.Bool
 	// cancel ends an attempt that may run concurrently with another one.
 	cancel   context.CancelCauseFunc
 	reported bool
@@ -69,6 +72,7 @@
 		RequestID: c.id, Backend: target.Backend, Service: c.service, Route: c.route.Name,
 		Incarnation: target.Owner.Incarnation, TimeLeft: left, AnswerWithin: responseTimeout,
 		Attempt: len(c.tried), Caller: c.caller, Region: in.opt.Region, Baseline: baseline,
+		Origin: in.origin, Sequence: in.sequence.Add(1),
 		Rank: c.route.Rank, Repeat: c.arrived > 0, Idempotent: c.route.Idempotent, NoBetterBackend: c.noBetter,
 		// While too many requests of the service fail, a request that may run again or
 		// that has been tried elsewhere may test a suspect backend server even if no
@@ -164,7 +168,7 @@
 			attribute.String("wigeonspring.owner", string(t.target.Owner.ID)),
 			attribute.String("wigeonspring.backend", string(t.target.Backend)))
 	}
-	resp, err := c.in.opt.Peers.Do(ctx, addr, t.peerRequest(ctx, hop, addr))
+	resp, err := c.in.opt.Peers.DoRecoverable(ctx, addr, t.peerRequest(ctx, hop, addr), func() *http.Request { return t.recoveryRequest(hop, addr) })
 	if err != nil {
 		t.setError(ctx, err)
 		span.SetAttributes(attribute.String("wigeonspring.reason", t.reply.Reason))
@@ -203,6 +207,9 @@
 func (t *ingressAttempt) parseReply(resp *http.Response, addr string) *reply {
 	c := t.call
 	r := &reply{Outcome: resp.Header.Get(header.Outcome), Reason: resp.Header.Get(header.Reason)}
+	if t.recovering.Load() && r.Outcome == "" {
+		return unknown(reasonNoOutcome) // The owner runs a version without recovery.
+	}
 	if got := resp.Header.Get(header.RequestID); got != c.id && !c.in.disabled.requestID {
 		// No other response on this connection can be trusted.
 		c.in.opt.Peers.Drop(addr)
--- a/internal/transport/proxy/byte_budget.go
+++ b/internal/transport/proxy/byte_budget.go
@@ -11,12 +11,23 @@
 	return m
 }
 
+// take reserves n bytes. It reports false if fewer are free.
+func (b *byteBudget) take(n int64) bool {
+	if b.free.Add(-n) < 0 {
+		b.free.Add(n)
+		return false
+	}
+	return true
+}
+
+// give frees n bytes.
+func (b *byteBudget) give(n int64) { b.free.Add(n) }
+
 // reserve reserves n bytes and returns a function that frees them. It returns nil if
 // fewer than n bytes are free.
 func (b *byteBudget) reserve(n int64) (release func()) {
-	if b.free.Add(-n) < 0 {
-		b.free.Add(n)
+	if !b.take(n) {
 		return nil
 	}
-	return func() { b.free.Add(n) }
+	return func() { b.give(n) }
 }
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -100,6 +100,9 @@
 	splitter      routing.Splitter
 	rngs          sync.Pool
 	bodyBuffer    *byteBudget
+	// origin identifies this process to owners, and sequence numbers its attempts.
+	origin   string
+	sequence atomic.Uint64
 	// attemptCtx is canceled by StopAttempts, when a new attempt could not end before
 	// the process exits.
 	attemptCtx     context.Context
@@ -136,6 +139,7 @@
 		o.Now = time.Now
 	}
 	in := &Ingress{opt: o, tracer: o.Tracing.Tracer(tracerName), bodyBuffer: newByteBudget(cmp.Or(o.BodyBufferBytes, defaultBodyBufferBytes))}
+	in.origin = string(o.Self) + "." + header.NewRequestID()[:8]
 	in.attemptCtx, in.cancelAttempts = context.WithCancel(context.Background())
 	in.requestCtx, in.endRequests = context.WithCancel(context.Background())
 	in.rngs.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/admission"
+	"wigeonspring.example/wigeonspring/internal/coordination/attempts"
 	"wigeonspring.example/wigeonspring/internal/coordination/suspicion"
 	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
@@ -69,6 +70,9 @@
 	// failedCalls are the requests that failed at the ingress of this node.
 	failedCalls failedCalls
 	active      activeRequests
+	// attempts are those of other nodes, and keptReplies the memory for their replies.
+	attempts    *attempts.Log[*recoverable]
+	keptReplies *byteBudget
 	drainer
 
 	disabled disabledOwnerMechanisms
@@ -98,7 +102,10 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Owner{opt: o, tracer: o.Tracing.Tracer(tracerName)}
+	return &Owner{
+		opt: o, tracer: o.Tracing.Tracer(tracerName), keptReplies: newByteBudget(keptReplyBytes),
+		attempts: attempts.NewLog(attempts.Options{}, (*recoverable).release),
+	}
 }
 
 // Stop refuses new requests as not run.
@@ -120,6 +127,11 @@
 	// awaitBody, if set, returns when the first bytes of the body have arrived. It is
 	// called as the last step before the request is sent to the backend server.
 	awaitBody func() error
+	// limitBody, if set, bounds the wait for the rest of the body.
+	limitBody func()
+	// dispatched, if set, records that the request is about to be sent to the backend
+	// server. It reports false if the attempt was withdrawn.
+	dispatched func() bool
 }
 
 // responseDeadline returns the time by which the response must begin.
@@ -190,6 +202,7 @@
 	}
 	slotRequest := admission.Request{
 		Caller: a.Caller, Route: a.Route, Rank: a.Rank, Deadline: a.responseDeadline(), Remote: a.Region != o.opt.Region,
+		Repeatable: a.Idempotent,
 	}
 	if a.Objective > 0 {
 		slotRequest.Objective = o.opt.Now().Add(a.Objective)
@@ -233,6 +246,9 @@
 			bodyNotSent = a.awaitBody() != nil
 			x.sent = !bodyNotSent && mayStart()
 		}
+		if x.sent && a.dispatched != nil {
+			x.sent = a.dispatched()
+		}
 		if x.sent {
 			o.active.begin(a.Repeat)
 		}
--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -24,6 +24,10 @@
 // ServeHTTP serves the request of another node. A refusal is sent without reading the
 // body, so that the ingress node can try the request elsewhere.
 func (o *Owner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(header.Recover) != "" {
+		o.serveRecovery(w, r)
+		return
+	}
 	hop, err := header.ReadHop(r.Header)
 	if err != nil {
 		o.writeReply(w, hop.RequestID, notRun(reasonInvalidHop, nil))
@@ -31,8 +35,6 @@
 	}
 	deadline := o.opt.Now().Add(hop.TimeLeft)
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
 	// An ingress node that reads slowly must not hold a slot beyond the deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(ownerGrace))
 	header.StripInternal(r.Header)
@@ -41,15 +43,58 @@
 	if hop.AnswerWithin > 0 {
 		a.ResponseDeadline = o.opt.Now().Add(hop.AnswerWithin)
 	}
+	if hop.Origin != "" && r.ContentLength != 0 {
+		r.Body = &askedBody{ReadCloser: r.Body, w: w}
+	}
 	if !hop.Idempotent && r.ContentLength != 0 {
 		body := newContinueBody(w, r)
-		r.Body, a.awaitBody = body, body.awaitFirstBytes
+		r.Body, a.awaitBody, a.limitBody = body, body.awaitFirstBytes, body.limitRest
 	}
+	if hop.Origin != "" {
+		o.serveRecoverable(ctx, w, a)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	reply := o.run(ctx, a)
 	defer reply.close()
 	o.writeReply(w, hop.RequestID, reply)
 }
 
+// serveRecoverable serves an attempt whose reply the ingress node can also get on another
+// connection. The interim response tells the ingress node that the attempt has arrived.
+func (o *Owner) serveRecoverable(ctx context.Context, w http.ResponseWriter, a *ownerAttempt) {
+	w.WriteHeader(http.StatusProcessing)
+	ctx, attempt := o.begin(ctx, a)
+	if attempt == nil {
+		o.writeReply(w, a.RequestID, notRun(reasonWithdrawn, nil))
+		return
+	}
+	complete := false
+	defer func() { o.end(attempt, complete) }()
+	reply := o.run(ctx, a)
+	defer reply.close()
+	o.writeReply(&replyRecorder{ResponseWriter: w, attempt: attempt}, a.RequestID, reply)
+	complete = true
+}
+
+// askedBody sends 100 Continue at the first read. The HTTP/2 server of net/http does this by
+// itself only if it has sent no other interim response.
+type askedBody struct {
+	io.ReadCloser
+	w     http.ResponseWriter
+	asked bool
+}
+
+// Read implements io.Reader.
+func (b *askedBody) Read(p []byte) (int, error) {
+	if !b.asked {
+		b.asked = true
+		b.w.WriteHeader(http.StatusContinue)
+	}
+	return b.ReadCloser.Read(p)
+}
+
 // continueBody is the body of a request of another node. The first read from it sends
 // 100 Continue, upon which the ingress node sends the body.
 type continueBody struct {
@@ -74,6 +119,12 @@
 	return b.control.SetReadDeadline(time.Time{})
 }
 
+// limitRest bounds the wait for bytes that have not arrived yet. The connection of the ingress
+// node has failed, and the rest of the body may never come.
+func (b *continueBody) limitRest() {
+	_ = b.control.SetReadDeadline(time.Now().Add(bodyRestTimeout))
+}
+
 // writeReply sends a reply to the ingress node.
 func (o *Owner) writeReply(w http.ResponseWriter, id string, r *reply) {
 	h := w.Header()
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -35,6 +35,13 @@
 	reasonOverdue             = "attempt_overdue"
 	reasonHedged              = "other_attempt_runs"
 	reasonSuspect             = "backend_suspect"
+	// reasonWithdrawn means that the connection to the owner failed before the owner sent
+	// the request to the backend server, and that the owner refuses it from then on.
+	reasonWithdrawn = "withdrawn_before_dispatch"
+	// reasonForgotten means that the owner no longer knows what became of the attempt, and
+	// reasonNotKept that it no longer has the reply.
+	reasonForgotten = "attempt_forgotten"
+	reasonNotKept   = "reply_not_kept"
 	// reasonBackendRefused means that the backend server stated that it did not run the
 	// request.
 	reasonBackendRefused = "backend_refused"
@@ -76,6 +83,8 @@
 	return &reply{Outcome: header.NotRun, Reason: reason, Load: load}
 }
 
+func unknown(reason string) *reply { return &reply{Outcome: header.Unknown, Reason: reason} }
+
 func (r *reply) close() {
 	if r.Response != nil {
 		_ = r.Response.Body.Close()
