--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/platform"
 	"wigeonspring.example/wigeonspring/standin/backend"
+	"wigeonspring.example/wigeonspring/standin/caller"
 	platformstandin "wigeonspring.example/wigeonspring/standin/platform"
 	"wigeonspring.example/wigeonspring/standin/relay"
 )
@@ -106,6 +108,54 @@
 	}
 }
 
+// Guards against callers of a node that stops whose requests are accepted late in its grace
+// time, or run longer than it, and end with a closed connection.
+func TestEveryCallerOfStoppingNodeIsAnswered(t *testing.T) {
+	f := newFleet(t, 24200, 4)
+	f.drain = "notice = \"1500ms\"\nkill_after = \"5s\""
+	f.start("booking", bookingPolicy, 5, bookingFloor)
+	for k := 1; k <= 12; k++ {
+		// Bookings take 0.4 s. Uploads, which have 30 s, outlast the grace time.
+		f.setFaults(k, backend.Faults{SlowFactor: 80, Gray: true, GrayPath: "/photos", LoadReport: -1})
+	}
+	time.Sleep(2 * time.Second) // The backend servers start cold.
+	l := f.startLoad("booking", bookingHost, 40, 6*time.Second, 1)
+	time.Sleep(time.Second)
+	stopped := time.Now()
+	f.processes["n1"].signal(syscall.SIGTERM)
+	f.processes["n1"].waitExit(t, 5*time.Second)
+	exited := time.Now()
+	f.report(l, "booking")
+	results, runs := f.resultsAndRuns(l, "booking")
+	ran := map[string]bool{}
+	for _, r := range runs {
+		ran[r.Operation] = true
+	}
+	answeredLate, interrupted := 0, 0
+	for _, r := range results {
+		sent := r.Time.Add(-r.Latency)
+		switch {
+		case r.Outcome == header.Answered:
+			if sent.After(stopped) {
+				answeredLate++
+			}
+		case r.Outcome == header.NotRun || sent.After(exited):
+		case r.Status == http.StatusGatewayTimeout && r.Latency > 1900*time.Millisecond:
+			// The timeout of the route, 2 s, passed.
+		case r.Kind == caller.Upload && r.Outcome == header.Unknown && r.Status == http.StatusBadGateway:
+			interrupted++
+		case r.Outcome == "transport-error" && !ran[r.Operation] && sent.After(stopped.Add(1500*time.Millisecond)):
+			// It crossed the end of its connection and was not read.
+		default:
+			t.Errorf("sent %s after SIGTERM: %+v", sent.Sub(stopped), r)
+		}
+	}
+	t.Logf("%d requests after SIGTERM answered, %d uploads interrupted", answeredLate, interrupted)
+	if answeredLate == 0 {
+		t.Error("no request after SIGTERM was answered")
+	}
+}
+
 // reservedPermits returns the number of permits that are reserved in the ledger of a
 // service, or 0 if the ledger cannot be read.
 func (f *fleet) reservedPermits(service string) int {
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -104,8 +104,10 @@
 	token string
 	// detector is the setting backend.detector of the nodes; empty means the default.
 	detector string
-	cancel   context.CancelFunc
-	ctx      context.Context
+	// drain holds the settings under [drain]; empty means a timeout of 10 s.
+	drain  string
+	cancel context.CancelFunc
+	ctx    context.Context
 }
 
 func newFleet(t *testing.T, basePort, nodes int) *fleet {
@@ -287,13 +289,13 @@
 token = %q
 
 [drain]
-timeout = "10s"
+%s
 
 [backend]
 detector = %q
 `, nodeName(i), failureDomainOf(i), failureDomainOf(i), f.callerAddr(i), f.peerAddr(i), advertise,
 		strings.TrimPrefix(f.operatorURL(i), "http://"), platform, f.peerAddr(1), f.peerAddr(2), f.token,
-		cmp.Or(f.detector, settings.Defaults().Backend.Detector))
+		cmp.Or(f.drain, `timeout = "10s"`), cmp.Or(f.detector, settings.Defaults().Backend.Detector))
 	path := filepath.Join(f.t.TempDir(), nodeName(i)+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
@@ -451,6 +453,26 @@
 func (f *fleet) report(l *runningLoad, service string) *verify.Report {
 	f.t.Helper()
 	<-l.done
+	results, runs := f.resultsAndRuns(l, service)
+	rep := verify.Compare(runs, results)
+	f.t.Logf("sent %d, outcomes %v, wrong responses %d, answered without a commit %d, run twice %d, falsely reported as not run %d, p50 %v, p99 %v",
+		rep.Sent, rep.Outcomes, rep.Wrong, rep.Lost, rep.RunTwice, rep.FalseNotRun, rep.LatencyP50, rep.LatencyP99)
+	if rep.Violated() {
+		f.t.Errorf("violations: %v", rep.Examples)
+		for _, r := range results {
+			if slices.ContainsFunc(rep.Examples, func(e string) bool { return strings.Contains(e, r.Operation+" ") }) {
+				f.t.Logf("%+v", r)
+			}
+		}
+	}
+	f.checkInvariantCounters()
+	return rep
+}
+
+// resultsAndRuns returns what the callers of a load saw and what the backend servers of its
+// service ran.
+func (f *fleet) resultsAndRuns(l *runningLoad, service string) ([]record.Result, []record.Run) {
+	f.t.Helper()
 	results, err := verify.ReadLines[record.Result](strings.NewReader(l.results.String()))
 	if err != nil {
 		f.t.Fatal(err)
@@ -466,19 +488,7 @@
 		}
 		runs = append(runs, lines...)
 	}
-	rep := verify.Compare(runs, results)
-	f.t.Logf("sent %d, outcomes %v, wrong responses %d, answered without a commit %d, run twice %d, falsely reported as not run %d, p50 %v, p99 %v",
-		rep.Sent, rep.Outcomes, rep.Wrong, rep.Lost, rep.RunTwice, rep.FalseNotRun, rep.LatencyP50, rep.LatencyP99)
-	if rep.Violated() {
-		f.t.Errorf("violations: %v", rep.Examples)
-		for _, r := range results {
-			if slices.ContainsFunc(rep.Examples, func(e string) bool { return strings.Contains(e, r.Operation+" ") }) {
-				f.t.Logf("%+v", r)
-			}
-		}
-	}
-	f.checkInvariantCounters()
-	return rep
+	return results, runs
 }
 
 // checkInvariantCounters fails the test if a running node has counted a violation of
