Mend faults that lose state or keep a process busy

A response above the limit is an error instead of being cut. - A lasting error of the gossip socket is retried after 1 ms to 200 ms instead of at once (0.5 s: some 10 reads). - A request of a peer for a permit of an unknown service leaves no state. - A notification of a policy keeps its text if another one of the same version has none. - Detectors forget the baseline and the last sample at a reset. - `policy apply` no longer prints keys such as `service.-`; a third duplicate route is reported against the first one.

--- a/internal/coordination/ejection/cusum.go
+++ b/internal/coordination/ejection/cusum.go
@@ -106,6 +106,7 @@
 func (d *CUSUM) Reset() {
 	d.all = routeStatistics{route: allRoutes}
 	d.routes = d.routes[:0]
+	d.lastObserved = Sample{}
 }
 
 // Observe implements Detector.
--- a/internal/coordination/ejection/detector_test.go
+++ b/internal/coordination/ejection/detector_test.go
@@ -138,3 +138,19 @@
 		}
 	}
 }
+
+// Guards against what a detector remembers across a reset, which would be attributed to a
+// restarted backend server.
+func TestResetForgetsEverything(t *testing.T) {
+	bad := Sample{At: start, Route: "r", Failure: true, Latency: time.Second, Baseline: evidence.Baseline{FailureRate: 0.3, Samples: 100}}
+	for _, pair := range [][2]Detector{{NewOutlier(OutlierOptions{}), NewOutlier(OutlierOptions{})}, {NewCUSUM(CUSUMOptions{}), NewCUSUM(CUSUMOptions{})}} {
+		used, fresh := pair[0], pair[1]
+		for range 20 {
+			used.Observe(bad)
+		}
+		used.Reset()
+		if got, want := fmt.Sprintf("%+v", used.Verdict(start)), fmt.Sprintf("%+v", fresh.Verdict(start)); got != want {
+			t.Errorf("after a reset %s, new %s", got, want)
+		}
+	}
+}
--- a/internal/coordination/ejection/outlier.go
+++ b/internal/coordination/ejection/outlier.go
@@ -68,6 +68,7 @@
 func (d *Outlier) Reset() {
 	d.consecutive = 0
 	d.window = [outlierWindow]interval{}
+	d.baseline = 0
 }
 
 // Observe implements Detector.
--- a/internal/coordination/floor/transfer.go
+++ b/internal/coordination/floor/transfer.go
@@ -30,6 +30,11 @@
 // its confirmation.
 func (h *Holder) HandleTransfer(now time.Time, req TransferRequest) TransferResponse {
 	h.detectPause(now)
+	view, known := h.opts.View(req.Service)
+	if !known && h.services[req.Service] == nil {
+		// No state is kept for a name that only a peer knows.
+		return TransferResponse{Reason: ReasonNoReserve}
+	}
 	st := h.serviceState(now, req.Service)
 	if st.paused {
 		return TransferResponse{Reason: ReasonHolderUnconfirmed}
@@ -40,7 +45,6 @@
 			return TransferResponse{Permit: p.permit, Position: p.position}
 		}
 	}
-	view, _ := h.opts.View(req.Service)
 	p := h.usableReservation(st, view)
 	if p == nil && !h.enabled(CheckSingleTransfer) {
 		for _, q := range st.sortedPermits() {
--- a/internal/state/platform/call.go
+++ b/internal/state/platform/call.go
@@ -21,7 +21,7 @@
 	Client  *http.Client
 	// ContentType is the content type of requests with a body; empty sets none.
 	ContentType string
-	// MaxResponseBytes bounds how much of a response is read; 0 means no bound.
+	// MaxResponseBytes is the size above which a response is an error; 0 means no bound.
 	MaxResponseBytes int64
 	// Decode decodes a response; nil means json.Unmarshal.
 	Decode func(response []byte, into any) error
@@ -79,12 +79,15 @@
 	defer resp.Body.Close()
 	body := io.Reader(resp.Body)
 	if c.MaxResponseBytes > 0 {
-		body = io.LimitReader(body, c.MaxResponseBytes)
+		body = io.LimitReader(body, c.MaxResponseBytes+1)
 	}
 	response, err := io.ReadAll(body)
 	if err != nil {
 		return noResponse(err)
 	}
+	if c.MaxResponseBytes > 0 && int64(len(response)) > c.MaxResponseBytes {
+		return fault.New(r.Step, c.BaseURL, fmt.Errorf("%w: response exceeds %d bytes", ErrUnavailable, c.MaxResponseBytes))
+	}
 	if resp.StatusCode/100 != 2 {
 		return fault.New(r.Step, c.BaseURL, statusError(resp.StatusCode, response))
 	}
--- a/internal/state/policy/diff.go
+++ b/internal/state/policy/diff.go
@@ -72,6 +72,9 @@
 		}
 		for i := range v.NumField() {
 			name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("toml"), ",")
+			if name == "-" {
+				continue // Not a key of the document.
+			}
 			flattenValue(flat, strict.JoinKey(key, name), v.Field(i))
 		}
 	}
--- a/internal/state/policy/parse.go
+++ b/internal/state/policy/parse.go
@@ -181,7 +181,7 @@
 		v.add("service.route", "wrong number of routes", len(s.Routes), fmt.Sprintf("1 to %d", maxRoutes))
 	}
 	names := map[string]bool{}
-	// routeOf maps each pair of method and path to the last route found with it.
+	// routeOf maps each pair of method and path to the first route found with it.
 	routeOf := map[[2]string]string{}
 	for i := range s.Routes {
 		v.route(strict.IndexKey("service.route", i), &s.Routes[i], names, routeOf)
@@ -215,6 +215,7 @@
 		pair := [2]string{m, r.Path}
 		if other, ok := routeOf[pair]; ok && r.Path != "" {
 			v.add(methodKey, "another route has the same method and path", other, "each method and path once")
+			continue
 		}
 		routeOf[pair] = r.Name
 	}
--- a/internal/state/policy/policy_test.go
+++ b/internal/state/policy/policy_test.go
@@ -139,6 +139,18 @@
 	}
 }
 
+// Guards against a problem that names the wrong one of several routes.
+func TestDuplicateRouteNamesFirstRoute(t *testing.T) {
+	text := minimal
+	for _, name := range []string{"second", "third"} {
+		text += "\n[[service.route]]\nname = \"" + name + "\"\npath = \"/*\"\n"
+	}
+	_, problems := Parse([]byte(text))
+	if len(problems) != 2 || problems[0].Found != problems[1].Found || !strings.Contains(problems[1].Found, "all") {
+		t.Fatalf("%+v", problems)
+	}
+}
+
 // Guards against a change that the operator is not shown.
 func TestDiff(t *testing.T) {
 	old, _ := Parse([]byte(minimal))
@@ -151,9 +163,15 @@
 	if got := Diff(old, new); !reflect.DeepEqual(got, want) {
 		t.Fatalf("got %+v", got)
 	}
-	if got := Diff(nil, old); len(got) == 0 || got[0].Old != "" {
+	got := Diff(nil, old)
+	if len(got) == 0 || got[0].Old != "" {
 		t.Fatalf("diff from nothing: %+v", got)
 	}
+	for _, c := range got {
+		if strings.Contains(c.Key, "-") {
+			t.Errorf("%q is no key of a document", c.Key)
+		}
+	}
 }
 
 // Guards against a request that matches a less specific route, which may differ in
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -169,11 +169,30 @@
 	}
 }
 
+// Delays after consecutive errors of the socket.
+const (
+	firstErrorDelay = time.Millisecond
+	maxErrorDelay   = 200 * time.Millisecond
+)
+
+// waitAfterError waits longer after each of several errors in a row.
+func (t *Transport) waitAfterError(ctx context.Context, failures int) {
+	delay := min(firstErrorDelay<<min(failures-1, 10), maxErrorDelay)
+	if failures == 1 || delay == maxErrorDelay && failures%50 == 0 {
+		t.opts.Logger.Warn("cannot receive datagrams", zap.Int("consecutive_errors", failures))
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	}
+}
+
 // receive reads datagrams until the socket is closed.
 func (t *Transport) receive(ctx context.Context) {
 	defer t.group.Done()
 	decoder := cluster.NewDecoder()
 	buf := make([]byte, 64<<10)
+	failures := 0
 	for {
 		n, from, err := t.conn.ReadFrom(buf)
 		if ctx.Err() != nil {
@@ -184,8 +203,12 @@
 				return
 			}
 			counters.Add("receive_errors", 1)
+			// Most errors concern one datagram. One that lasts must not use a whole core.
+			failures++
+			t.waitAfterError(ctx, failures)
 			continue
 		}
+		failures = 0
 		counters.Add("bytes_received", int64(n+headerBytes))
 		msg, err := decoder.Decode(buf[:n])
 		if err != nil {
--- a/internal/transport/policysync/runner.go
+++ b/internal/transport/policysync/runner.go
@@ -147,7 +147,9 @@
 	texts := make(map[distribution.Version][]byte)
 	for _, n := range notifications {
 		peers[n.Version] = append(peers[n.Version], n.To)
-		texts[n.Version] = n.Text
+		if len(n.Text) > 0 {
+			texts[n.Version] = n.Text
+		}
 	}
 	for version, to := range peers {
 		r.opts.SendNotification(version, texts[version], to)
