Expect acknowledgments between nodes within 100 ms

Change: 100 ms instead of 150 ms, six round trips between regions. A false alarm costs one check of the connection.

--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -37,7 +37,7 @@
 	DefaultCheckAfter = time.Second
 	// DefaultAckTimeout is the time within which a peer acknowledges a recoverable request,
 	// many times a round trip of 16 ms between regions.
-	DefaultAckTimeout = 150 * time.Millisecond
+	DefaultAckTimeout = 100 * time.Millisecond
 	// DefaultCheckTimeout is the time without a response to a check after which another
 	// connection is tried. It is above the first retransmission time of TCP, 200 ms.
 	DefaultCheckTimeout = 250 * time.Millisecond
