Hedge elsewhere when the hedging attempt is refused

Change: a hedging attempt that was refused before it reached a backend server is followed by another one. It takes no further retry and counts among the free refusals.

--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -234,6 +234,18 @@
 	return true
 }
 
+// HedgeAgain decides whether another hedging attempt takes the place of one that was refused
+// before it reached a backend server. It takes no further retry from the budget, because the
+// refused attempt added no load. At most FreeRefusals refusals are followed by another attempt.
+func (p *Plan) HedgeAgain(now time.Time) bool {
+	if p.freeRefusals >= p.opt.FreeRefusals || !p.opt.Deadline.IsZero() && !now.Before(p.opt.Deadline) {
+		return false
+	}
+	p.freeRefusals++
+	p.attempts++
+	return true
+}
+
 // HedgeEnded records the end of one of two parallel attempts while the other one
 // continues. An attempt that did not reach a backend server does not count.
 func (p *Plan) HedgeEnded(r AttemptResult) {
--- a/internal/transport/proxy/hedge.go
+++ b/internal/transport/proxy/hedge.go
@@ -38,12 +38,21 @@
 		return first
 	case <-timer.C:
 	}
-	second := c.hedge(plan, after)
+	second := c.hedge(after, func(now time.Time) bool { return plan.Hedge(now, c.budget) }, plan)
 	if second == nil {
 		return <-ends
 	}
 	start(second)
 	t := <-ends
+	for t == second && t.refusedUnsent() {
+		// The first attempt still runs and has already taken too long.
+		c.hedgeFailed(plan, t)
+		if second = c.hedge(after, plan.HedgeAgain, plan); second == nil {
+			return <-ends
+		}
+		start(second)
+		t = <-ends
+	}
 	other := first
 	if t == first {
 		other = second
@@ -61,14 +70,14 @@
 }
 
 // hedge returns a second attempt that runs concurrently with the first. It returns nil
-// if no retry is available or no other backend server is known to have a free slot.
-func (c *call) hedge(plan *retry.Plan, after time.Duration) *ingressAttempt {
+// if allowed does not permit one or no other backend server is known to have a free slot.
+func (c *call) hedge(after time.Duration, allowed func(time.Time) bool, plan *retry.Plan) *ingressAttempt {
 	in := c.in
 	now := in.opt.Now()
 	request := c.routingRequest()
 	request.AvoidSuspects = true
 	// The process may exit before the second attempt ends.
-	if in.stopping() || !in.opt.Balancer.HasFreeSlot(now, in.opt.Directory.Snapshot(), request) || !plan.Hedge(now, c.budget) {
+	if in.stopping() || !in.opt.Balancer.HasFreeSlot(now, in.opt.Directory.Snapshot(), request) || !allowed(now) {
 		return nil
 	}
 	target, err := c.pickFor(request)
@@ -88,6 +97,11 @@
 	return t.state == retry.Answered && t.reply.Response.StatusCode < http.StatusInternalServerError
 }
 
+// refusedUnsent reports whether the attempt was refused before it reached a backend server.
+func (t *ingressAttempt) refusedUnsent() bool {
+	return t.state == retry.Refused && !t.reply.RefusedByBackend
+}
+
 // abandon ends an attempt because another one brought the response first.
 func (c *call) abandon(t *ingressAttempt, ends <-chan *ingressAttempt) {
 	t.cancel(errSuperseded)
--- a/internal/transport/proxy/hedge_test.go
+++ b/internal/transport/proxy/hedge_test.go
@@ -153,3 +153,34 @@
 		t.Fatalf("the backend server that hangs was released after %s", at.Sub(begin))
 	}
 }
+
+// Guards against a caller that waits for a backend server that hangs because the first owner
+// that was asked to hedge the request has refused it.
+func TestRefusedHedgeIsPlacedElsewhere(t *testing.T) {
+	const objective, hang = 30 * time.Millisecond, time.Second
+	f := newFleet(t, 3, func(_ *OwnerOptions, in *IngressOptions) {
+		in.Policies = withObjective{in.Policies, objective}
+		in.FreeRefusals = 8
+		in.RetrySlack = func() float64 { return 1000 }
+	})
+	f.serve(0, "b0", func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(hang):
+		}
+	})
+	// The owner of the others refuses everything; the last one is another node's.
+	for i := range 4 {
+		id := registry.BackendID(fmt.Sprint("refused", i))
+		f.nodes[1].owned = append(f.nodes[1].owned, registry.Backend{ID: id, Service: "booking", Slots: 4, Weight: 1})
+	}
+	f.publish(f.nodes[1])
+	done := make(chan result, 1)
+	start := time.Now()
+	go func() { done <- f.send(0, http.MethodGet, "/x", nil) }()
+	waitFor(t, func() bool { l, _ := f.nodes[0].backends.Load("b0"); return l.InUse == 1 })
+	f.serve(2, "b9", func(http.ResponseWriter, *http.Request) {})
+	if res := <-done; res.status != http.StatusOK || time.Since(start) > hang/2 {
+		t.Fatalf("status %d after %s", res.status, time.Since(start))
+	}
+}
