--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -156,6 +156,27 @@
 	}
 }
 
+// Guards against a node that is paused during its planned stop beyond the end of its drain and
+// that goes on draining after it wakes up, and against requests that run twice because of it.
+func TestNodePausedBeyondItsDrainEndsAtOnce(t *testing.T) {
+	f := newFleet(t, 24800, 4)
+	f.drain = "notice = \"1s\"\nkill_after = \"4s\""
+	f.start("booking", bookingPolicy, 5, bookingFloor)
+	l := f.startLoad("booking", bookingHost, 100, 9*time.Second, 1, 3)
+	time.Sleep(time.Second)
+	n4 := f.processes["n4"]
+	n4.signal(syscall.SIGTERM)
+	time.Sleep(50 * time.Millisecond)
+	n4.signal(syscall.SIGSTOP)
+	time.Sleep(6 * time.Second)
+	n4.signal(syscall.SIGCONT)
+	n4.waitExit(t, 2*time.Second)
+	rep := f.report(l, "booking")
+	if answered := rep.Outcomes[header.Answered]; answered < rep.Sent*95/100 {
+		t.Errorf("outcomes %v", rep.Outcomes)
+	}
+}
+
 // reservedPermits returns the number of permits that are reserved in the ledger of a
 // service, or 0 if the ledger cannot be read.
 func (f *fleet) reservedPermits(service string) int {
--- a/e2e/recovery_test.go
+++ b/e2e/recovery_test.go
@@ -117,3 +117,42 @@
 		t.Error("no request ended with a transport error when the node was killed: the test does not cover the failure")
 	}
 }
+
+// Guards against a backend server that left for good while its node was down and that gets
+// work again after the restart of that node.
+func TestServerThatLeftStaysOutAfterRestart(t *testing.T) {
+	f := newFleet(t, 26400, 4)
+	f.start("booking", bookingPolicy, 5, bookingFloor)
+	f.processes["n1"].signal(syscall.SIGKILL)
+	<-f.processes["n1"].exited
+	left := f.processes["booking-1"] // It was announced to n1.
+	left.signal(syscall.SIGKILL)
+	<-left.exited
+	f.eventually(15*time.Second, "the other nodes no longer list the backend server", func() bool { return f.servingBackends(2, "booking") == 11 })
+	f.startNode(1)
+	f.waitReady(1)
+	placed := func() (n int) {
+		for i := 1; i <= f.nodes; i++ {
+			for line := range strings.Lines(f.processes[nodeName(i)].stdout.String()) {
+				if strings.Contains(line, `"request_placed"`) && strings.Contains(line, `"booking-1"`) {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	before := placed()
+	l := f.startLoad("booking", bookingHost, 100, 4*time.Second, 1, 2, 3, 4)
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		for i := 1; i <= f.nodes; i++ {
+			if n := f.servingBackends(i, "booking"); n > 11 {
+				t.Errorf("%s lists %d backend servers", nodeName(i), n)
+			}
+		}
+	}
+	rep := f.report(l, "booking")
+	if n := placed() - before; n > 0 || rep.Outcomes[header.Answered] != rep.Sent {
+		t.Errorf("%d requests placed at the backend server that left; outcomes %v", n, rep.Outcomes)
+	}
+}
