Do not cut a response whose connection was only slow

If a connection is taken for silent and its response arrives after all, the ingress node abandons the recovery; the owner then canceled the attempt, which cuts a body that is still under way. Change: an abandoned recovery ends the attempt only if its reply has not begun or its connection is closed. Result: TestAbandonedRecoveryDoesNotCutResponse fails with the old rule and passes; the tests of the recovery pass with the race detector.

--- a/internal/transport/proxy/recovery.go
+++ b/internal/transport/proxy/recovery.go
@@ -232,8 +232,7 @@
 	}
 }
 
-// replyAgain waits for the reply to an attempt and writes it. If the ingress node goes away,
-// the attempt is canceled.
+// replyAgain waits for the reply to an attempt and writes it.
 func (o *Owner) replyAgain(ctx context.Context, w http.ResponseWriter, id string, r *recoverable) {
 	r.mu.Lock()
 	r.queries++
@@ -244,7 +243,7 @@
 	select {
 	case <-r.done:
 	case <-ctx.Done():
-		r.cancel()
+		r.queryAbandoned()
 		return
 	}
 	r.mu.Lock()
@@ -260,6 +259,18 @@
 	_, _ = w.Write(body) // A failure ends the stream, which the ingress node notices.
 }
 
+// queryAbandoned is called when the ingress node no longer waits for the reply to a recovery. If
+// no reply has begun, the caller has left, and the attempt ends. Otherwise the reply may have
+// arrived on the connection of the attempt after all, and goes on there.
+func (r *recoverable) queryAbandoned() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queries--
+	if r.queries == 0 && (r.status == 0 || r.disconnected) {
+		r.cancel()
+	}
+}
+
 // recoveries counts the recoveries by what the owner knew about the attempt.
 var recoveries = expvar.NewMap("attempt_recoveries")
 
--- a/internal/transport/proxy/recovery_test.go
+++ b/internal/transport/proxy/recovery_test.go
@@ -287,3 +287,28 @@
 		t.Errorf("outcomes of 300 requests: %v", outcomes)
 	}
 }
+
+// Guards against a response that is cut because its connection was taken for silent although it
+// was only slow: the ingress node then abandons the recovery and reads on.
+func TestAbandonedRecoveryDoesNotCutResponse(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		status       int
+		disconnected bool
+		want         bool
+	}{
+		{"the caller left before the reply", 0, false, true},
+		{"the reply arrives on the first connection", 200, false, false},
+		{"the first connection is closed", 200, true, true},
+	} {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &recoverable{cancel: cancel, done: make(chan struct{}), status: c.status, disconnected: c.disconnected}
+		abandoned, abandon := context.WithCancel(t.Context())
+		abandon()
+		NewOwner(OwnerOptions{}).replyAgain(abandoned, nil, "id", r)
+		if canceled := ctx.Err() != nil; canceled != c.want || r.queries != 0 {
+			t.Errorf("%s: canceled %t, %d queries left", c.name, canceled, r.queries)
+		}
+		cancel()
+	}
+}
