Admit repeatable work at a stopping node also without service times

Change: requests that may run again are given 1 s on a route without known service times. One that takes longer runs again elsewhere.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -34,6 +34,9 @@
 	stopReserve     = 125
 	stopReserveOnce = 150
 	minStopSamples  = 15
+	// unknownServiceTime is assumed for requests that may run again on a route without
+	// known service times. If one takes longer, it runs again elsewhere.
+	unknownServiceTime = time.Second
 	// minMedianSamples is the smallest number of service times with which the median is
 	// used.
 	minMedianSamples = 5
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -139,18 +139,18 @@
 	c.advance(now)
 }
 
-// LatestStart returns the time after which no route with known service times is admitted any
-// more, or zero if StopBy was not called or no service times are known.
+// LatestStart returns the time after which nothing but requests with an early deadline is
+// admitted, or zero if StopBy was not called.
 func (c *Controller) LatestStart(now time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance(now)
-	var latest time.Time
 	if c.end.IsZero() {
-		return latest
+		return time.Time{}
 	}
+	latest := c.routeStop("", true)
 	for route := range c.medians {
-		if at, ok := c.routeStop(route, true); ok && at.After(latest) {
+		if at := c.routeStop(route, true); at.After(latest) {
 			latest = at
 		}
 	}
@@ -162,25 +162,28 @@
 	if !r.Deadline.IsZero() && !r.Deadline.After(c.end) {
 		return c.end
 	}
-	at, _ := c.routeStop(r.Route, r.Repeatable)
-	return at
+	return c.routeStop(r.Route, r.Repeatable)
 }
 
 // routeStop returns the time from which a request of a route might not end before the process
-// exits, or false if its service times are not known.
-func (c *Controller) routeStop(route string, repeatable bool) (time.Time, bool) {
+// exits. It is zero if the request must not be repeated and the service times are not known.
+func (c *Controller) routeStop(route string, repeatable bool) time.Time {
 	w := c.medians[route]
-	if w == nil {
-		return time.Time{}, false
+	if repeatable {
+		usual := unknownServiceTime
+		if w != nil {
+			if known, ok := w.percentile90(c.now); ok {
+				usual = known
+			}
+		}
+		return c.end.Add(-usual * stopReserve / 100)
 	}
-	usual, ok := w.percentile90(c.now)
-	reserve := time.Duration(stopReserve)
-	if !repeatable {
-		usual, ok = w.longest(c.now, minStopSamples)
-		reserve = stopReserveOnce
+	if w == nil {
+		return time.Time{}
 	}
+	longest, ok := w.longest(c.now, minStopSamples)
 	if !ok {
-		return time.Time{}, false
+		return time.Time{}
 	}
-	return c.end.Add(-usual * reserve / 100), true
+	return c.end.Add(-longest * stopReserveOnce / 100)
 }
--- a/internal/transport/proxy/backends.go
+++ b/internal/transport/proxy/backends.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// LatestStart returns the time after which no backend server admits requests whose service
-// times are known, or zero if there is none; see admission.Controller.LatestStart.
+// LatestStart returns the time after which no backend server admits more than requests with
+// an early deadline, or zero if there is none; see admission.Controller.LatestStart.
 func (b *Backends) LatestStart() time.Time {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
