--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -290,9 +290,9 @@
 	deadline := since.Add(n.opts.Settings.Drain.Limit())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	end := deadline.Add(-drainMargin)
+	end := deadline.Add(-answerMargin)
 	n.backends.StopBy(end)
-	n.ingress.AcceptCallsUntil(end)
+	n.ingress.AcceptCallsUntil(deadline.Add(-drainMargin))
 	inService, callersDone := context.WithCancel(ctx)
 	go func() {
 		defer callersDone()
