Read values of the platform in every form

Cause: the template wrote the platform's slack into an integer setting. A missing value or true and false stopped it too. Change: such values stand in the table `supplied` as text. A usable one replaces the operator's setting, bounded downwards; any other leaves that setting in force with one warning. A slack of 0 allows no repeats instead of a minimum for each node.

--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -50,6 +50,9 @@
 		return exitBadSettings
 	}
 	if opts.Check {
+		for _, w := range s.Warnings() {
+			fmt.Fprintln(os.Stderr, "warning: "+w)
+		}
 		return 0
 	}
 	out := logging.NewWriter(os.Stdout)
@@ -59,6 +62,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	for _, w := range s.Warnings() {
+		log.Warn(w)
+	}
 	if err := serve(s, opts.Config, log, level); err != nil {
 		// The logger drops lines that are not read in time, so the error is also
 		// written to standard error.
--- a/cmd/wigeonspringd/reload.go
+++ b/cmd/wigeonspringd/reload.go
@@ -43,5 +43,8 @@
 		return
 	}
 	level.SetLevel(parsed)
+	for _, w := range next.Warnings() {
+		log.Warn(w)
+	}
 	log.Info("settings reloaded", zap.Strings("need_restart", settings.ChangedKeys(current, next, "output.log_level")))
 }
--- a/internal/coordination/retry/budget.go
+++ b/internal/coordination/retry/budget.go
@@ -28,11 +28,14 @@
 	// Slack is the number of retries per window that are allowed in addition to the
 	// share. It may be a fraction. If it is above 0, it replaces Minimum.
 	Slack float64
+	// Shared states that Slack is this node's part of a slack that the nodes share. It
+	// replaces Minimum also if it is 0.
+	Shared bool
 	// SlackStart is the time from which the slack is available. A node that restarts
 	// may already have used its slack in the current window before the restart.
 	SlackStart time.Time
 	// RoundingOffset, 0 to 1, is added to the limit before it is rounded down, if Slack
-	// is above 0. If every node has a random offset, the limits of many nodes add up to
+	// replaces Minimum. If every node has a random offset, the limits of many nodes add up to
 	// the limit that they share.
 	RoundingOffset float64
 	// Window is the length of the sliding window.
@@ -105,7 +108,7 @@
 // limit returns the number of retries allowed in a window with this number of requests.
 func (b *Budget) limit(now time.Time, requests int64) float64 {
 	share := float64(requests) * b.opt.Percent / 100
-	if b.opt.Slack > 0 {
+	if b.opt.Shared || b.opt.Slack > 0 {
 		if !now.Before(b.opt.SlackStart) {
 			share += b.opt.Slack
 		}
@@ -159,7 +162,7 @@
 // a retry. Each window allows a share of its own requests or the minimum.
 func (b *Budget) maxAttempts(windows int64) float64 {
 	extra := float64(b.opt.Minimum)
-	if b.maxSlack > 0 {
+	if b.opt.Shared || b.maxSlack > 0 {
 		extra += b.maxSlack + 1
 	}
 	return float64(b.requests)*(1+b.maxPercent/100) + float64(windows)*extra
--- a/internal/coordination/retry/fleet_test.go
+++ b/internal/coordination/retry/fleet_test.go
@@ -176,3 +176,14 @@
 		t.Fatalf("one request counted %d times", requests)
 	}
 }
+
+// Guards against nodes that allow themselves a minimum of retries although the slack that they
+// share is 0.
+func TestSharedSlackOfZeroAllowsNoMinimum(t *testing.T) {
+	if NewBudget(BudgetOptions{Shared: true}).Take(t0) {
+		t.Error("a retry without requests is allowed")
+	}
+	if !NewBudget(BudgetOptions{}).Take(t0) {
+		t.Error("no minimum without a shared slack")
+	}
+}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -35,6 +35,7 @@
 	Limits     Limits     `toml:"limits"`
 	Backend    Backend    `toml:"backend"`
 	Fleet      Fleet      `toml:"fleet"`
+	Supplied   Supplied   `toml:"supplied"`
 }
 
 // Node identifies the node and its location.
@@ -80,7 +81,7 @@
 type Drain struct {
 	Notice  Duration `toml:"notice" allowed:"0s to 1m" doc:"Time after SIGTERM during which the node still accepts requests but reports that it is not ready."`
 	Timeout Duration `toml:"timeout" allowed:"0s to 10m" doc:"Time that requests in flight have to finish after SIGTERM."`
-	// KillAfter takes precedence over Timeout; see Limit.
+	// KillAfter takes precedence over Timeout; see Settings.DrainLimit.
 	KillAfter Duration `toml:"kill_after" allowed:"0s (not known) or 1s to 10m" doc:"Time from SIGTERM until the platform kills the process. If set, requests in flight may finish until 500 ms before, and timeout has no effect."`
 }
 
@@ -88,8 +89,9 @@
 // process closes its connections and exits meanwhile.
 const killMargin = 500 * time.Millisecond
 
-// Limit returns the time that requests in flight have to finish after SIGTERM.
-func (d Drain) Limit() time.Duration {
+// limit returns the time that requests in flight have to finish after SIGTERM, unless the
+// platform supplies another one.
+func (d Drain) limit() time.Duration {
 	if d.KillAfter > 0 {
 		return time.Duration(d.KillAfter) - killMargin
 	}
@@ -261,12 +263,14 @@
 	"listen.metrics_listen":           validOptionalAddress,
 	"platform.form":                   func(v any) bool { return v == "" || v == FormObjects },
 	"drain.notice":                    durationBetween(0, time.Minute),
-	"drain.kill_after":                func(v any) bool { return v == Duration(0) || durationBetween(time.Second, 10*time.Minute)(v) },
+	"drain.kill_after":                func(v any) bool { return v == Duration(0) || durationBetween(minKillAfter, maxKillAfter)(v) },
 	"backend.detector":                func(v any) bool { return v == DetectorCUSUM || v == DetectorTrials },
 	"backend.lease":                   durationBetween(time.Second, 10*time.Minute),
 	"fleet.floor_percent":             integerBetween(0, 100),
 	"fleet.retry_percent":             integerBetween(0, 100),
-	"fleet.retry_slack":               integerBetween(0, 100000),
+	"fleet.retry_slack":               integerBetween(0, maxRetrySlack),
+	"supplied.kill_after":             func(any) bool { return true },
+	"supplied.retry_slack":            func(any) bool { return true },
 	"fleet.ask_first":                 func(any) bool { return true },
 	"fleet.free_refusals":             integerBetween(0, 100),
 	"listen.peer_advertise":           func(v any) bool { return v == "" || validSpecificAddress(v) },
--- a/internal/state/settings/settings_test.go
+++ b/internal/state/settings/settings_test.go
@@ -136,3 +136,35 @@
 		t.Fatalf("docs/settings.md differs from the code (%v); run go test ./internal/state/settings -update", err)
 	}
 }
+
+// Guards against a value of the platform that is rounded up, or that lets a node drain or
+// repeat without limit.
+func TestSuppliedValuesAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		killAfter, slack string
+		drain            time.Duration
+		retries          float64
+		shared           bool
+		warnings         int
+	}{
+		{"", "", 4 * time.Second, 7, true, 0},
+		{"6s", "25.2", 5500 * time.Millisecond, 25.2, true, 0},
+		{"1.9s", "0.9", 1400 * time.Millisecond, 0.9, true, 0},
+		{"20m", "1e300", 10*time.Minute - killMargin, 100000, true, 0},
+		{"1s", "0", 500 * time.Millisecond, 0, true, 0},
+		{"999ms", "-0.1", 4 * time.Second, 7, true, 2},
+		{"true", "NaN", 4 * time.Second, 7, true, 2},
+		{"6", "Inf", 4 * time.Second, 7, true, 2},
+	} {
+		text := valid + "[drain]\ntimeout = \"4s\"\n[fleet]\nretry_slack = 7\n" +
+			fmt.Sprintf("[supplied]\nkill_after = %q\nretry_slack = %q\n", c.killAfter, c.slack)
+		s, _, err := load(t, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		slack, shared := s.RetrySlack()
+		if s.DrainLimit() != c.drain || slack != c.retries || shared != c.shared || len(s.Warnings()) != c.warnings {
+			t.Errorf("%+v: drain %s, slack %v (shared %v), warnings %q", c, s.DrainLimit(), slack, shared, s.Warnings())
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/settings/supplied.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+)
+
+// Supplied holds values that the platform fills in when it starts a node. They are read as
+// text, so that no form of a value keeps the node from starting: a value that cannot be used
+// leaves the setting of the operator in force.
+type Supplied struct {
+	KillAfter  string `toml:"kill_after" allowed:"\"\" (none) or a duration from 1s; above 10m counts as 10m" doc:"Value of the platform for drain.kill_after, which it replaces. Any other text is ignored with a warning."`
+	RetrySlack string `toml:"retry_slack" allowed:"\"\" (none) or a number from 0, also a fraction; above 100000 counts as 100000" doc:"Value of the platform for fleet.retry_slack, which it replaces. 0 allows no repeats beyond the share. Any other text is ignored with a warning."`
+}
+
+const (
+	minKillAfter  = time.Second
+	maxKillAfter  = 10 * time.Minute
+	maxRetrySlack = 100000
+)
+
+// killAfter returns the supplied duration and reports whether it can be used.
+func (v *Supplied) killAfter() (time.Duration, bool) {
+	d, err := time.ParseDuration(v.KillAfter)
+	return min(d, maxKillAfter), err == nil && d >= minKillAfter
+}
+
+// retrySlack returns the supplied number and reports whether it can be used.
+func (v *Supplied) retrySlack() (float64, bool) {
+	n, err := strconv.ParseFloat(v.RetrySlack, 64)
+	return min(n, maxRetrySlack), err == nil && n >= 0 && !math.IsInf(n, 0)
+}
+
+// DrainLimit returns the time that requests in flight have to finish after SIGTERM.
+func (s *Settings) DrainLimit() time.Duration {
+	if d, ok := s.Supplied.killAfter(); ok {
+		return d - killMargin
+	}
+	return s.Drain.limit()
+}
+
+// RetrySlack returns the repeats within 10 s that the whole fleet may make for a service
+// beyond its share. It reports false if each node allows a minimum instead.
+func (s *Settings) RetrySlack() (slack float64, shared bool) {
+	if n, ok := s.Supplied.retrySlack(); ok {
+		return n, true
+	}
+	return float64(s.Fleet.RetrySlack), s.Fleet.RetrySlack > 0
+}
+
+// Warnings describes the supplied values that cannot be used, one line each, and what
+// applies in their place.
+func (s *Settings) Warnings() []string {
+	var lines []string
+	warn := func(key, found, replacement string) {
+		lines = append(lines, fmt.Sprintf("supplied.%s: ignored an unusable value; found %q; %s applies", key, found, replacement))
+	}
+	if _, ok := s.Supplied.killAfter(); !ok && s.Supplied.KillAfter != "" {
+		warn("kill_after", s.Supplied.KillAfter, "a drain of "+s.DrainLimit().String())
+	}
+	if _, ok := s.Supplied.retrySlack(); !ok && s.Supplied.RetrySlack != "" {
+		warn("retry_slack", s.Supplied.RetrySlack, fmt.Sprintf("fleet.retry_slack = %d", s.Fleet.RetrySlack))
+	}
+	return lines
+}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -302,10 +302,10 @@
 const slackShare = 0.85
 
 // retrySlack returns a function that returns this node's part of the slack, or nil if
-// there is no slack.
+// the nodes share none.
 func (n *Node) retrySlack() func() float64 {
-	slack := float64(n.opts.Settings.Fleet.RetrySlack)
-	if slack == 0 {
+	slack, shared := n.opts.Settings.RetrySlack()
+	if !shared {
 		return nil
 	}
 	return func() float64 { return slackShare * slack / float64(max(n.directory.Snapshot().Len(), 1)) }
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -287,7 +287,7 @@
 	n.stopping.Store(true)
 	n.log.Info("shutting down")
 	since := time.Now()
-	deadline := since.Add(n.opts.Settings.Drain.Limit())
+	deadline := since.Add(n.opts.Settings.DrainLimit())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	end := deadline.Add(-answerMargin)
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -356,7 +356,7 @@
 		return budget
 	}
 	options := retry.BudgetOptions{
-		Percent: percent, Slack: slack, SlackStart: in.opt.RetrySlackStart, RoundingOffset: rand.Float64(),
+		Percent: percent, Slack: slack, Shared: in.opt.RetrySlack != nil, SlackStart: in.opt.RetrySlackStart, RoundingOffset: rand.Float64(),
 	}
 	b, _ := in.budgets.LoadOrStore(id, retry.NewBudget(options))
 	return b.(*retry.Budget)
