Bound the memory of replies with large headers

Report: a faulty backend server sends bytes without end in a head or a body; the process that called it keeps them and runs out of memory. Cause: a head and a body without end were bounded already (256 KB for a head, windows of 256 KB for a stream, 64 KB for a kept body). The header of a reply that is kept for a recovery was not: up to 256 KB each, 4,096 replies, 5 s long. Change: the header counts against the memory of kept replies, 4 MB for a node and 64 KB for one. Only the node daemon calls backend servers; it is tested in both roles, owner and ingress. TestKeptRepliesAreBounded compares with the memory before its request instead of with all of it, as the first reply's header counts now.

--- a/internal/transport/backend/endless_test.go
+++ b/internal/transport/backend/endless_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -68,3 +70,59 @@
 		})
 	}
 }
+
+// Guards against a header without end that is kept until it exhausts the memory, and shows that
+// the size limit prevents this.
+func TestEndlessHeaderIsBoundedInMemory(t *testing.T) {
+	const conns, maxGrowth = 8, 16 << 20
+	for _, limited := range []bool{true, false} {
+		s := serveScript(t, func(_ int, _ *http.Request, conn net.Conn) bool {
+			piece := strings.Repeat("x", 64<<10)
+			for ok := writeRaw(conn, "HTTP/1.1 200 OK\r\nA: "); ok; {
+				ok = writeRaw(conn, piece)
+			}
+			return false
+		})
+		p := NewPool(Options{Addr: s.addr, MaxConns: conns})
+		if !limited {
+			p.transport.MaxResponseHeaderBytes = 1 << 40
+		}
+		before := heapBytes()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		var exchanges sync.WaitGroup
+		for range conns {
+			exchanges.Go(func() {
+				if resp, err := p.Do(ctx, newRequest(t, "GET", "/", ""), "id", true, allow); err == nil {
+					t.Error("taken for a response")
+					_ = resp.Body.Close()
+				}
+			})
+		}
+		ended := make(chan struct{})
+		go func() { exchanges.Wait(); close(ended) }()
+		var most int64
+		for running := true; running && most <= maxGrowth; {
+			most = max(most, heapBytes()-before)
+			select {
+			case <-ended:
+				running = false
+			case <-time.After(time.Millisecond):
+			}
+		}
+		cancel()
+		<-ended
+		p.Close()
+		waitClosed(t, p)
+		if limited != (most <= maxGrowth) {
+			t.Errorf("size limit %v: the memory in use grew by %d MB", limited, most>>20)
+		}
+	}
+}
+
+// heapBytes returns the memory that is in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/transport/proxy/recovery.go
+++ b/internal/transport/proxy/recovery.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	// maxKeptReplyBytes is the largest body of a reply that is kept for a recovery.
+	// maxKeptReplyBytes is the largest reply, header and body, that is kept for a recovery.
 	maxKeptReplyBytes = 64 << 10
-	// keptReplyBytes bounds the memory of all such bodies.
+	// keptReplyBytes bounds the memory of all such replies.
 	keptReplyBytes = 4 << 20
+	// headerValueBytes is the memory of a header value in addition to its text.
+	headerValueBytes = 64
 	// connectionLossGrace is how long an attempt goes on after its connection was lost. By
 	// then, the ingress node asks for it on another connection.
 	connectionLossGrace = 300 * time.Millisecond
@@ -48,6 +50,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// kept is the number of bytes of the header and the body, which are reserved in memory.
+	kept int64
 	// ended is set when the handler of the attempt is about to return; the stream must not
 	// be used any more.
 	ended bool
@@ -83,7 +87,7 @@
 	r.mu.Lock()
 	r.ended = true
 	if !complete {
-		r.forgetBody()
+		r.forget()
 	}
 	r.mu.Unlock()
 	close(r.done)
@@ -120,12 +124,26 @@
 	}
 }
 
-// forgetBody frees the memory of the reply, which cannot be sent again then. The caller holds
+// forget frees the memory of the reply, which cannot be sent again then. The caller holds
 // the lock.
-func (r *recoverable) forgetBody() {
+func (r *recoverable) forget() {
 	r.lost = true
-	r.memory.give(int64(len(r.body)))
-	r.body = nil
+	r.memory.give(r.kept)
+	r.header, r.body, r.kept = nil, nil, 0
+}
+
+// reserve reserves memory for n more bytes of the reply. If there is none, it forgets the
+// reply and returns false. The caller holds the lock.
+func (r *recoverable) reserve(n int64) bool {
+	if r.lost {
+		return false
+	}
+	if r.kept+n > maxKeptReplyBytes || !r.memory.take(n) {
+		r.forget()
+		return false
+	}
+	r.kept += n
+	return true
 }
 
 // release frees the memory of the reply when the attempt is no longer recorded.
@@ -135,7 +153,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.forgetBody()
+	r.forget()
+}
+
+// keepHeader records the status of the reply and keeps its header.
+func (r *recoverable) keepHeader(status int, h http.Header) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.status = status
+	if r.reserve(headerBytes(h)) {
+		r.header = maps.Clone(h)
+	}
 }
 
 // keep adds bytes to the reply that is kept. It reports false if the reply can no longer be
@@ -143,17 +171,24 @@
 func (r *recoverable) keep(p []byte) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.lost {
-		return false
-	}
-	if len(r.body)+len(p) > maxKeptReplyBytes || !r.memory.take(int64(len(p))) {
-		r.forgetBody()
+	if !r.reserve(int64(len(p))) {
 		return false
 	}
 	r.body = append(r.body, p...)
 	return true
 }
 
+// headerBytes returns the memory that a header takes, approximately.
+func headerBytes(h http.Header) (n int64) {
+	for name, values := range h {
+		n += int64(len(name))
+		for _, v := range values {
+			n += int64(len(v)) + headerValueBytes
+		}
+	}
+	return n
+}
+
 // replyRecorder keeps a copy of the reply that is written to the connection of the attempt.
 type replyRecorder struct {
 	http.ResponseWriter
@@ -176,9 +211,7 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (w *replyRecorder) WriteHeader(status int) {
-	w.attempt.mu.Lock()
-	w.attempt.status, w.attempt.header = status, maps.Clone(w.Header())
-	w.attempt.mu.Unlock()
+	w.attempt.keepHeader(status, w.Header())
 	w.ResponseWriter.WriteHeader(status)
 }
 
--- a/internal/transport/proxy/recovery_test.go
+++ b/internal/transport/proxy/recovery_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -197,6 +198,7 @@
 		time.Sleep(20 * time.Millisecond)
 		_, _ = io.WriteString(w, strings.Repeat("x", maxKeptReplyBytes+1))
 	})
+	before := f.nodes[1].owner.keptReplies.free.Load()
 	done := make(chan result, 1)
 	go func() { done <- f.send(0, "POST", "/", nil) }()
 	<-begun
@@ -204,11 +206,40 @@
 	if got := <-done; got.outcome != header.Unknown || got.reason != reasonNotKept {
 		t.Errorf("%.200s", fmt.Sprintf("%+v", got))
 	}
-	if free := f.nodes[1].owner.keptReplies.free.Load(); free != keptReplyBytes {
+	if free := f.nodes[1].owner.keptReplies.free.Load(); free != before {
+		t.Errorf("%d bytes free, want %d", free, before)
+	}
+}
+
+// Guards against a node that runs out of memory because a backend server sends large headers,
+// which it keeps for a recovery.
+func TestKeptHeadersAreBounded(t *testing.T) {
+	const replies, valueBytes = 200, 100 << 10
+	f, _ := newLinkedFleet(t, 2, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Large", strings.Repeat("x", valueBytes))
+	})
+	before := heapBytes()
+	for range replies {
+		if got := f.send(0, "POST", "/", nil); got.outcome != header.Answered || len(got.header.Get("X-Large")) != valueBytes {
+			t.Fatalf("%.200s", fmt.Sprintf("%+v", got))
+		}
+	}
+	if grown := heapBytes() - before; grown > 2*keptReplyBytes {
+		t.Errorf("%d bytes are kept after replies with headers of %d bytes", grown, replies*valueBytes)
+	}
+	if free := f.nodes[1].owner.keptReplies.free.Load(); free < 0 || free > keptReplyBytes {
 		t.Errorf("%d bytes of %d free", free, keptReplyBytes)
 	}
 }
 
+// heapBytes returns the memory that is in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // Fails connections at random moments while requests that must not be repeated run. Guards
 // against one that runs twice, and one that is reported as not run although it ran.
 func TestRecoveryKeepsGuaranteesAtRandomMoments(t *testing.T) {
