Refuse queued requests once their backend server is suspect

Callers saw: a request that must not be repeated waited in the queue of a backend server that hangs until its deadline was near, and then got 503 or 504, although another one was free. Cause: once a backend server is suspect, such a request is refused when its slot becomes free, and the slots of a server that hangs stay in use. Change: the owner refuses these requests of the queue as soon as the suspicion begins; the ingress node tries them elsewhere. Trials, requests that may be repeated and requests without a better backend server stay.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -86,6 +86,9 @@
 	BackendDraining Reason = "backend_draining"
 	// BackendEjected means that the backend server is ejected.
 	BackendEjected Reason = "backend_ejected"
+	// BackendSuspect means that the backend server has become suspect while the request
+	// was queued.
+	BackendSuspect Reason = "backend_suspect"
 	// NodeStopping means that the request might not end before the process exits.
 	NodeStopping Reason = "node_stopping"
 	// DuplicateTicket means that the ticket is already queued or in flight.
@@ -127,6 +130,8 @@
 	Repeatable bool
 	// Remote marks a request from another region.
 	Remote bool
+	// AvoidSuspect marks a request that may not start at a suspect backend server.
+	AvoidSuspect bool
 }
 
 // Decision is the decision about a queued request.
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -35,6 +35,20 @@
 	c.trimQueue()
 }
 
+// RefuseSuspect refuses the queued requests with AvoidSuspect, because the backend server has
+// become suspect. They would be refused at the latest when a slot becomes free for them, and
+// the slots of a backend server that hangs stay in use until the deadlines of its requests.
+func (c *Controller) RefuseSuspect(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(now)
+	for i := len(c.queue) - 1; i >= 0; i-- {
+		if c.queue[i].AvoidSuspect {
+			c.decide(i, false, BackendSuspect)
+		}
+	}
+}
+
 // SetWeight changes the weight that Load reports, from 0 to 1. It scales the share of work
 // that ingress nodes send. The number of slots does not change, because a degraded backend
 // server still belongs to the capacity that the floor protects.
--- a/internal/transport/proxy/admitter.go
+++ b/internal/transport/proxy/admitter.go
@@ -79,6 +79,12 @@
 	a.deliverDecisions()
 }
 
+// refuseSuspect refuses the waiting requests that may not start at a suspect backend server.
+func (a *admitter) refuseSuspect() {
+	a.controller.RefuseSuspect(a.now())
+	a.deliverDecisions()
+}
+
 // deliverDecisions sends the decisions of the controller to the waiting requests and
 // sets the timer for the next decision.
 func (a *admitter) deliverDecisions() {
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -201,7 +201,7 @@
 	}
 	slotRequest := admission.Request{
 		Caller: a.Caller, Route: a.Route, Rank: a.Rank, Deadline: a.responseDeadline(), Remote: a.Region != o.opt.Region,
-		Repeatable: a.Idempotent,
+		Repeatable: a.Idempotent, AvoidSuspect: b.tracker != nil && !a.Idempotent && !trial && !a.NoBetterBackend,
 	}
 	if a.Objective > 0 {
 		slotRequest.Objective = o.opt.Now().Add(a.Objective)
@@ -212,7 +212,7 @@
 		if trial {
 			b.tracker.EndTrial()
 		}
-		if reason == reasonStopping {
+		if reason == reasonStopping || reason == reasonSuspect {
 			load.Weight = 0 // Ingress nodes avoid the backend server for a moment.
 		}
 		return notRun(reason, &load)
@@ -359,6 +359,7 @@
 	switch t.Observe(now, x.start, kind) {
 	case suspicion.Suspected:
 		e = event.BackendSuspected
+		x.backend.admitter.refuseSuspect()
 	case suspicion.Cleared:
 		e = event.BackendRestored
 	default:
--- a/internal/transport/proxy/suspect_test.go
+++ b/internal/transport/proxy/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -78,3 +79,30 @@
 		t.Fatal("no trial")
 	}
 }
+
+// Guards against a request that must not be repeated and waits for a slot of a backend server
+// that hangs and has become suspect, while another one is free.
+func TestQueuedRequestLeavesSuspectServer(t *testing.T) {
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.FreeRefusals = 8 })
+	f.nodes[1].backends.opt.SuspicionTrials = true
+	free := make(chan struct{})
+	f.serve(1, "hangs", func(http.ResponseWriter, *http.Request) { <-free })
+	hanging := f.nodes[1].backends.get("hangs")
+	hanging.admitter.controller.SetSlots(1)
+	var requests sync.WaitGroup
+	results := make(chan result, 2)
+	for range 2 {
+		requests.Go(func() { results <- f.send(0, http.MethodPost, "/", strings.NewReader("x")) })
+	}
+	waitFor(t, func() bool { l := hanging.admitter.controller.Load(); return l.InUse == 1 && l.Queued == 1 })
+	f.serve(1, "works", func(http.ResponseWriter, *http.Request) {})
+	start := time.Now()
+	x := &exchange{owner: f.nodes[1].owner, attempt: &ownerAttempt{}, backend: hanging}
+	x.updateTracker(hanging.tracker, evidence.Reset, time.Now())
+	got := <-results
+	if took := time.Since(start); got.status != http.StatusOK || took > 500*time.Millisecond {
+		t.Errorf("%s, %s after %s", got.outcome, got.reason, took)
+	}
+	close(free)
+	requests.Wait()
+}
