--- a/internal/coordination/distribution/sim_test.go
+++ b/internal/coordination/distribution/sim_test.go
@@ -37,6 +37,9 @@
 	epochs        map[string]uint64
 	waiting       map[*simNode]*PlatformRequest
 	disabled      DisabledMechanisms
+	// historyDropped is set while the platform ends every watch because it has forgotten its
+	// history.
+	historyDropped bool
 	// platformUnresponsive drops every request to the platform.
 	platformUnresponsive bool
 	// options changes the options of the cores.
@@ -315,6 +318,13 @@
 // connections stop delivering.
 func (s *sim) dropWaitingRequests() { clear(s.waiting) }
 
+// dropHistory makes the platform forget its history, so that the watchers must list.
+func (s *sim) dropHistory() {
+	s.historyDropped = true
+	s.wakeWatches()
+	s.historyDropped = false
+}
+
 func (s *sim) wakeWatches() {
 	for _, n := range s.nodes {
 		if r := s.waiting[n]; r != nil {
@@ -355,7 +365,9 @@
 		reply.Objects = append(reply.Objects, c)
 	}
 	slices.SortFunc(reply.Objects, func(a, b platform.Object) int { return int(a.Revision) - int(b.Revision) })
-	if s.platformFails {
+	if r.Watch && s.historyDropped {
+		reply = PlatformReply{ID: r.ID, Err: platform.ErrCompacted}
+	} else if s.platformFails {
 		reply = PlatformReply{ID: r.ID, Err: platform.ErrUnavailable}
 	} else if r.Watch && len(reply.Objects) == 0 && !expired {
 		return
--- a/internal/coordination/distribution/unresponsive_test.go
+++ b/internal/coordination/distribution/unresponsive_test.go
@@ -29,7 +29,11 @@
 // Guards against an accepted policy that is in force late because the watchers wait on
 // connections that deliver nothing, or for a platform that does not reply.
 func TestPolicyIsInForceDespiteUnresponsivePlatform(t *testing.T) {
-	const outage = 4500 * time.Millisecond
+	const (
+		outage = 4500 * time.Millisecond
+		// maxListingDelay is above the time after which all watchers list again.
+		maxListingDelay = minBackoff + 50*time.Millisecond
+	)
 	cutWatchers := func(s *sim) {
 		// The platform replies only to the nodes of one failure domain that are not watchers.
 		for _, n := range s.nodes {
@@ -51,6 +55,15 @@
 	}
 	cases := []watchFaultCase{
 		{"connections deliver nothing", (*sim).dropWaitingRequests, time.Second, recoveryTime, false},
+		{"connections deliver nothing, twice", func(s *sim) {
+			s.dropWaitingRequests()
+			s.after(time.Second, s.dropWaitingRequests)
+		}, 2 * time.Second, time.Second + recoveryTime, false},
+		{"connections of listings deliver nothing", func(s *sim) {
+			s.dropHistory()
+			s.platformUnresponsive = true
+			s.after(maxListingDelay, func() { s.platformUnresponsive = false })
+		}, time.Second, maxListingDelay + recoveryTime, false},
 		{"platform does not reply", func(s *sim) {
 			s.dropWaitingRequests()
 			s.platformUnresponsive = true
