Measure fetches of policies and their application

Cause: logs and metrics do not tell whether a configuration is late because it is fetched slowly or because it is put in force slowly. Change: histograms policy_pull and policy_apply. Result: the tests of the package pass; nothing else changes.

--- a/internal/transport/policysync/rpc.go
+++ b/internal/transport/policysync/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -72,7 +73,9 @@
 	client := policypb.NewPoliciesProtobufClient("http://"+addr, r.opts.PeerClient)
 	switch {
 	case c.Pull != nil:
+		start := time.Now()
 		reply.Pull, reply.Err = pull(ctx, client, c.Pull)
+		pullDurations.Observe(pullOutcome(reply.Err), time.Since(start))
 	case c.Sync != nil:
 		reply.Sync, reply.Err = syncTable(ctx, client, c.Sync)
 	case c.TakeOver != nil:
@@ -81,6 +84,13 @@
 	return reply
 }
 
+func pullOutcome(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "done"
+}
+
 func pull(ctx context.Context, client policypb.Policies, p *distribution.Pull) (*distribution.PullReply, error) {
 	resp, err := client.Pull(ctx, &policypb.PullRequest{Services: p.Services})
 	if err != nil {
--- a/internal/transport/policysync/runner.go
+++ b/internal/transport/policysync/runner.go
@@ -119,6 +119,9 @@
 func (r *Runner) step(ctx context.Context, in distribution.Input, wake *time.Timer) {
 	in.Now = time.Now()
 	out := r.core.Step(in)
+	if len(out.InForce) > 0 {
+		applyDurations.Observe("in_force", time.Since(in.Now))
+	}
 	status := out.Status
 	r.status.Store(&status)
 	for _, p := range out.InForce {
@@ -201,6 +204,13 @@
 // platformCallDurations records the durations of platform requests for policies by outcome.
 var platformCallDurations = metrics.NewHistograms("platform_policy_call")
 
+// applyDurations are the times to put received policies in force, and pullDurations those to
+// fetch policies from a peer.
+var (
+	applyDurations = metrics.NewHistograms("policy_apply")
+	pullDurations  = metrics.NewHistograms("policy_pull")
+)
+
 func outcome(r *distribution.PlatformReply) string {
 	switch {
 	case errors.Is(r.Err, platform.ErrCompacted):
