Do not request a policy again while it arrives

Cause: a watch counted as overdue 0.5 s after its waiting time also if its reply was arriving, and was sent again, which made the same large reply arrive once more on the slow link; platform_down was logged though the platform answered. Change: the beginning of a reply extends its time to 1 s from then. Evidence: TestLargePolicyIsNotRequestedWhileItArrives: 408 requests to the platform without the change, at most 192 are expected.

--- a/internal/coordination/distribution/core.go
+++ b/internal/coordination/distribution/core.go
@@ -83,6 +83,10 @@
 	// the design size.
 	replyTimeout = 500 * time.Millisecond
 	listTimeout  = 2 * time.Second
+	// transferTimeout is the time in which a reply must be complete that has begun to arrive.
+	// A connection that delivers is not silent, and another request would only make the same
+	// reply arrive twice on a slow link.
+	transferTimeout = time.Second
 	// retryWatchWait is the waiting time of a watch after a failure. It is short so that
 	// a watch sent at the end of an outage gets a reply soon.
 	retryWatchWait = 100 * time.Millisecond
@@ -225,6 +229,9 @@
 	if in.Members != nil {
 		c.setMembers(in.Members)
 	}
+	if in.PlatformProgress != 0 {
+		c.handlePlatformProgress(in.PlatformProgress)
+	}
 	if in.PlatformReply != nil {
 		c.handlePlatformReply(in.PlatformReply)
 	}
--- a/internal/coordination/distribution/messages.go
+++ b/internal/coordination/distribution/messages.go
@@ -135,6 +135,8 @@
 	Digests       []PeerDigest
 	Replies       []Reply
 	PlatformReply *PlatformReply
+	// PlatformProgress is the ID of a request whose reply has begun to arrive, or 0.
+	PlatformProgress uint64
 	// FailedProbes is the number of membership probes without an ack in time.
 	FailedProbes int
 	// TakeOvers holds the requests of peers to watch the platform for them.
--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -107,6 +107,14 @@
 // errOverdue is the error of a request that got no reply in time.
 var errOverdue = fmt.Errorf("%w: no answer in time", platform.ErrNoResponse)
 
+// handlePlatformProgress leaves a reply that has begun to arrive more time.
+func (c *Core) handlePlatformProgress(id uint64) {
+	w := &c.watch
+	if until := c.now.Add(transferTimeout); w.request != nil && w.request.ID == id && until.After(w.deadline) {
+		w.deadline = until
+	}
+}
+
 // handlePlatformReply processes the reply to the pending request or to an overdue one.
 func (c *Core) handlePlatformReply(r *PlatformReply) {
 	w := &c.watch
--- a/internal/coordination/distribution/unresponsive_test.go
+++ b/internal/coordination/distribution/unresponsive_test.go
@@ -134,3 +134,29 @@
 		t.Error("no node lacks the policy with the mechanism switched off")
 	}
 }
+
+// Guards against watchers that request a large policy again and again while it arrives over a
+// slow link.
+func TestLargePolicyIsNotRequestedWhileItArrives(t *testing.T) {
+	const domains, seconds, writes = 6, 12, 4
+	s := newSim(1, domains, 6, DisabledMechanisms{})
+	s.options = func(o *Options) { o.Linearizable, o.WatchWait, o.MaxBackoff = true, ShortWatchWait, ShortMaxBackoff }
+	s.write("booking")
+	s.bootConfirmed()
+	s.runUntil(5 * time.Second)
+	s.transferTime = 900 * time.Millisecond
+	requests := s.platformRequests
+	for i := range writes {
+		// At different moments of the watches.
+		s.runUntil(5*time.Second + time.Duration(i)*3200*time.Millisecond)
+		s.write("booking")
+	}
+	s.runUntil((5 + seconds) * time.Second)
+	if nodes := s.behind("booking"); len(nodes) > 0 {
+		t.Errorf("the policy is not in force on %d nodes", len(nodes))
+	}
+	// Each of the two watchers of a failure domain makes one request per second or change.
+	if n, limit := s.platformRequests-requests, 2*domains*(seconds+writes); n > limit {
+		t.Errorf("%d requests to the platform, at most %d are expected", n, limit)
+	}
+}
--- a/internal/transport/policysync/runner.go
+++ b/internal/transport/policysync/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -185,6 +186,9 @@
 		timeout = req.Wait + watchMargin
 	}
 	ctx, cancel := context.WithTimeout(r.platformContext, timeout)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		r.inputs.Offer(distribution.Input{PlatformProgress: req.ID})
+	}})
 	r.calls.Add(1)
 	go func() {
 		defer r.calls.Done()
