Do not wait for silent peers when calling other nodes

Callers saw: a node that starts could stay unready for 5 s: it syncs its directory with one peer at a time, and waited that long for a peer without power or on a connection that fell silent. Change: a dial may take 1 s, and a response has to begin within 1.5 s; its rest may still take longer.

--- a/internal/transport/gossip/gossip_test.go
+++ b/internal/transport/gossip/gossip_test.go
@@ -146,3 +146,23 @@
 		})
 	})
 }
+
+// Guards against a starting node that waits for a peer whose connection is silent, and
+// meanwhile learns of no other node.
+func TestSilentPeerDoesNotDelayDirectorySync(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	client := NewPeerClient()
+	t.Cleanup(client.CloseIdleConnections)
+	begun := time.Now()
+	// A node has to recover from a fault within 3 s, and the next peer takes 1 s.
+	ctx, cancel := context.WithTimeout(t.Context(), DefaultSyncTimeout)
+	defer cancel()
+	_, err = clusterpb.NewClusterProtobufClient("http://"+silent.Addr().String(), client).SyncDirectory(ctx, &clusterpb.SyncDirectoryRequest{})
+	if took := time.Since(begun); err == nil || took > 2*time.Second {
+		t.Errorf("%v after %s", err, took)
+	}
+}
--- a/internal/transport/gossip/options.go
+++ b/internal/transport/gossip/options.go
@@ -98,9 +98,7 @@
 		o.OnSuperseded = func() {}
 	}
 	if o.PeerClient == nil {
-		o.PeerClient = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 1, IdleConnTimeout: platform.IdleConnTimeout,
-		}}
+		o.PeerClient = NewPeerClient()
 	}
 	if o.SyncTimeout == 0 {
 		o.SyncTimeout = DefaultSyncTimeout
@@ -118,3 +116,21 @@
 		o.Logger = zap.NewNop()
 	}
 }
+
+const (
+	// peerDialTimeout bounds the dial to a peer, whose VM may have lost power.
+	peerDialTimeout = time.Second
+	// peerResponseTimeout is the time in which the response to a call must begin. The
+	// connection of a call that waits longer has probably fallen silent, and a starting node
+	// makes one directory sync at a time. A large response may take longer to arrive.
+	peerResponseTimeout = 1500 * time.Millisecond
+)
+
+// NewPeerClient returns a client for calls to other nodes.
+func NewPeerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: platform.IdleConnTimeout,
+		ResponseHeaderTimeout: peerResponseTimeout,
+	}}
+}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -160,7 +160,7 @@
 		directory:        registry.NewDirectory(),
 		records:          records,
 		store:            events.NewStore(explainEvents),
-		peerClient:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: platform.IdleConnTimeout}},
+		peerClient:       gossip.NewPeerClient(),
 		drainRequested:   make(chan struct{}),
 		publishRequested: make(chan struct{}, 1),
 	}
