Take the retry ratio from the platform's settings

Cause: the share of requests that may be repeated stood in the template as 17 in 100, 0.85 of the bound of the deployments so far. Nodes of a deployment with a narrower bound would have repeated more than it allows. Change: `supplied.retry_ratio`; 0.85 of it is used, as before (17 in 100 for 0.2). Not played on a deployment with another bound.

--- a/internal/state/settings/settings_test.go
+++ b/internal/state/settings/settings_test.go
@@ -168,3 +168,18 @@
 		}
 	}
 }
+
+// Guards against a node that repeats more requests than the platform allows for its deployment.
+func TestSuppliedRetryRatioIsNotExceeded(t *testing.T) {
+	for ratio, percent := range map[string]float64{
+		"0.2": 17, "0.1": 8.5, "0.3": 25.5, "1": 85, "0": minRetryPercent, "": 5, "true": 5, "20": 5, "-0.1": 5, "NaN": 5,
+	} {
+		s, _, err := load(t, valid+"[fleet]\nretry_percent = 5\n"+fmt.Sprintf("[supplied]\nretry_ratio = %q\n", ratio))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.RetryPercent(); got != percent {
+			t.Errorf("ratio %q: %v percent, want %v", ratio, got, percent)
+		}
+	}
+}
--- a/internal/state/settings/supplied.go
+++ b/internal/state/settings/supplied.go
@@ -13,12 +13,18 @@
 type Supplied struct {
 	KillAfter  string `toml:"kill_after" allowed:"\"\" (none) or a duration from 1s; above 10m counts as 10m" doc:"Value of the platform for drain.kill_after, which it replaces. Any other text is ignored with a warning."`
 	RetrySlack string `toml:"retry_slack" allowed:"\"\" (none) or a number from 0, also a fraction; above 100000 counts as 100000" doc:"Value of the platform for fleet.retry_slack, which it replaces. 0 allows no repeats beyond the share. Any other text is ignored with a warning."`
+	RetryRatio string `toml:"retry_ratio" allowed:"\"\" (none) or a number from 0 to 1" doc:"Repeats of a request to a service that the platform allows for each request within 10 s. 0.85 of it replaces fleet.retry_percent. Any other text is ignored with a warning."`
 }
 
 const (
 	minKillAfter  = time.Second
 	maxKillAfter  = 10 * time.Minute
 	maxRetrySlack = 100000
+	// retryPercentOfRatio is how much of a supplied retry ratio is used, in percent. The rest
+	// covers the calls that retried requests make.
+	retryPercentOfRatio = 85
+	// minRetryPercent stands for a ratio of 0, because a percentage of 0 selects a default.
+	minRetryPercent = 0.001
 )
 
 // killAfter returns the supplied duration and reports whether it can be used.
@@ -33,6 +39,12 @@
 	return min(n, maxRetrySlack), err == nil && n >= 0 && !math.IsInf(n, 0)
 }
 
+// retryPercent returns the percentage of a supplied ratio and reports whether it can be used.
+func (v *Supplied) retryPercent() (float64, bool) {
+	ratio, err := strconv.ParseFloat(v.RetryRatio, 64)
+	return max(ratio*retryPercentOfRatio, minRetryPercent), err == nil && ratio >= 0 && ratio <= 1
+}
+
 // DrainLimit returns the time that requests in flight have to finish after SIGTERM.
 func (s *Settings) DrainLimit() time.Duration {
 	if d, ok := s.Supplied.killAfter(); ok {
@@ -50,6 +62,15 @@
 	return float64(s.Fleet.RetrySlack), s.Fleet.RetrySlack > 0
 }
 
+// RetryPercent returns the share of a service's requests that a node may repeat within 10 s, in
+// percent.
+func (s *Settings) RetryPercent() float64 {
+	if percent, ok := s.Supplied.retryPercent(); ok {
+		return percent
+	}
+	return float64(s.Fleet.RetryPercent)
+}
+
 // Warnings describes the supplied values that cannot be used, one line each, and what
 // applies in their place.
 func (s *Settings) Warnings() []string {
@@ -63,5 +84,8 @@
 	if _, ok := s.Supplied.retrySlack(); !ok && s.Supplied.RetrySlack != "" {
 		warn("retry_slack", s.Supplied.RetrySlack, fmt.Sprintf("fleet.retry_slack = %d", s.Fleet.RetrySlack))
 	}
+	if _, ok := s.Supplied.retryPercent(); !ok && s.Supplied.RetryRatio != "" {
+		warn("retry_ratio", s.Supplied.RetryRatio, fmt.Sprintf("fleet.retry_percent = %d", s.Fleet.RetryPercent))
+	}
 	return lines
 }
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -289,10 +289,9 @@
 // serviceDefaults returns the defaults that the settings define for the services of a
 // fleet document.
 func (n *Node) serviceDefaults() policy.ServiceDefaults {
-	f := n.opts.Settings.Fleet
 	d := policy.DefaultServiceDefaults()
-	d.FloorShare = float64(f.FloorPercent) / 100
-	d.Limits.RetryPercent = float64(f.RetryPercent)
+	d.FloorShare = float64(n.opts.Settings.Fleet.FloorPercent) / 100
+	d.Limits.RetryPercent = n.opts.Settings.RetryPercent()
 	return d
 }
 
