Send no body in the test of requests that leave a suspect

Its fleet keeps no bodies, so a request whose body was already sent to the first owner cannot go elsewhere; the refusal is true. Change: the requests have no body. The check is the same.

--- a/internal/transport/proxy/suspect_test.go
+++ b/internal/transport/proxy/suspect_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -92,7 +91,7 @@
 	var requests sync.WaitGroup
 	results := make(chan result, 2)
 	for range 2 {
-		requests.Go(func() { results <- f.send(0, http.MethodPost, "/", strings.NewReader("x")) })
+		requests.Go(func() { results <- f.send(0, http.MethodPost, "/", nil) })
 	}
 	waitFor(t, func() bool { l := hanging.admitter.controller.Load(); return l.InUse == 1 && l.Queued == 1 })
 	f.serve(1, "works", func(http.ResponseWriter, *http.Request) {})
