--- /dev/null
+++ b/e2e/load_test.go
@@ -0,0 +1,137 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"wigeonspring.example/wigeonspring/standin/backend"
+	"wigeonspring.example/wigeonspring/standin/caller"
+	"wigeonspring.example/wigeonspring/standin/record"
+	"wigeonspring.example/wigeonspring/standin/verify"
+)
+
+// runningLoad is a load that the test process generates.
+type runningLoad struct {
+	done    chan struct{}
+	results *syncBuffer
+	summary caller.Summary
+}
+
+// startLoad starts a load of reads, bookings and uploads to the given nodes.
+func (f *fleet) startLoad(service, host string, rate float64, duration time.Duration, nodes ...int) *runningLoad {
+	var targets []string
+	for _, i := range nodes {
+		targets = append(targets, f.callerAddr(i))
+	}
+	f.loadCount++
+	l := &runningLoad{done: make(chan struct{}), results: &syncBuffer{}}
+	run := caller.New(caller.Options{
+		Targets: targets, Service: service, Host: host, Rate: rate, Duration: duration,
+		BookingPercent: 40, UploadPercent: 2, UploadBytes: 500_000, Timeout: 40 * time.Second,
+		Teams: 20, Seed: 1, IDPrefix: fmt.Sprintf("%s-%d", service, f.loadCount), Records: record.NewWriter(l.results),
+	})
+	go func() {
+		defer close(l.done)
+		l.summary = run.Run(f.ctx)
+	}()
+	return l
+}
+
+// sampleCapacity samples the number of serving backend servers of a service until the
+// channel is closed. The returned function waits for the end and returns the samples.
+func (f *fleet) sampleCapacity(node int, service string, until <-chan struct{}) func() []verify.CapacitySample {
+	var samples []verify.CapacitySample
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-until:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			if n := f.servingBackends(node, service); n >= 0 {
+				samples = append(samples, verify.CapacitySample{Time: time.Now(), Service: service, Serving: n})
+			}
+		}
+	}()
+	return func() []verify.CapacitySample {
+		<-done
+		return samples
+	}
+}
+
+// report waits for a load to end and compares its results with the runs of the
+// backend servers. It fails the test if the comparison or a counter of a node shows a
+// violation.
+func (f *fleet) report(l *runningLoad, service string) *verify.Report {
+	f.t.Helper()
+	<-l.done
+	results, runs := f.resultsAndRuns(l, service)
+	rep := verify.Compare(runs, results)
+	f.t.Logf("sent %d, outcomes %v, wrong responses %d, answered without a commit %d, run twice %d, falsely reported as not run %d, p50 %v, p99 %v",
+		rep.Sent, rep.Outcomes, rep.Wrong, rep.Lost, rep.RunTwice, rep.FalseNotRun, rep.LatencyP50, rep.LatencyP99)
+	if rep.Violated() {
+		f.t.Errorf("violations: %v", rep.Examples)
+		for _, r := range results {
+			if slices.ContainsFunc(rep.Examples, func(e string) bool { return strings.Contains(e, r.Operation+" ") }) {
+				f.t.Logf("%+v", r)
+			}
+		}
+	}
+	f.checkInvariantCounters()
+	return rep
+}
+
+// resultsAndRuns returns what the callers of a load saw and what the backend servers of its
+// service ran.
+func (f *fleet) resultsAndRuns(l *runningLoad, service string) ([]record.Result, []record.Run) {
+	f.t.Helper()
+	results, err := verify.ReadLines[record.Result](strings.NewReader(l.results.String()))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var runs []record.Run
+	for name, p := range f.processes {
+		if !strings.HasPrefix(name, service+"-") {
+			continue
+		}
+		lines, err := verify.ReadLines[record.Run](strings.NewReader(p.stdout.String()))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		runs = append(runs, lines...)
+	}
+	return results, runs
+}
+
+// checkInvariantCounters fails the test if a running node has counted a violation of
+// an invariant.
+func (f *fleet) checkInvariantCounters() {
+	for i := 1; i <= f.nodes; i++ {
+		resp, err := http.Get(f.operatorURL(i) + "/debug/vars")
+		if err != nil {
+			continue
+		}
+		var vars struct {
+			Violations map[string]int `json:"invariant_violations"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&vars)
+		resp.Body.Close()
+		if err != nil {
+			f.t.Errorf("%s: metrics: %v", nodeName(i), err)
+		}
+		if len(vars.Violations) > 0 {
+			f.t.Errorf("%s: invariants violated: %v", nodeName(i), vars.Violations)
+		}
+	}
+}
+
+func (f *fleet) setFaults(index int, faults backend.Faults) {
+	f.t.Helper()
+	f.post("http://"+f.backendAddr(index)+"/admin/faults", faults)
+}
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,48 @@
+package e2e
+
+import (
+	"bytes"
+	"os/exec"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// syncBuffer collects the output of a process.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// process is a started command.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	stdout syncBuffer
+	stderr syncBuffer
+	exited chan struct{}
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) waitExit(t *testing.T, limit time.Duration) {
+	t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(limit):
+		t.Errorf("%s did not exit within %v", p.name, limit)
+	}
+}
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -36,8 +36,8 @@
 }
 
 // RefuseSuspect refuses the queued requests with AvoidSuspect, because the backend server has
-// become suspect. They would be refused at the latest when a slot becomes free for them, and
-// the slots of a backend server that hangs stay in use until the deadlines of its requests.
+// become suspect. If it hangs, no slot becomes free before the deadlines of its requests, and
+// waiting for one would only delay the refusal.
 func (c *Controller) RefuseSuspect(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -107,7 +107,8 @@
 // errOverdue is the error of a request that got no reply in time.
 var errOverdue = fmt.Errorf("%w: no answer in time", platform.ErrNoResponse)
 
-// handlePlatformProgress leaves a reply that has begun to arrive more time.
+// handlePlatformProgress extends the deadline of the pending request if its reply has begun to
+// arrive.
 func (c *Core) handlePlatformProgress(id uint64) {
 	w := &c.watch
 	if until := c.now.Add(transferTimeout); w.request != nil && w.request.ID == id && until.After(w.deadline) {
--- a/internal/state/settings/supplied.go
+++ b/internal/state/settings/supplied.go
@@ -13,7 +13,7 @@
 type Supplied struct {
 	KillAfter  string `toml:"kill_after" allowed:"\"\" (none) or a duration from 1s; above 10m counts as 10m" doc:"Value of the platform for drain.kill_after, which it replaces. Any other text is ignored with a warning."`
 	RetrySlack string `toml:"retry_slack" allowed:"\"\" (none) or a number from 0, also a fraction; above 100000 counts as 100000" doc:"Value of the platform for fleet.retry_slack, which it replaces. 0 allows no repeats beyond the share. Any other text is ignored with a warning."`
-	RetryRatio string `toml:"retry_ratio" allowed:"\"\" (none) or a number from 0 to 1" doc:"Repeats of a request to a service that the platform allows for each request within 10 s. 0.85 of it replaces fleet.retry_percent. Any other text is ignored with a warning."`
+	RetryRatio string `toml:"retry_ratio" allowed:"\"\" (none) or a number from 0 to 1" doc:"Share of the requests to a service that the platform allows nodes to repeat within 10 s. 85 percent of it replace fleet.retry_percent. Any other text is ignored with a warning."`
 }
 
 const (
--- a/internal/transport/backend/endless_test.go
+++ b/internal/transport/backend/endless_test.go
@@ -74,7 +74,8 @@
 // Guards against a header without end that is kept until it exhausts the memory, and shows that
 // the size limit prevents this.
 func TestEndlessHeaderIsBoundedInMemory(t *testing.T) {
-	const conns, maxGrowth = 8, 16 << 20
+	// A header takes several times its size while it is parsed.
+	const conns, maxGrowth = 8, 8 * 8 * maxResponseHeaderBytes
 	for _, limited := range []bool{true, false} {
 		s := serveScript(t, func(_ int, _ *http.Request, conn net.Conn) bool {
 			piece := strings.Repeat("x", 64<<10)
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -217,9 +217,9 @@
 	return fault.Newf("drain backend server", string(id), "not owned by this node")
 }
 
-// keepBackendsInService delays the shutdown while the process runs anyway, until all
-// requests of callers have ended. Meanwhile, the backend servers of this node accept requests
-// that will end by the given time. The delay ends early if no such requests are expected.
+// keepBackendsInService keeps the backend servers of this node in service until ctx is done,
+// which is when all requests of callers have ended. They accept requests that will end by the
+// given time. It returns earlier if no such request is possible any more.
 func (n *Node) keepBackendsInService(ctx context.Context, end time.Time) {
 	for ctx.Err() == nil {
 		until := n.backends.LatestStart()
--- a/internal/transport/peer/check_test.go
+++ b/internal/transport/peer/check_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wigeonspring.example/wigeonspring/standin/relay"
+	"wigeonspring.example/wigeonspring/standin/relay/relaytest"
 )
 
 // newLinkedPool returns a pool that connects to a server through a link, whose failures the
@@ -15,19 +16,7 @@
 func newLinkedPool(t *testing.T, h http.HandlerFunc) (p *Pool, link *relay.Relay, s *testServer) {
 	t.Helper()
 	s = serve(t, h)
-	link, err := relay.New(relay.Options{Listen: "127.0.0.1:0", Target: s.addr})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- link.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
+	link = relaytest.Start(t, s.addr)
 	return newTestPool(t, Options{CheckAfter: 100 * time.Millisecond, CheckTimeout: 200 * time.Millisecond}), link, s
 }
 
--- a/internal/transport/peer/recover.go
+++ b/internal/transport/peer/recover.go
@@ -12,8 +12,9 @@
 // DoRecoverable is Do for a request whose response the peer can also send on another
 // connection. If the connection of the request falls silent and a new one to the peer works,
 // DoRecoverable sends the request that query returns on the new one, and the first response to
-// either is returned. It does the same if the connection is closed. The peer acknowledges a recoverable request with an interim response, so
-// that a silent connection is noticed within a fraction of a second.
+// either is returned. It does the same if the connection is closed. The peer acknowledges a
+// recoverable request with an interim response, so that a silent connection is noticed within
+// a fraction of a second.
 func (p *Pool) DoRecoverable(ctx context.Context, addr string, req *http.Request, query func() *http.Request) (*http.Response, error) {
 	c, err := p.reserve(ctx, addr)
 	if err != nil {
--- a/internal/transport/policysync/rpc.go
+++ b/internal/transport/policysync/rpc.go
@@ -21,8 +21,8 @@
 // Handler returns the handler for RPCs from other nodes.
 func (r *Runner) Handler() http.Handler {
 	plain := policypb.NewPoliciesServer(r)
-	// A fleet document with many routes shrinks to less than a tenth. Uncompressed, it would
-	// take most of the time in which it must be in force to pass the slow links of small VMs.
+	// A fleet document with many routes shrinks to less than a tenth. Uncompressed, it spreads
+	// too slowly over the links of small VMs to be in force in time.
 	compressed := middleware.Compress(flate.BestSpeed, "application/protobuf")(plain)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if strings.HasSuffix(req.URL.Path, "/Pull") {
--- a/internal/transport/proxy/cut_answer_test.go
+++ b/internal/transport/proxy/cut_answer_test.go
@@ -15,36 +15,21 @@
 // path of the request says, and then closes or resets the connection.
 func serveCut(t *testing.T, answer string, reset bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				n, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
-				if err != nil {
-					return
-				}
-				_, _ = c.Write([]byte(answer[:n]))
-				if reset {
-					time.Sleep(2 * time.Millisecond) // The bytes arrive before the reset.
-					_ = c.(*net.TCPConn).SetLinger(0)
-				}
-			}()
+	return serveRaw(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		n, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
+		if err != nil {
+			return
+		}
+		_, _ = c.Write([]byte(answer[:n]))
+		if reset {
+			time.Sleep(2 * time.Millisecond) // The bytes arrive before the reset.
+			_ = c.(*net.TCPConn).SetLinger(0)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against an answer that a backend server broke off, in its head or in its body, and
--- a/internal/transport/proxy/endless_test.go
+++ b/internal/transport/proxy/endless_test.go
@@ -16,6 +16,7 @@
 // Guards against nodes that run out of memory because backend servers send bytes without end,
 // while callers read the responses fast, slowly or not at all.
 func TestEndlessResponsesDoNotExhaustMemory(t *testing.T) {
+	// Half of the 64 MB that a node may use.
 	const maxGrowth = 32 << 20
 	for name, c := range map[string]struct{ start, repeat string }{
 		"head":             {"HTTP/1.1 200 OK\r\nA: ", "x"},
@@ -54,30 +55,15 @@
 // piece, again and again, until the connection is closed.
 func serveEndless(t *testing.T, start, piece string) (addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				_, err := conn.Read(make([]byte, 4096)) // The request.
-				if err == nil {
-					_, err = io.WriteString(conn, start)
-				}
-				for err == nil {
-					_, err = io.WriteString(conn, piece)
-				}
-			}()
+	return serveRaw(t, func(conn net.Conn) {
+		_, err := conn.Read(make([]byte, 4096)) // The request.
+		if err == nil {
+			_, err = io.WriteString(conn, start)
+		}
+		for err == nil {
+			_, err = io.WriteString(conn, piece)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // readEndless sends a request and reads the response fast (pace 0), slowly (1) or not at all
--- a/internal/transport/proxy/fleet_test.go
+++ b/internal/transport/proxy/fleet_test.go
@@ -136,6 +136,30 @@
 	return s
 }
 
+// serveRaw starts a server that passes each connection to serve and then closes it. It returns
+// the address of the server.
+func serveRaw(t *testing.T, serve func(net.Conn)) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
 func (n *testNode) observations() []evidence.Observation {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/transport/proxy/recovery_test.go
+++ b/internal/transport/proxy/recovery_test.go
@@ -15,6 +15,7 @@
 
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/standin/relay"
+	"wigeonspring.example/wigeonspring/standin/relay/relaytest"
 )
 
 // newLinkedFleet returns a fleet whose first node reaches the second through a link. One
@@ -24,19 +25,7 @@
 	f := newFleet(t, nodes, func(_ *OwnerOptions, in *IngressOptions) {
 		in.ExpectContinue, in.MaxBufferedBodyBytes, in.FreeRefusals = true, 1<<20, 4
 	})
-	link, err := relay.New(relay.Options{Listen: "127.0.0.1:0", Target: f.nodes[1].addr})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- link.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
+	link := relaytest.Start(t, f.nodes[1].addr)
 	f.nodes[1].addr = link.Addr()
 	f.serve(1, "b1", func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/first" {
--- a/internal/transport/proxy/refusal_test.go
+++ b/internal/transport/proxy/refusal_test.go
@@ -16,23 +16,14 @@
 func TestRefusalIsNotDelayedBySilentBody(t *testing.T) {
 	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.FreeRefusals = 8 })
 	refusal := "HTTP/1.1 503 Service Unavailable\r\n" + header.BackendNotRun + ": 1\r\nContent-Length: 10\r\n\r\n"
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = conn.Close() })
-			_, _ = conn.Read(make([]byte, 4096))
-			_, _ = io.WriteString(conn, refusal)
-		}
-	}()
-	f.own(1, "b1", l.Addr().String(), 4)
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	addr := serveRaw(t, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 4096)) // The request.
+		_, _ = io.WriteString(conn, refusal)
+		<-ended // The body never comes.
+	})
+	f.own(1, "b1", addr, 4)
 	start := time.Now()
 	got := f.send(0, http.MethodPost, "/", strings.NewReader("x"))
 	if took := time.Since(start); got.outcome != header.NotRun || took > time.Second {
