--- a/internal/transport/gossip/gossip_test.go
+++ b/internal/transport/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -166,3 +167,50 @@
 		t.Errorf("%v after %s", err, took)
 	}
 }
+
+// Guards against a starting node that waits for a peer that answers no connection attempt, as
+// a VM without power.
+func TestUnreachablePeerDoesNotDelayDirectorySync(t *testing.T) {
+	client := NewPeerClient()
+	t.Cleanup(client.CloseIdleConnections)
+	addr := unreachableAddress(t)
+	begun := time.Now()
+	// As in TestSilentPeerDoesNotDelayDirectorySync.
+	ctx, cancel := context.WithTimeout(t.Context(), DefaultSyncTimeout)
+	defer cancel()
+	_, err := clusterpb.NewClusterProtobufClient("http://"+addr, client).SyncDirectory(ctx, &clusterpb.SyncDirectoryRequest{})
+	if took := time.Since(begun); err == nil || took > 2*time.Second {
+		t.Errorf("%v after %s", err, took)
+	}
+}
+
+// unreachableAddress returns an address at which connection attempts are not answered: the
+// queue of a listener that accepts nothing is full.
+func unreachableAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 8 {
+		conn, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	t.Fatal("the queue of the listener does not fill up")
+	return ""
+}
