--- a/review/case_upload.go
+++ b/review/case_upload.go
@@ -135,7 +135,8 @@
 				if a.status == http.StatusOK {
 					told++
 				}
-				w.note("BROKEN: %s runs upload %s with %d bytes (%x) of %d; its client is answered %d", b.id, x.id, len(x.body), digest(x.body), len(body), a.status)
+				w.note("BROKEN: %s runs upload %s with %d bytes (%x) of %d; only the first ones are missing: %v; its client is answered %d",
+					b.id, x.id, len(x.body), digest(x.body), len(body), strings.HasSuffix(body, x.body), a.status)
 			}
 		}
 	}
