Send a body only to the attempt that began to read it

Cause: callers saw uploads in chunks answered 200 although the backend server had run them without their first bytes, or empty. Once all other backend servers had been tried, a request that an owner had refused because of a suspect was planned anew, also if the first attempt had read from its body; the next attempt sent the rest, framed as whole. The check of the body stood before the new plan only. Evidence: hypotheses were the new plan, a body that two attempts read at the same time, and a connection between nodes that is lost halfway. The log could not tell them apart; the event only_suspects_left is new. Change: no new plan once a byte of the body may have been read, and a streamed body has one reader: a read by another attempt is an error, which ends that attempt's stream.

--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -196,12 +196,13 @@
 
 // retrySuspects makes the suspect backend servers candidates again, as the last
 // resort. It reports false if there are none, if they have been tried again already,
-// or if the request has reached a backend server, because another attempt is then an
-// ordinary retry.
+// if no attempt can send the whole body any more, or if the request has reached a
+// backend server, because another attempt is then an ordinary retry.
 func (c *call) retrySuspects() bool {
-	if c.lastResort || len(c.suspects) == 0 || c.arrived > 0 || !c.in.opt.Now().Before(c.deadline) {
+	if c.lastResort || len(c.suspects) == 0 || c.arrived > 0 || !c.body.replayable() || !c.in.opt.Now().Before(c.deadline) {
 		return false
 	}
+	c.publish(event.RequestRetried, reasonLastResort, event.Field{Key: "suspects", Value: strconv.Itoa(len(c.suspects))})
 	c.lastResort = true
 	// A request that may run again loses nothing if the suspect backend server fails.
 	known := len(c.in.opt.Directory.Snapshot().Service(c.service))
--- a/internal/transport/proxy/caller_body.go
+++ b/internal/transport/proxy/caller_body.go
@@ -14,7 +14,10 @@
 // so that the request can be repeated.
 const maxReplayBytes = 64 << 10
 
-var errAttemptEnded = errors.New("the attempt has ended")
+var (
+	errAttemptEnded = errors.New("the attempt has ended")
+	errBodyConsumed = errors.New("another attempt has read from the body")
+)
 
 // callerBody is the body of a caller's request. It is either buffered in memory and
 // can be sent any number of times, or streamed, in which case only the attempt that
@@ -27,8 +30,9 @@
 	release func()
 
 	mu sync.Mutex
-	// consumed is set when an attempt began to read the stream.
-	consumed bool
+	// reader is the attempt that began to read the stream, or nil. No other attempt can
+	// read it, because the rest would look like a whole body.
+	reader *attemptBody
 	// failed is set when the caller's body could not be read.
 	failed atomic.Bool
 	// ended is set when the caller's body was read to its end.
@@ -89,7 +93,7 @@
 func (b *callerBody) replayable() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.consumed
+	return b.reader == nil
 }
 
 // unread reports whether the caller may still be sending.
@@ -145,11 +149,16 @@
 		return 0, errAttemptEnded
 	}
 	a.begun = true
-	b.consumed = a.buffered == nil
-	b.mu.Unlock()
 	if a.buffered != nil {
+		b.mu.Unlock()
 		return a.buffered.Read(p)
 	}
+	if b.reader != nil && b.reader != a {
+		b.mu.Unlock()
+		return 0, errBodyConsumed
+	}
+	b.reader = a
+	b.mu.Unlock()
 	n, err := b.stream.Read(p)
 	b.bytesRead.Add(int64(n))
 	switch err {
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -34,6 +34,7 @@
 	reasonUpgradeNotSupported = "upgrade_not_supported"
 	reasonOverdue             = "attempt_overdue"
 	reasonHedged              = "other_attempt_runs"
+	reasonLastResort          = "only_suspects_left"
 	reasonSuspect             = "backend_suspect"
 	// reasonWithdrawn means that the connection to the owner failed before the owner sent
 	// the request to the backend server, and that the owner refuses it from then on.
