Keep departures of backend servers on the platform

Cause: a backend server that had left was in service again after its node was restarted and a late heartbeat arrived: it got half of the requests of both nodes. Releases were only in the memory of the owner process; so were announced drains and the drains of operators. Evidence: hypotheses were a release that is forgotten at the restart, a release without a body that applies to the wrong start, and a record of the old process that peers pass on. Change: a node writes a departure (release, first announcement of a drain, drain of an operator) to its object departures/NODE before it acknowledges it, for at most 0.6 s, and reads the object once at its start. Until it has been read, a lease is granted only to a backend server that confirms itself by a later announcement. Departures are kept for a minute on the users' platform, as a heartbeat may be held up for longer than a lease. A drain of an operator now ends with the backend server and not with its lease.

--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -32,8 +32,11 @@
 	AddressSuperseded Reason = "address_superseded"
 	// InvalidAnnouncement: the announcement names no backend server or no service.
 	InvalidAnnouncement Reason = "invalid_announcement"
-	// Released: the backend server released its lease at most one lease duration ago.
+	// Released: the backend server has released its lease.
 	Released Reason = "released"
+	// HistoryUnknown: the backend server may have left before this process started. Its
+	// next announcement is accepted.
+	HistoryUnknown Reason = "history_unknown"
 	// LeaseLapsed: the lease was not renewed in time.
 	LeaseLapsed Reason = "lease_lapsed"
 )
@@ -52,6 +55,14 @@
 	// announcements that arrived before the end of the pause and waited in a receive
 	// buffer. The default is 500 ms.
 	SettleTime time.Duration
+	// KeepDepartures is how long after a departure outdated announcements may still
+	// arrive. The default is Lease: a backend server that changes its owner may return
+	// then.
+	KeepDepartures time.Duration
+	// AwaitRecall is set if earlier processes of the node may have acknowledged
+	// departures. Until Recall is called, an announcement grants a lease only if it
+	// confirms an earlier one.
+	AwaitRecall bool
 }
 
 // Announcement is the message with which a backend server tells this node that the
@@ -98,6 +109,9 @@
 	Changed bool
 	// Expires is the end of the lease.
 	Expires time.Time
+	// Departed is set when the acknowledgment of this announcement also binds later
+	// processes of this node; see Departures.
+	Departed bool
 	// Replaced is the lease of the backend server that had the address before, or nil.
 	Replaced *EndedLease
 }
@@ -122,10 +136,12 @@
 type Table struct {
 	opt Options
 
-	mu       sync.Mutex
-	leases   map[registry.BackendID]*lease
-	released map[registry.BackendID]release
-	stopping bool
+	mu          sync.Mutex
+	leases      map[registry.BackendID]*lease
+	departures  map[registry.BackendID]Departure
+	awaitRecall bool
+	unconfirmed map[registry.BackendID]unconfirmed
+	stopping    bool
 	// lastCall is the latest time passed to any call. pauseStart and pauseEnd delimit
 	// the latest pause of the process.
 	lastCall, pauseStart, pauseEnd time.Time
@@ -143,25 +159,21 @@
 	from time.Time
 }
 
-// release records a released lease. An announcement that the backend server sent before
-// the release may still arrive, although the backend server may already have a new owner.
-type release struct {
-	incarnation uint64
-	at          time.Time
-}
-
 // New returns an empty table. The caller runs Tick once before the node accepts
 // announcements, because pauses are detected only from the first call on.
 func New(opt Options) *Table {
 	opt.Lease = cmp.Or(opt.Lease, registry.LeaseDuration)
 	opt.MaxGap = cmp.Or(opt.MaxGap, 500*time.Millisecond)
 	opt.SettleTime = cmp.Or(opt.SettleTime, 500*time.Millisecond)
-	return &Table{opt: opt, leases: make(map[registry.BackendID]*lease), released: make(map[registry.BackendID]release)}
+	opt.KeepDepartures = cmp.Or(opt.KeepDepartures, opt.Lease)
+	return &Table{
+		opt: opt, awaitRecall: opt.AwaitRecall, leases: make(map[registry.BackendID]*lease),
+		departures: make(map[registry.BackendID]Departure), unconfirmed: make(map[registry.BackendID]unconfirmed),
+	}
 }
 
 // Announce grants, renews or releases the lease of a backend server. After a
-// release, this node refuses announcements of the same start of the backend server for
-// the duration of a lease.
+// departure, this node refuses announcements that the backend server sent before it.
 func (t *Table) Announce(now time.Time, a Announcement) Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -189,14 +201,19 @@
 	}
 	if a.Released {
 		delete(t.leases, a.Backend)
-		t.released[a.Backend] = release{a.Incarnation, now}
-		return Result{Accepted: true, Changed: old != nil, Expires: now}
+		return Result{Accepted: true, Changed: old != nil, Expires: now, Departed: t.depart(now, a)}
 	}
 	if t.stopping {
 		return Result{Reason: NodeStopping}
 	}
-	if r, ok := t.released[a.Backend]; ok && a.Incarnation <= r.incarnation && elapsed(now, r.at) < t.opt.Lease && !t.disabled.released {
-		return Result{Reason: Released}
+	if d, ok := t.departures[a.Backend]; ok && d.supersedes(a) && elapsed(now, d.At) < t.opt.KeepDepartures && !t.disabled.released {
+		if d.Released() {
+			return Result{Reason: Released}
+		}
+		return Result{Reason: StaleSequence}
+	}
+	if t.awaitRecall && old == nil && !a.Draining && !t.confirmed(now, a) {
+		return Result{Reason: HistoryUnknown}
 	}
 	from := t.leaseFrom(now, a)
 	l := &lease{OwnedBackend: OwnedBackend{Announcement: a, Since: now, Expires: from.Add(t.opt.Lease)}, from: from}
@@ -223,6 +240,7 @@
 	}
 	t.leases[a.Backend] = l
 	res.Expires = l.Expires
+	res.Departed = t.depart(now, a)
 	return res
 }
 
@@ -329,11 +347,7 @@
 			ended = append(ended, EndedLease{Backend: id, Service: l.Service, Reason: LeaseLapsed})
 		}
 	}
-	for id, r := range t.released {
-		if elapsed(now, r.at) >= t.opt.Lease {
-			delete(t.released, id)
-		}
-	}
+	t.expireDepartures(now)
 	slices.SortFunc(ended, func(a, b EndedLease) int { return cmp.Compare(a.Backend, b.Backend) })
 	return ended
 }
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -74,6 +74,7 @@
 	directory  *registry.Directory
 	policies   *policy.Table
 	records    *records
+	departures *departures
 	store      *events.Store
 	bus        *events.Bus
 	gossip     *gossip.Transport
@@ -146,7 +147,11 @@
 // error, no address stays bound.
 func New(ctx context.Context, opts Options) (*Node, error) {
 	s := opts.Settings
-	records := newRecords(time.Now(), time.Duration(s.Backend.Lease))
+	leases := ownership.Options{Lease: time.Duration(s.Backend.Lease)}
+	if opts.Adapter != nil {
+		leases.AwaitRecall, leases.KeepDepartures = true, keepDepartures
+	}
+	records := newRecords(time.Now(), leases)
 	l, err := listen(s)
 	if err != nil {
 		return nil, err
@@ -195,6 +200,7 @@
 		return err
 	}
 	n.platform = n.platformClient()
+	n.departures = n.newDepartures()
 	n.assemblePolicies()
 	n.assembleProxy()
 	if err := n.assembleGossip(); err != nil {
@@ -362,7 +368,10 @@
 		if n.opts.Settings.Backend.Detector == settings.DetectorCUSUM {
 			n.permits.Track(a.Service)
 		}
-		n.records.remove(a.Backend)
+		n.records.removeHealth(a.Backend)
+		if !n.records.isDrained(a.Backend, a.Incarnation) {
+			n.records.removeDrain(a.Backend)
+		}
 		n.health.Remove(a.Backend)
 		n.publish(event.BackendAnnounced, a.Service, a.Backend, "")
 	}
@@ -380,7 +389,7 @@
 	if p := n.policies.Get(string(a.Service)); p != nil {
 		limits = p.Document.Service.Limits
 	}
-	a.Draining = a.Draining || n.records.isDrained(a.Backend)
+	a.Draining = a.Draining || n.records.isDrained(a.Backend, a.Incarnation)
 	n.backends.Upsert(a, limits)
 }
 
@@ -388,7 +397,7 @@
 func (n *Node) removeBackend(ended ownership.EndedLease) {
 	n.backends.Remove(ended.Backend)
 	n.health.Remove(ended.Backend)
-	n.records.remove(ended.Backend)
+	n.records.removeHealth(ended.Backend)
 	n.publish(event.BackendLost, ended.Service, ended.Backend, string(ended.Reason))
 	n.requestPublication()
 }
--- a/internal/transport/node/records.go
+++ b/internal/transport/node/records.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -19,19 +20,20 @@
 type records struct {
 	leases *ownership.Table
 
-	mu      sync.Mutex
-	health  map[registry.BackendID]healthState
-	drained map[registry.BackendID]bool
+	mu     sync.Mutex
+	health map[registry.BackendID]healthState
+	// drained are the backend servers that an operator drains, with their starts.
+	drained map[registry.BackendID]uint64
 }
 
 // newRecords returns records without backend servers. now must be a time before the node
 // listens: pauses are detected from now on, and announcements that wait in the listen
 // backlog during a pause must be recognized as old.
-func newRecords(now time.Time, lease time.Duration) *records {
+func newRecords(now time.Time, opt ownership.Options) *records {
 	r := &records{
-		leases:  ownership.New(ownership.Options{Lease: lease}),
+		leases:  ownership.New(opt),
 		health:  make(map[registry.BackendID]healthState),
-		drained: make(map[registry.BackendID]bool),
+		drained: make(map[registry.BackendID]uint64),
 	}
 	r.leases.Tick(now)
 	return r
@@ -44,21 +46,45 @@
 	r.health[id] = v
 }
 
-// drain marks a backend server as draining until its lease ends.
-func (r *records) drain(id registry.BackendID) {
+// drain marks a start of a backend server as draining, for as long as it runs.
+func (r *records) drain(id registry.BackendID, incarnation uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.drained[id] = true
+	r.drained[id] = incarnation
 }
 
-// remove deletes the health and the drain of a backend server whose lease has ended.
-func (r *records) remove(id registry.BackendID) {
+// removeHealth deletes the health of a backend server whose lease has ended.
+func (r *records) removeHealth(id registry.BackendID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.health, id)
+}
+
+// removeDrain deletes the drain of a backend server that has left or has been restarted.
+func (r *records) removeDrain(id registry.BackendID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	delete(r.drained, id)
 }
 
+// departures returns what later processes of this node must know.
+func (r *records) departures() storedDepartures {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return storedDepartures{Departures: storeDepartures(r.leases.Departures(time.Now())), Drained: maps.Clone(r.drained)}
+}
+
+// recall adds what an earlier process of this node has stored. It returns the leases that
+// were granted to backend servers that have left.
+func (r *records) recall(s storedDepartures) []ownership.EndedLease {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, incarnation := range s.Drained {
+		r.drained[id] = max(r.drained[id], incarnation)
+	}
+	return r.leases.Recall(time.Now(), s.list())
+}
+
 // effective returns the published state and weight of an owned backend server. Draining
 // overrides its health state.
 func (r *records) effective(o *ownership.OwnedBackend) (registry.BackendState, float64) {
@@ -68,7 +94,7 @@
 	if !ok {
 		v = healthState{state: registry.Active, weight: 1}
 	}
-	if o.Draining || r.drained[o.Backend] {
+	if o.Draining || r.isDrainedLocked(o.Backend, o.Incarnation) {
 		v.state = registry.Draining
 	}
 	return v.state, v.weight
@@ -94,8 +120,18 @@
 	return list
 }
 
-// Announce implements control.Node.
+// Announce implements control.Node. It returns when the departure that the announcement
+// states binds later processes of this node, as far as that is possible in time.
 func (n *Node) Announce(now time.Time, a ownership.Announcement) ownership.Result {
+	n.departures.awaitRecall()
+	res := n.applyAnnouncement(now, a)
+	if res.Departed {
+		n.departures.save()
+	}
+	return res
+}
+
+func (n *Node) applyAnnouncement(now time.Time, a ownership.Announcement) ownership.Result {
 	n.leaseMu.Lock()
 	defer n.leaseMu.Unlock()
 	service, held := n.records.leases.Service(a.Backend)
@@ -106,18 +142,26 @@
 	if res.Replaced != nil {
 		n.removeBackend(*res.Replaced)
 	}
-	switch {
-	case !a.Released:
+	if !a.Released {
 		n.addOrUpdateBackend(a, res)
-	case held:
+		return res
+	}
+	n.records.removeDrain(a.Backend)
+	if held {
 		n.removeBackend(ownership.EndedLease{Backend: a.Backend, Service: service, Reason: ownership.Released})
 	}
 	return res
 }
 
-// isDrained reports whether an operator has requested the drain of a backend server.
-func (r *records) isDrained(id registry.BackendID) bool {
+// isDrained reports whether an operator has requested the drain of a start of a backend
+// server.
+func (r *records) isDrained(id registry.BackendID, incarnation uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.drained[id]
+	return r.isDrainedLocked(id, incarnation)
+}
+
+func (r *records) isDrainedLocked(id registry.BackendID, incarnation uint64) bool {
+	drained, ok := r.drained[id]
+	return ok && drained == incarnation
 }
--- a/internal/transport/node/records_test.go
+++ b/internal/transport/node/records_test.go
@@ -13,7 +13,7 @@
 // bind and the first announcement that is not detected.
 func TestRecordsOfLeases(t *testing.T) {
 	start := time.Now()
-	r := newRecords(start, 0)
+	r := newRecords(start, ownership.Options{})
 	a := ownership.Announcement{Backend: "b1", Service: "booking", Slots: 5, Incarnation: 1}
 	if res := r.leases.Announce(start.Add(registry.LeaseDuration), a); res.Reason != ownership.StaleAnnouncement {
 		t.Errorf("announcement after a pause of the lease duration: %+v", res)
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -54,7 +54,7 @@
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	n.gossip.Start(taskCtx)
 	for _, task := range []func(context.Context) error{
-		n.bus.Run, n.sync.Run, n.health.Run, n.permits.Run, n.publishRecords, n.watchLeases, n.discoverSeeds, n.registerSeed,
+		n.bus.Run, n.sync.Run, n.health.Run, n.permits.Run, n.publishRecords, n.watchLeases, n.departures.run, n.discoverSeeds, n.registerSeed,
 	} {
 		group.Go(func() error { return task(taskCtx) })
 	}
@@ -204,17 +204,27 @@
 		}
 		return nil
 	}
+	if !n.drainBackend(id) {
+		return fault.Newf("drain backend server", string(id), "not owned by this node")
+	}
+	n.departures.save()
+	return nil
+}
+
+// drainBackend drains a backend server for as long as it runs. It reports false if this
+// node does not own it.
+func (n *Node) drainBackend(id registry.BackendID) bool {
 	n.leaseMu.Lock()
 	defer n.leaseMu.Unlock()
 	for _, o := range n.records.leases.Owned() {
 		if o.Backend == id {
-			n.records.drain(id)
+			n.records.drain(id, o.Incarnation)
 			n.upsertBackend(o.Announcement)
 			n.requestPublication()
-			return nil
+			return true
 		}
 	}
-	return fault.Newf("drain backend server", string(id), "not owned by this node")
+	return false
 }
 
 // keepBackendsInService keeps the backend servers of this node in service until ctx is done,
