Notice callers that leave while their request waits

Cause: requests of callers who had left were sent to a backend server seconds later. net/http notices the end of an HTTP/1 connection only once the body of its request has been read; a body of unknown length, or above the limit, stayed on the connection until its request got a slot. Evidence: hypotheses were the unread body, a queue that does not watch its request, and a cancellation that does not reach the other node. The same request leaves the queue at once with a body of known length and over HTTP/2, on both nodes, which excludes the last two. Change: bodies of unknown length are read ahead up to the limit for bodies that are kept, and one that does not end by the deadline is refused with 408. Memory is reserved as they arrive, now also for idempotent requests, and a body beyond it is streamed. Uploads in chunks can now be sent elsewhere after a refusal. Three tests of streamed bodies kept bodies of up to 1 MB and relied on those in chunks not being kept; they now keep none. Their checks are the same.

--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -21,6 +21,7 @@
 	"wigeonspring.example/wigeonspring/internal/transport/control"
 	"wigeonspring.example/wigeonspring/internal/transport/metrics"
 	"wigeonspring.example/wigeonspring/internal/transport/peer"
+	"wigeonspring.example/wigeonspring/internal/transport/proxy"
 )
 
 const (
@@ -84,6 +85,7 @@
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    callerMaxHeader,
+		ConnContext:       proxy.WithCallerConnection,
 	}
 	caller.Protocols.SetHTTP1(true)
 	caller.Protocols.SetUnencryptedHTTP2(true)
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -119,7 +119,7 @@
 	}
 	// The result of an attempt is not counted for or against its target if the caller
 	// went away or stopped sending, or if another attempt brought the response first.
-	if t.state != retry.Answered && (c.request.Context().Err() != nil || superseded(ctx) || errors.Is(context.Cause(ctx), errStopping) || c.body.failed.Load()) {
+	if t.state != retry.Answered && (c.abandoned() || superseded(ctx) || errors.Is(context.Cause(ctx), errStopping) || c.body.failed.Load()) {
 		t.outcome = routing.Abandoned
 	}
 }
@@ -262,10 +262,10 @@
 			t.outcome = routing.Abandoned
 		}
 	}
-	if t.call.request.Context().Err() != nil {
+	if t.call.abandoned() {
 		t.reply.Reason = reasonCanceled
 	}
-	if t.outcome == routing.PeerFailed && !superseded(ctx) && t.call.request.Context().Err() == nil && !t.call.body.failed.Load() {
+	if t.outcome == routing.PeerFailed && !superseded(ctx) && !t.call.abandoned() && !t.call.body.failed.Load() {
 		t.call.in.opt.Logger.Warn("request to owner failed", zap.String("request_id", t.call.id),
 			zap.String("owner", string(t.target.Owner.ID)), zap.String("step", fault.Step(err)), zap.Error(err))
 	}
--- a/internal/transport/proxy/byte_budget.go
+++ b/internal/transport/proxy/byte_budget.go
@@ -22,12 +22,3 @@
 
 // give frees n bytes.
 func (b *byteBudget) give(n int64) { b.free.Add(n) }
-
-// reserve reserves n bytes and returns a function that frees them. It returns nil if
-// fewer than n bytes are free.
-func (b *byteBudget) reserve(n int64) (release func()) {
-	if !b.take(n) {
-		return nil
-	}
-	return func() { b.give(n) }
-}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -50,6 +51,9 @@
 	// keepUntilEnd exempts the request from Ingress.EndRequests, once its response begins.
 	keepUntilEnd func() bool
 
+	// left is set when the caller has closed its connection before its body was read.
+	left atomic.Bool
+
 	// responded is set when a complete response has been written to the caller.
 	responded bool
 
--- a/internal/transport/proxy/caller_body.go
+++ b/internal/transport/proxy/caller_body.go
@@ -11,7 +11,7 @@
 )
 
 // maxReplayBytes is the largest body of an idempotent request that is kept in memory,
-// so that the request can be repeated.
+// so that the request can be repeated. Larger ones get one attempt.
 const maxReplayBytes = 64 << 10
 
 var (
@@ -26,8 +26,9 @@
 	length   int64 // -1 if unknown
 	buffered []byte
 	stream   io.Reader
-	// release frees the memory reserved for buffered; nil if none was reserved.
-	release func()
+	// reserved is the memory that is taken for what was read ahead.
+	memory   *byteBudget
+	reserved int64
 
 	mu sync.Mutex
 	// reader is the attempt that began to read the stream, or nil. No other attempt can
@@ -40,10 +41,11 @@
 	bytesRead atomic.Int64
 }
 
-// newCallerBody wraps the body of r. A body of at most limit bytes is read into
-// memory; an error means that the caller's body was truncated.
-func newCallerBody(r *http.Request, limit int64) (*callerBody, error) {
-	b := &callerBody{length: r.ContentLength}
+// newCallerBody wraps the body of r. A body of at most limit bytes is read into memory,
+// as long as the shared memory suffices. An error means that the caller's body was
+// truncated or came too late.
+func newCallerBody(r *http.Request, limit int64, memory *byteBudget) (*callerBody, error) {
+	b := &callerBody{length: r.ContentLength, memory: memory}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.length = 0
 		return b, nil
@@ -52,21 +54,51 @@
 		b.stream = r.Body
 		return b, nil
 	}
-	buffered, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	b.bytesRead.Store(int64(len(buffered)))
+	whole, err := b.readAhead(r.Body, limit)
 	if err != nil {
+		b.releaseMemory()
 		return nil, err
 	}
-	if int64(len(buffered)) > limit {
-		// The length was unknown and exceeds the limit: the request gets one attempt.
-		b.stream = io.MultiReader(bytes.NewReader(buffered), r.Body)
-		b.bytesRead.Store(0)
+	if !whole {
+		// The request gets one attempt.
+		b.stream = io.MultiReader(bytes.NewReader(b.buffered), r.Body)
+		b.buffered = nil
 		return b, nil
 	}
-	b.buffered, b.length = buffered, int64(len(buffered))
+	b.length = int64(len(b.buffered))
+	b.bytesRead.Store(b.length)
 	return b, nil
 }
 
+// readAheadStep is how much memory is reserved at first for a body of unknown length. Each
+// further reservation doubles it.
+const readAheadStep = 4 << 10
+
+// readAhead reads the body into memory. It reports false if the body exceeds the limit or
+// the memory; the first bytes are then in buffered.
+func (b *callerBody) readAhead(r io.Reader, limit int64) (whole bool, err error) {
+	var buf bytes.Buffer
+	defer func() { b.buffered = buf.Bytes() }()
+	step := int64(readAheadStep)
+	if b.length > 0 {
+		step = b.length
+	}
+	for {
+		if step <= 0 || !b.memory.take(step) {
+			return false, nil
+		}
+		b.reserved += step
+		buf.Grow(int(step) + bytes.MinRead)
+		if _, err := io.CopyN(&buf, r, step); err == io.EOF || err == nil && b.length == int64(buf.Len()) {
+			return true, nil
+		} else if err != nil {
+			return false, err
+		}
+		read := int64(buf.Len())
+		step = min(read, limit-read)
+	}
+}
+
 // streamed reports whether the body is read from the caller while it is sent.
 func (b *callerBody) streamed() bool { return b.stream != nil }
 
@@ -84,9 +116,8 @@
 
 // releaseMemory frees the memory of the body.
 func (b *callerBody) releaseMemory() {
-	if b.release != nil {
-		b.release()
-	}
+	b.memory.give(b.reserved)
+	b.reserved = 0
 }
 
 // replayable reports whether another attempt can send the body.
--- a/internal/transport/proxy/expect_continue_test.go
+++ b/internal/transport/proxy/expect_continue_test.go
@@ -51,7 +51,7 @@
 // Guards against a request that reaches a backend server before the first bytes of its
 // body have arrived, because the ingress node may report such a request as not run.
 func TestRequestIsNotSentBeforeBodyArrives(t *testing.T) {
-	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.ExpectContinue, in.MaxBufferedBodyBytes = true, 1<<20 })
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.ExpectContinue = true })
 	var arrived atomic.Int32
 	f.serve(1, "b1", func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
 	body, held := io.Pipe()
@@ -74,7 +74,7 @@
 // Guards against a request that is sent to a backend server although its lease lapsed
 // while the body of the request was awaited.
 func TestLeaseIsCheckedAfterBodyArrives(t *testing.T) {
-	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.ExpectContinue, in.MaxBufferedBodyBytes = true, 1<<20 })
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.ExpectContinue = true })
 	var arrived atomic.Int32
 	f.serve(1, "b1", func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
 	body, rest := io.Pipe()
@@ -133,7 +133,7 @@
 	if got := f.nodes[0].ingress.bodyBuffer.free.Load(); got != 150_000 {
 		t.Fatalf("%d bytes of memory free afterwards", got)
 	}
-	if newByteBudget(10).reserve(11) != nil {
+	if newByteBudget(10).take(11) {
 		t.Fatal("memory beyond the limit")
 	}
 }
--- a/internal/transport/proxy/fleet_test.go
+++ b/internal/transport/proxy/fleet_test.go
@@ -92,7 +92,12 @@
 		n.owner = NewOwner(owner)
 		ingress.Owner = n.owner
 		n.ingress = NewIngress(ingress)
-		n.callerServer = httptest.NewServer(n.ingress)
+		n.callerServer = httptest.NewUnstartedServer(n.ingress)
+		n.callerServer.Config.ConnContext = WithCallerConnection
+		n.callerServer.Config.Protocols = new(http.Protocols)
+		n.callerServer.Config.Protocols.SetHTTP1(true)
+		n.callerServer.Config.Protocols.SetUnencryptedHTTP2(true)
+		n.callerServer.Start()
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -72,9 +73,10 @@
 	RetrySlack func() float64
 	// RetrySlackStart is the time from which the slack applies.
 	RetrySlackStart time.Time
-	// MaxBufferedBodyBytes is the largest body of known length that is kept in memory
-	// for a request that is not idempotent, so that it can be sent to another owner
-	// after a refusal. 0 streams every body of a request that is not idempotent.
+	// MaxBufferedBodyBytes is the largest body that is read into memory before the first
+	// attempt of a request that is not idempotent, so that it can be sent to another owner
+	// after a refusal, and so that a caller that leaves is noticed. 0 streams every body
+	// of a request that is not idempotent.
 	MaxBufferedBodyBytes int64
 	// BodyBufferBytes bounds the memory of all such bodies; beyond it they are
 	// streamed. 0 selects defaultBodyBufferBytes.
@@ -207,6 +209,7 @@
 	defer end(nil)
 	c.keepUntilEnd = context.AfterFunc(in.requestCtx, func() { end(errStopping) })
 	defer c.keepUntilEnd()
+	defer c.watchCaller(func() { end(context.Canceled) })()
 	c.run(ctx)
 }
 
@@ -289,36 +292,31 @@
 		return c.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
 	}
 	if r.Body != nil && r.Body != http.NoBody {
-		// A caller that stops sending must not hold the connection forever.
-		_ = c.control.SetReadDeadline(c.deadline.Add(callerGrace))
+		// A request whose body has not been read ahead by its deadline cannot be served.
+		_ = c.control.SetReadDeadline(c.deadline)
 		if limit > 0 && r.ContentLength < 0 {
 			r.Body = http.MaxBytesReader(c.w, r.Body, limit)
 		}
 	}
 	// A caller that reads slowly must not hold a slot of a backend server forever.
 	_ = c.control.SetWriteDeadline(c.deadline.Add(callerGrace))
-	bufferLimit := int64(maxReplayBytes)
-	var release func()
+	readAhead := int64(maxReplayBytes)
 	if !c.route.Idempotent {
-		bufferLimit = 0
-		if n := r.ContentLength; n > 0 && n <= c.in.opt.MaxBufferedBodyBytes {
-			if release = c.in.bodyBuffer.reserve(n); release != nil {
-				bufferLimit = n
-			}
-		}
-	}
-	body, err := newCallerBody(r, bufferLimit)
-	if err != nil && release != nil {
-		release()
+		readAhead = c.in.opt.MaxBufferedBodyBytes
 	}
+	body, err := newCallerBody(r, readAhead, c.in.bodyBuffer)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return c.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return c.refuse(http.StatusRequestTimeout, reasonBodyLate)
 	case err != nil:
 		return c.refuse(http.StatusBadRequest, reasonBodyTruncated)
 	}
-	body.release = release
+	// A caller that stops sending must not hold the connection forever. The read that
+	// notices its end has the same deadline, and a response may still be under way.
+	_ = c.control.SetReadDeadline(c.deadline.Add(callerGrace))
 	c.body = body
 	return true
 }
--- a/internal/transport/proxy/partial_body_test.go
+++ b/internal/transport/proxy/partial_body_test.go
@@ -54,7 +54,7 @@
 func TestOneAttemptReadsStreamedBody(t *testing.T) {
 	r, _ := http.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader("first "), strings.NewReader("rest")))
 	r.ContentLength = -1
-	b, err := newCallerBody(r, 0)
+	b, err := newCallerBody(r, 0, newByteBudget(0))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/proxy/recovery_test.go
+++ b/internal/transport/proxy/recovery_test.go
@@ -137,6 +137,7 @@
 		close(begun)
 		_, _ = io.Copy(io.Discard, r.Body)
 	})
+	f.nodes[0].ingress.opt.MaxBufferedBodyBytes = 0 // The body is streamed.
 	body, rest := io.Pipe()
 	done := make(chan result, 1)
 	start := time.Now()
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -29,6 +29,7 @@
 	reasonBadDeadline         = "invalid_deadline"
 	reasonBodyTooLarge        = "request_body_too_large"
 	reasonBodyTruncated       = "request_body_cut"
+	reasonBodyLate            = "request_body_late"
 	reasonResponseTruncated   = "answer_cut"
 	reasonOwnerTimeout        = "owner_did_not_answer"
 	reasonUpgradeNotSupported = "upgrade_not_supported"
