Claim only incarnations that no earlier process has used

Cause: a booking ran twice, or was refused as not run although it ran, after its owner was restarted while the clock of the earlier process had been ahead. A node says "withdrawn, not run" for attempts at incarnations from that of its start to the current one. A process that hears of a higher incarnation of its node raises its own above it, and so the range took in that of the dead process. Evidence: hypotheses were this range, an attempt that the log of attempts had forgotten, and a lost connection that the ingress node takes for not run. Only the range was changed. Change: the range starts above every incarnation of an earlier process that the node has heard of.

--- a/internal/coordination/membership/self.go
+++ b/internal/coordination/membership/self.go
@@ -61,7 +61,7 @@
 		// node.
 		c.requestRecord(from, self.ID)
 	case v.Incarnation > self.Incarnation:
-		c.refute(v.Incarnation, "heard of a later incarnation of itself")
+		c.refuteEarlierProcess(v.Incarnation, "heard of a later incarnation of itself")
 	case v.Status == registry.Alive, c.leaving:
 	default:
 		c.refute(v.Incarnation, "reported as not alive")
@@ -86,7 +86,7 @@
 		case other && n.PeerAddr > self.PeerAddr && c.joined:
 			c.markSuperseded(n)
 		case other || n.Sequence > self.Sequence:
-			c.refute(n.Incarnation, "another process has the same incarnation")
+			c.refuteEarlierProcess(n.Incarnation, "another process has the same incarnation")
 		case n.Status != registry.Alive && !c.leaving:
 			c.refute(n.Incarnation, "reported as not alive")
 		}
@@ -96,7 +96,7 @@
 		c.markSuperseded(n)
 		return
 	}
-	c.refute(n.Incarnation, "heard of a later incarnation of itself")
+	c.refuteEarlierProcess(n.Incarnation, "heard of a later incarnation of itself")
 }
 
 func (c *Core) markSuperseded(n *registry.Node) {
@@ -107,6 +107,13 @@
 	c.event(EventSuperseded, c.self, "a newer process runs at "+n.PeerAddr)
 }
 
+// refuteEarlierProcess raises the incarnation above that of an earlier process of the local
+// node, to which all lower ones may belong.
+func (c *Core) refuteEarlierProcess(reported uint64, reason string) {
+	c.firstIncarnation.Store(reported + 1)
+	c.refute(reported, reason)
+}
+
 // refute raises the incarnation of the local node above reported and publishes it.
 func (c *Core) refute(reported uint64, reason string) {
 	if c.opts.Disabled.Refutation {
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -138,6 +138,10 @@
 	return t.calls.Offer(func() { t.core.SendPolicyNotice(time.Now(), notice, to) })
 }
 
+// FirstIncarnation returns the lowest incarnation that only this process has used; see
+// membership.Core.
+func (t *Transport) FirstIncarnation() uint64 { return t.core.FirstIncarnation() }
+
 // Self returns the published record of the local node.
 func (t *Transport) Self(ctx context.Context) (registry.Node, error) {
 	var n registry.Node
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -340,14 +340,14 @@
 // PeerAddr returns the advertised address for nodes.
 func (n *Node) PeerAddr() string { return n.peerAddr }
 
-// incarnations returns the incarnation at the start of the process and the
+// incarnations returns the lowest incarnation that only this process has used and the
 // current one, which rises when the node refutes a suspicion.
 func (n *Node) incarnations() (first, current uint64) {
 	current = n.incarnation
 	if self := n.directory.Snapshot().Node(n.ID()); self != nil {
 		current = max(current, self.Incarnation)
 	}
-	return n.incarnation, current
+	return max(n.incarnation, n.gossip.FirstIncarnation()), current
 }
 
 // publish publishes an event about a backend server of this node.
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -45,8 +45,8 @@
 type OwnerOptions struct {
 	Self   registry.NodeID
 	Region string
-	// Incarnations returns the incarnation at the start of the process and the
-	// current one. A request with an incarnation outside this range was meant for
+	// Incarnations returns the lowest incarnation that only this process has used and
+	// the current one. A request with an incarnation outside this range was meant for
 	// another process of this node and is refused. Nil accepts every incarnation.
 	Incarnations func() (first, current uint64)
 	Leases       Leases
