Reject responses that cannot be told from extra bytes

Cause: bytes that a backend server sent after a complete response, where the next one is expected, were passed on as a success without signature and identifier. Evidence: hypotheses were a check of the identifier that accepts none, a connection that returns to the pool too early, and a response that another node mixes up. The bytes come only after the next request has been written, as in the failing test, which excludes the second; the test has one node. Change: on the users' platform a success needs the identifier and the signature, and any other response without an identifier counts only on a connection that has carried no exchange before. Otherwise the exchange has an unknown outcome, and the connection is closed. Result: without the check, TestExtraBytesAreNoResponse fails for all eight forms (successes, a redirect, failures, a refusal that claims "not run").

--- a/internal/protocol/header/dialect.go
+++ b/internal/protocol/header/dialect.go
@@ -24,6 +24,12 @@
 	// such a response to a request that must not be repeated, the node passes the response
 	// on only if it proves that the request has not run.
 	RefusalsMeanNotRun bool
+	// ResponsesRepeatID is set if a backend server repeats the request identifier in every
+	// response that it sends.
+	ResponsesRepeatID bool
+	// Signature is a header that a backend server adds to every response to a request that
+	// it ran successfully.
+	Signature string
 	// NotRun marks a response of a backend server that did not run the request.
 	NotRun string
 }
@@ -53,6 +59,17 @@
 	h[name] = []string{value}
 }
 
+// BelongsToRequest reports whether a response without a request identifier can be the
+// response to a request. On a connection that has carried an exchange before, it may
+// consist of bytes that the backend server sent after an earlier response.
+func (d *Dialect) BelongsToRequest(resp *http.Response, id string, reused bool) bool {
+	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	if d.ResponsesRepeatID && id == "" && (success || reused) {
+		return false
+	}
+	return !success || d.Signature == "" || resp.Header.Get(d.Signature) != ""
+}
+
 // ProvesNotRun reports whether a response proves that the backend server has not run the
 // request.
 func (d *Dialect) ProvesNotRun(resp *http.Response) bool {
--- a/internal/transport/backend/conn.go
+++ b/internal/transport/backend/conn.go
@@ -31,6 +31,8 @@
 	writesBlocked bool
 	// used is set by the first write on the connection.
 	used bool
+	// reused is set if the connection has carried an exchange before the current one.
+	reused bool
 	// reading is set while the reader waits for data.
 	reading bool
 	// finished is set when the exchange has ended and its response was read to the end.
@@ -46,7 +48,7 @@
 func (c *conn) checkOut() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.finished, c.written = false, false, false
+	c.idle, c.finished, c.written, c.reused = false, false, false, c.used
 	return !c.closed
 }
 
--- a/internal/transport/backend/exchange.go
+++ b/internal/transport/backend/exchange.go
@@ -44,7 +44,8 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // Do sends the request on one connection and never repeats it. id is the identifier of the
-// request; if the response contains a request identifier, it must be the same. repeatable
+// request; if the response contains a request identifier, it must be the same, and
+// Options.Belongs decides about a response that contains none. repeatable
 // states that the request may run again if its response is lost. allowed is called once,
 // directly before the first byte can be written, and reports whether the request may still
 // be sent. The caller reads the body of the response and closes it. All errors, including
@@ -78,7 +79,7 @@
 		return nil, x.classify(err, unwritten)
 	}
 	got := resp.Header.Get(p.opt.IDHeader)
-	if got != "" && got != id && !p.disabled.requestID {
+	if foreign := got != "" && got != id || p.opt.Belongs != nil && !p.opt.Belongs(resp, got, c.reused); foreign && !p.disabled.requestID {
 		x.abandon()
 		p.recordUnmatched()
 		return nil, x.fail(evidence.Reset, ReasonMismatch, errors.New("the response belongs to another request"))
--- a/internal/transport/backend/exchange_test.go
+++ b/internal/transport/backend/exchange_test.go
@@ -218,6 +218,38 @@
 	}
 }
 
+// Guards against bytes that a backend server sends where the next response is expected, and
+// that look like a response: they must be neither a success nor a refusal of the request that
+// follows on the connection, which runs.
+func TestExtraBytesAreNoResponse(t *testing.T) {
+	dialect := &header.Dialect{ResponsesRepeatID: true, Signature: "X-Signature", NotRun: "X-Not-Run"}
+	for _, extra := range []string{
+		"200 OK\r\n", "200 OK\r\nX-Signature: s\r\n", "204 No Content\r\n", "302 Found\r\n", "404 Not Found\r\n", "500 Error\r\n",
+		"503 Busy\r\nX-Not-Run: 1\r\n", "200 OK\r\n" + header.RequestID + ": second\r\n",
+	} {
+		s := serveScript(t, func(_ int, r *http.Request, c net.Conn) bool {
+			if r.URL.Path == "/second" && !writeRaw(c, "HTTP/1.1 "+extra+"Content-Length: 0\r\n\r\n") {
+				return false
+			}
+			return writeRaw(c, "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 0\r\n"+header.RequestID+": "+r.URL.Path[1:]+"\r\n\r\n")
+		})
+		p := NewPool(Options{Addr: s.addr, MaxConns: 1, Belongs: dialect.BelongsToRequest, NotRun: dialect.ProvesNotRun})
+		t.Cleanup(func() { p.Close(); waitClosed(t, p) })
+		if _, err := get(context.Background(), p, newRequest(t, "GET", "/first", ""), "first"); err != nil {
+			t.Fatal(err)
+		}
+		waitIdle(t, p)
+		resp, err := p.Do(context.Background(), newRequest(t, "GET", "/second", ""), "second", true, allow)
+		var e *Error
+		if err == nil {
+			_ = resp.Body.Close()
+			t.Errorf("%q is the response, status %d", extra, resp.StatusCode)
+		} else if !errors.As(err, &e) || e.NotSent || e.Reason != ReasonMismatch {
+			t.Errorf("%q: %v", extra, err)
+		}
+	}
+}
+
 // countForeignResponses runs a backend server that sends two responses to every request in
 // one segment. It returns how many requests got a response that is not their own, and stops
 // at limit.
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -42,6 +42,10 @@
 	// CloseDelimited accepts responses whose end is marked only by the end of the
 	// connection.
 	CloseDelimited bool
+	// Belongs reports whether a response can be that of the request, given its request
+	// identifier, which is empty or the right one, and whether the connection has carried
+	// an exchange before; nil means that every response can.
+	Belongs func(resp *http.Response, id string, reused bool) bool
 	// NotRun reports whether a response states that its request was not run; nil means
 	// that no response does.
 	NotRun func(*http.Response) bool
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -224,6 +224,7 @@
 		SuspicionTrials: s.Backend.Detector == settings.DetectorTrials,
 		IDHeader:        n.dialect().RequestID,
 		CloseDelimited:  n.opts.Adapter != nil,
+		Belongs:         n.dialect().BelongsToRequest,
 		NotRun:          n.dialect().ProvesNotRun,
 	})
 	n.peers = peer.NewPool(peer.Options{MaxPeers: s.Limits.MaxPeerConnections})
--- a/internal/transport/proxy/backends.go
+++ b/internal/transport/proxy/backends.go
@@ -22,9 +22,10 @@
 	// RampDuration is the duration of the slow start of a backend server; see
 	// admission.Options.
 	RampDuration time.Duration
-	// IDHeader, CloseDelimited and NotRun are those of the connections; see backend.Options.
+	// IDHeader, CloseDelimited, Belongs and NotRun are those of the connections; see backend.Options.
 	IDHeader       string
 	CloseDelimited bool
+	Belongs        func(resp *http.Response, id string, reused bool) bool
 	NotRun         func(*http.Response) bool
 	// SuspicionTrials makes a backend server that fails suspect at once and tests it
 	// with idempotent requests; see package suspicion.
@@ -94,7 +95,8 @@
 			id: a.Backend, service: a.Service, address: a.Address, incarnation: a.Incarnation,
 			pool: backend.NewPool(backend.Options{
 				Addr: a.Address, MaxConns: slots + 1, DialTimeout: b.opt.DialTimeout, IdleTimeout: b.opt.IdleTimeout,
-				IDHeader: b.opt.IDHeader, CloseDelimited: b.opt.CloseDelimited, NotRun: b.opt.NotRun,
+				IDHeader: b.opt.IDHeader, CloseDelimited: b.opt.CloseDelimited,
+				Belongs: b.opt.Belongs, NotRun: b.opt.NotRun,
 			}),
 			admitter: newAdmitter(admission.NewController(admission.Options{
 				Slots: slots, QueueLimit: limits.Queue, CallerInFlight: limits.CallerInFlight,
