Keep handling SIGHUP while the node drains

Cause: callers of a node that was being stopped got a closed connection when a SIGHUP came: the daemon stopped listening for the signal at the first SIGTERM, and an unhandled SIGHUP ends the process. Change: SIGHUP reloads the settings until the process ends.

--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -97,7 +97,7 @@
 	defer cancel()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go reloadOnSIGHUP(ctx, configPath, s, log, level)
+	go reloadOnSIGHUP(configPath, s, log, level)
 	go func() {
 		<-signals
 		cancel()
--- a/cmd/wigeonspringd/reload.go
+++ b/cmd/wigeonspringd/reload.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,20 +11,14 @@
 	"wigeonspring.example/wigeonspring/internal/state/settings"
 )
 
-// reloadOnSIGHUP reloads the settings on each SIGHUP until ctx is done. Only the log
-// level can change while the daemon runs. Changes of other settings are logged as
-// needing a restart.
-func reloadOnSIGHUP(ctx context.Context, path string, current *settings.Settings, log *zap.Logger, level zap.AtomicLevel) {
+// reloadOnSIGHUP reloads the settings on each SIGHUP for as long as the process runs: while
+// the node drains, a SIGHUP that is not handled would end it. Only the log level can change
+// while the daemon runs. Changes of other settings are logged as needing a restart.
+func reloadOnSIGHUP(path string, current *settings.Settings, log *zap.Logger, level zap.AtomicLevel) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			reload(path, current, log, level)
-		}
+	for range hangups {
+		reload(path, current, log, level)
 	}
 }
 
