--- a/internal/protocol/header/dialect.go
+++ b/internal/protocol/header/dialect.go
@@ -59,9 +59,10 @@
 	h[name] = []string{value}
 }
 
-// BelongsToRequest reports whether a response without a request identifier can be the
-// response to a request. On a connection that has carried an exchange before, it may
-// consist of bytes that the backend server sent after an earlier response.
+// BelongsToRequest reports whether a response can be that of the request. id is the request
+// identifier in the response, which is the right one or empty. On a reused connection, a
+// response without an identifier may consist of bytes that the backend server sent after an
+// earlier response. A success needs the signature.
 func (d *Dialect) BelongsToRequest(resp *http.Response, id string, reused bool) bool {
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if d.ResponsesRepeatID && id == "" && (success || reused) {
