--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -35,6 +35,7 @@
 	RequestRefused     Kind = "request_refused"
 	RequestFailed      Kind = "request_failed"
 	RequestSpilled     Kind = "request_spilled"
+	ResponseEarly      Kind = "response_early"
 	RetryBudgetSpent   Kind = "retry_budget_spent"
 	PlatformDown       Kind = "platform_down"
 	PlatformUp         Kind = "platform_up"
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -254,6 +254,10 @@
 	h[header.RequestID] = []string{c.id}
 	h[header.Outcome] = []string{header.Answered}
 	c.recordResult(header.Answered, resp.StatusCode)
+	if c.body.unread() {
+		c.publish(event.ResponseEarly, reasonUploadUnfinished,
+			event.Field{Key: "body_bytes_read", Value: strconv.FormatInt(c.body.bytesRead.Load(), 10)})
+	}
 	c.w.WriteHeader(resp.StatusCode)
 	n, readErr, writeErr := copyBody(c.w, resp)
 	if readErr != nil || writeErr != nil {
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -37,6 +37,7 @@
 	reasonHedged              = "other_attempt_runs"
 	reasonLastResort          = "only_suspects_left"
 	reasonSuspect             = "backend_suspect"
+	reasonUploadUnfinished    = "upload_unfinished"
 	// reasonWithdrawn means that the connection to the owner failed before the owner sent
 	// the request to the backend server, and that the owner refuses it from then on.
 	reasonWithdrawn = "withdrawn_before_dispatch"
