Let only the attempt read a body whose response has begun

Callers saw a response to an upload in chunks of which the backend server had run a part only: bytes were missing in the middle or at the end and the rest was framed as whole, or the response broke off.

Cause: two readers of one body. When a response begins on an HTTP/1 connection that is kept, the server of net/http discards what is left of the request body. The attempt still sends this body, so each of the two gets some of the bytes, and the attempt takes the end that the other one reached for the end of the body. It needs a backend server that answers before it has received the whole body, and a body that is streamed: in chunks and above 512 KB, or above 64 KB if the request may run again, or beyond the memory for read-ahead.

On the server of the caller, responses now begin in full-duplex mode while the attempt may still read, and the connection is closed afterwards. The same holds for outcomes of the node itself, which are no longer held back until the caller has sent its body. An attempt that has ended gets no bytes from a read that was under way, because what came before may have been discarded.

Refusals before the body was looked at wait for at most 2 s for the rest of it: the limit of lingering now covers the flush, in which the server discards up to 256 KB.

Test callers closed their connection after each request, upon which net/http discards nothing; the option can now be overridden.

--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -257,6 +257,7 @@
 	if c.body.unread() {
 		c.publish(event.ResponseEarly, reasonUploadUnfinished,
 			event.Field{Key: "body_bytes_read", Value: strconv.FormatInt(c.body.bytesRead.Load(), 10)})
+		c.keepBodyUnread()
 	}
 	c.w.WriteHeader(resp.StatusCode)
 	n, readErr, writeErr := copyBody(c.w, resp)
@@ -276,6 +277,15 @@
 	t.done(n)
 }
 
+// keepBodyUnread prevents the HTTP/1 server from reading the rest of the caller's body when the
+// response begins. An attempt that still sends the body would miss what the server read, and
+// take the remainder for the whole. The connection cannot be used for another request.
+func (c *call) keepBodyUnread() {
+	if c.request.ProtoMajor == 1 && c.control.EnableFullDuplex() == nil {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 // reportOutcome tells the caller that no backend server has responded.
 func (c *call) reportOutcome(d retry.Decision) {
 	reason := c.reason
@@ -325,6 +335,9 @@
 	}
 	text := outcome + ": " + reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
+	if c.body != nil && c.body.unread() {
+		c.keepBodyUnread()
+	}
 	c.w.WriteHeader(status)
 	_, _ = io.WriteString(c.w, text)
 	c.responded = true
--- a/internal/transport/proxy/caller_body.go
+++ b/internal/transport/proxy/caller_body.go
@@ -142,12 +142,10 @@
 // lose the response. A caller that reads the response stops sending, which ends the
 // wait.
 func linger(control *http.ResponseController, r *http.Request, body io.Reader) {
-	if r.ProtoMajor != 1 || control.Flush() != nil {
+	if r.ProtoMajor != 1 || control.SetReadDeadline(time.Now().Add(lingerTime)) != nil || control.Flush() != nil {
 		return
 	}
-	if control.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
-		_, _ = io.CopyN(io.Discard, body, lingerBytes)
-	}
+	_, _ = io.CopyN(io.Discard, body, lingerBytes)
 }
 
 // attemptBody is the body of the caller's request for one attempt. After Close the
@@ -199,6 +197,12 @@
 	default:
 		b.failed.Store(true)
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.closed {
+		// Bytes between this read and the one before may have been discarded.
+		return 0, errAttemptEnded
+	}
 	return n, err
 }
 
--- a/internal/transport/proxy/fleet_test.go
+++ b/internal/transport/proxy/fleet_test.go
@@ -190,11 +190,11 @@
 		f.t.Fatal(err)
 	}
 	req.Host = "booking.test"
+	// A connection per request prevents this client from repeating requests itself.
+	req.Close = true
 	for _, e := range edit {
 		e(req)
 	}
-	// A connection per request prevents this client from repeating requests itself.
-	req.Close = true
 	resp, err := f.nodes[i].callerServer.Client().Do(req)
 	if err != nil {
 		return result{err: err}
