--- a/internal/transport/peer/check.go
+++ b/internal/transport/peer/check.go
@@ -98,7 +98,7 @@
 		return false
 	}
 	counters.Add("checks", 1)
-	ctx, cancel := context.WithTimeout(context.Background(), p.opt.CheckTimeout+p.opt.DialTimeout+responseTimeout+p.opt.SilentGrace)
+	ctx, cancel := context.WithTimeout(p.ctx, p.opt.CheckTimeout+p.opt.DialTimeout+responseTimeout+p.opt.SilentGrace)
 	defer cancel()
 	responded := make(chan struct{})
 	ended := make(chan struct{})
@@ -108,7 +108,7 @@
 			close(responded)
 		}
 	}()
-	silent := !closedWithin(responded, p.opt.CheckTimeout) && p.replaceSilent(c, responded)
+	silent := !closedWithin(ctx, responded, p.opt.CheckTimeout) && p.replaceSilent(c, responded)
 	p.endCheck(c)
 	if silent {
 		counters.Add("silent", 1)
@@ -116,7 +116,7 @@
 		// Requests that cannot be recovered may still get their response: after a short
 		// network interruption, TCP takes longer to recover on a connection that has data
 		// in flight.
-		if !closedWithin(responded, p.opt.SilentGrace) || p.unused(c) {
+		if !closedWithin(ctx, responded, p.opt.SilentGrace) || p.unused(c) {
 			p.closeReplaced(c)
 		}
 	}
@@ -132,13 +132,16 @@
 	return c.users == 0
 }
 
-// closedWithin reports whether a channel is closed within the given time.
-func closedWithin(ch <-chan struct{}, d time.Duration) bool {
+// closedWithin reports whether a channel is closed within the given time and before ctx is
+// done.
+func closedWithin(ctx context.Context, ch <-chan struct{}, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ch:
 		return true
+	case <-ctx.Done():
+		return false
 	case <-timer.C:
 		return false
 	}
@@ -179,15 +182,15 @@
 // either, replaceSilent changes nothing and returns false: the peer may be paused or
 // disconnected, and may respond later. The same holds if it has responded on c meanwhile.
 func (p *Pool) replaceSilent(c *peerConn, responded <-chan struct{}) bool {
-	dialCtx, cancelDial := context.WithTimeout(context.Background(), p.opt.DialTimeout)
+	dialCtx, cancelDial := context.WithTimeout(p.ctx, p.opt.DialTimeout)
 	defer cancelDial()
 	client, err := p.transport.NewClientConn(dialCtx, "http", c.addr)
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, responseTimeout)
 	defer cancel()
-	if !p.responds(ctx, client, c.addr) || closedWithin(responded, 0) || !p.replace(c, client) {
+	if !p.responds(ctx, client, c.addr) || closedWithin(ctx, responded, 0) || !p.replace(c, client) {
 		_ = client.Close()
 		return false
 	}
--- a/internal/transport/peer/check_test.go
+++ b/internal/transport/peer/check_test.go
@@ -77,3 +77,22 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a check of a connection that outlives the pool.
+func TestCloseEndsCheck(t *testing.T) {
+	p, link, _ := newLinkedPool(t, func(http.ResponseWriter, *http.Request) {})
+	if err := get(context.Background(), p, link.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	p.opt.CheckTimeout = time.Minute
+	link.StallConnections()
+	ended := make(chan bool)
+	go func() { ended <- p.check(p.peers[link.Addr()]) }()
+	time.Sleep(50 * time.Millisecond)
+	p.Close()
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("the check goes on")
+	}
+}
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -98,6 +98,9 @@
 type Pool struct {
 	opt       Options
 	transport *http.Transport
+	// ctx is done once the pool is closed, which ends the checks of connections.
+	ctx  context.Context
+	stop context.CancelFunc
 
 	mu     sync.Mutex
 	peers  map[string]*peerConn
@@ -150,7 +153,10 @@
 	o.SilentGrace = cmp.Or(o.SilentGrace, DefaultSilentGrace)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
+	ctx, stop := context.WithCancel(context.Background())
 	return &Pool{
+		ctx:      ctx,
+		stop:     stop,
 		opt:      o,
 		peers:    make(map[string]*peerConn),
 		replaced: make(map[*peerConn]struct{}),
@@ -388,6 +394,7 @@
 
 // Close closes all connections and refuses further requests.
 func (p *Pool) Close() {
+	p.stop()
 	p.mu.Lock()
 	p.closed = true
 	conns := slices.Collect(maps.Values(p.peers))
