Test that paused watchers take up a policy

One of the two watchers of each failure domain is paused for 4 s, longer than a watch; the policy must be in force in 4 s on the others, and on the paused nodes 4 s after they wake up.

--- a/e2e/policy_test.go
+++ b/e2e/policy_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -79,6 +81,33 @@
 	t.Logf("in force %v after the operator began", time.Since(start))
 }
 
+// Guards against nodes that go on with an old policy after a pause longer than their watches, and
+// against a policy that comes into force late on the others because watchers are paused.
+func TestPausedWatchersTakeUpPolicy(t *testing.T) {
+	f := newFleet(t, 26800, 6)
+	f.start("booking", bookingPolicy, 5, bookingFloor)
+	paused, others := []int{1, 3, 5}, []int{2, 4, 6} // One of the two watchers in each failure domain.
+	signal := func(s syscall.Signal) {
+		for _, i := range paused {
+			f.processes[nodeName(i)].signal(s)
+		}
+	}
+	inForce := func(nodes []int) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(nodes, func(i int) bool { return f.epochInForce(i, "booking") != 2 })
+		}
+	}
+	signal(syscall.SIGSTOP)
+	time.Sleep(4 * time.Second)
+	start := time.Now()
+	if out, code := f.wigeonctl(others[0], "policy", "apply", writePolicy(t, "p.toml", "2100ms")); code != 0 {
+		t.Fatalf("apply: %s", out)
+	}
+	f.eventually(policyInForceLimit-time.Since(start), "the policy in force beside paused watchers", inForce(others))
+	signal(syscall.SIGCONT)
+	f.eventually(policyInForceLimit, "the policy in force on nodes that were paused", inForce(paused))
+}
+
 // storedEpoch returns the epoch of the booking policy that wigeonctl reports.
 func (f *fleet) storedEpoch() uint64 {
 	f.t.Helper()
