Close the connection of a caller after a trailer that cannot be read

Cause: the limit of a body in chunks replaced the body of the request. net/http looks at the type of this body; with another type it takes a body whose trailer could not be read for one that was consumed, and used the connection again. What was left of the trailer ran as a request of its own.

Evidence: TestMalformedTrailerClosesConnection failed, with the body read ahead and streamed: the request in the trailer ran on the backend server. It needs a limit of the size and a body in chunks.

Change: the limit is set on a copy of the request. With it the test passes.

--- /dev/null
+++ b/internal/transport/proxy/caller_end_test.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/policy"
+)
+
+// dialCaller opens a connection of a caller to the ingress of node 0.
+func (f *testFleet) dialCaller(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", f.nodes[0].callerServer.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+// Guards against a request that is smuggled in the trailer of another one: net/http would use
+// the connection again after a trailer that it cannot read, if its body has been replaced.
+func TestMalformedTrailerClosesConnection(t *testing.T) {
+	table := policy.NewTable(policy.TableOptions{})
+	text := strings.Replace(testPolicy, "[[service.route]]", "[service.limits]\nmax_body_bytes = 1048576\n\n[[service.route]]", 1)
+	if _, err := table.Set(policy.VersionedDocument{Service: "booking", Epoch: 1, Text: []byte(text)}); err != nil {
+		t.Fatal(err)
+	}
+	for buffered, status := range map[int64]int{512 << 10: http.StatusBadRequest, 0: http.StatusBadGateway} {
+		f := newFleet(t, 1, func(_ *OwnerOptions, in *IngressOptions) { in.Policies, in.MaxBufferedBodyBytes = table, buffered })
+		var smuggled atomic.Bool
+		f.serve(0, "b1", func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			smuggled.Store(smuggled.Load() || r.URL.Path == "/smuggled")
+		})
+		c, r := f.dialCaller(t)
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: booking.test\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"+
+			"malformed\r\nPOST /smuggled HTTP/1.1\r\nHost: booking.test\r\nContent-Length: 0\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != status {
+			t.Fatalf("%+v, %v", resp, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if n, err := io.Copy(io.Discard, r); n > 0 || err != nil || smuggled.Load() {
+			t.Errorf("%d bytes after the response, %v; the smuggled request ran: %t", n, err, smuggled.Load())
+		}
+	}
+}
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -295,7 +295,11 @@
 		// A request whose body has not been read ahead by its deadline cannot be served.
 		_ = c.control.SetReadDeadline(c.deadline)
 		if limit > 0 && r.ContentLength < 0 {
-			r.Body = http.MaxBytesReader(c.w, r.Body, limit)
+			// A copy, because net/http checks the type of r.Body to find out whether the
+			// connection can be used again.
+			limited := *r
+			limited.Body = http.MaxBytesReader(c.w, r.Body, limit)
+			r = &limited
 		}
 	}
 	// A caller that reads slowly must not hold a slot of a backend server forever.
