Refuse a late body at the deadline also if its length is known

Cause: since lingering sets its limit before the flush, the server waited for up to 2 s more for the rest of a body that had already missed the deadline. The deadline of writing is 1 s after that of the request, so that the 408 was lost.

Evidence: TestLateBodyIsRefusedAtDeadline: no response, connection closed after 2.3 s with a deadline of 0.3 s; in chunks it passed, because net/http does not read on after an error there.

Change: the rest is left unread, as with other outcomes. With it the test passes.

--- a/internal/transport/proxy/caller_end_test.go
+++ b/internal/transport/proxy/caller_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 )
 
@@ -53,3 +55,22 @@
 		}
 	}
 }
+
+// unfinishedUploads are the ends of request heads with a body of which one byte is sent.
+var unfinishedUploads = []string{"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", "Content-Length: 100\r\n\r\nx"}
+
+// Guards against a refusal that is held back after the deadline for a body that came too late.
+func TestLateBodyIsRefusedAtDeadline(t *testing.T) {
+	for _, head := range unfinishedUploads {
+		f := newFleet(t, 1, func(_ *OwnerOptions, in *IngressOptions) { in.MaxBufferedBodyBytes = 512 << 10 })
+		f.serve(0, "b1", func(http.ResponseWriter, *http.Request) {})
+		c, r := f.dialCaller(t)
+		start := time.Now()
+		_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: booking.test\r\n%s: 300\r\n%s", header.DeadlineMillis, head)
+		_ = c.SetReadDeadline(start.Add(6 * time.Second))
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != http.StatusRequestTimeout || time.Since(start) > time.Second {
+			t.Errorf("%.20q: %v, %v after %v", head, resp, err, time.Since(start).Round(time.Millisecond))
+		}
+	}
+}
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -314,6 +314,7 @@
 	case errors.As(err, &tooLarge):
 		return c.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.keepBodyUnread() // The caller gets its response without a further wait.
 		return c.refuse(http.StatusRequestTimeout, reasonBodyLate)
 	case err != nil:
 		return c.refuse(http.StatusBadRequest, reasonBodyTruncated)
