End early responses without waiting for more of the upload

Cause: the end of an attempt through another node waits until the HTTP/2 client has returned from its read of the caller's body. The end of a response of known length is sent after that. If the response was cut, net/http reads the rest of the body before it closes the connection, and clears the deadline of reading if another read is under way.

Evidence: TestEarlyResponseEndsDespiteUnfinishedUpload, also over HTTP/2: a caller that sends no more until it has the response got it at the deadline (2.0 s); a cut one with a body of known length had not ended after 6 s.

Change: before the attempt ends, a whole response is sent and the wait limited to that of lingering; after a cut response, and over HTTP/2, nothing is waited for.

--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -268,15 +268,35 @@
 			t.failed = true
 			c.publish(event.RequestFailed, reasonResponseTruncated)
 		}
+		c.endUpload(t)
 		t.done(n)
 		// Aborts the connection: a truncated body must not look complete.
 		panic(http.ErrAbortHandler)
 	}
 	copyTrailer(h, resp)
 	c.responded = true
+	c.endUpload(t)
 	t.done(n)
 }
 
+// endUpload bounds the wait for the caller's next bytes: the end of the attempt waits for a read
+// of the body, and net/http reads from it before it closes an aborted connection, then without a
+// limit. A whole response is sent first.
+func (c *call) endUpload(t *ingressAttempt) {
+	if !c.body.unread() {
+		return
+	}
+	_ = t.body.Close()
+	if c.request.ProtoMajor == 1 && c.responded {
+		_ = c.control.SetReadDeadline(time.Now().Add(lingerTime))
+		_ = c.control.Flush()
+		return
+	}
+	_ = c.control.SetReadDeadline(time.Now())
+	// Returns after a read that is under way has ended.
+	_, _ = io.CopyN(io.Discard, c.request.Body, 1)
+}
+
 // keepBodyUnread prevents the HTTP/1 server from reading the rest of the caller's body when the
 // response begins. An attempt that still sends the body would miss what the server read, and
 // take the remainder for the whole. The connection cannot be used for another request.
--- a/internal/transport/proxy/caller_end_test.go
+++ b/internal/transport/proxy/caller_end_test.go
@@ -26,6 +26,14 @@
 	return c, bufio.NewReader(c)
 }
 
+// overHTTP2 makes the client of a node speak HTTP/2.
+func overHTTP2(n *testNode) func(*http.Request) {
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	n.callerServer.Client().Transport = transport
+	return func(r *http.Request) { r.Close = false }
+}
+
 // Guards against a request that is smuggled in the trailer of another one: net/http would use
 // the connection again after a trailer that it cannot read, if its body has been replaced.
 func TestMalformedTrailerClosesConnection(t *testing.T) {
@@ -56,9 +64,66 @@
 	}
 }
 
+// serveEarly starts a backend server that responds without reading the body of the request, and
+// closes the connection a moment later.
+func serveEarly(t *testing.T, response string) string {
+	return serveRaw(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, response)
+			time.Sleep(50 * time.Millisecond) // The response begins before the connection ends.
+		}
+	})
+}
+
 // unfinishedUploads are the ends of request heads with a body of which one byte is sent.
 var unfinishedUploads = []string{"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", "Content-Length: 100\r\n\r\nx"}
 
+// Guards against an early response, cut or whole, that the caller gets only once it sends more
+// of its upload or once its deadline has passed, because the end of the attempt or of the
+// connection waits for the next bytes of the upload.
+func TestEarlyResponseEndsDespiteUnfinishedUpload(t *testing.T) {
+	responses := []struct{ text, body string }{
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", "part"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "whole"},
+	}
+	for _, response := range responses {
+		for i, upload := range unfinishedUploads {
+			for owner := range 2 {
+				f := newFleet(t, 2)
+				f.own(owner, "b1", serveEarly(t, response.text), 4)
+				c, r := f.dialCaller(t)
+				_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: booking.test\r\n%s", upload)
+				_ = c.SetReadDeadline(time.Now().Add(6 * time.Second)) // The timeout of the route is 2 s.
+				start := time.Now()
+				var body []byte
+				resp, err := http.ReadResponse(r, nil)
+				if err == nil {
+					body, err = io.ReadAll(resp.Body)
+				}
+				if string(body) != response.body || (err == nil) != (response.body == "whole") || time.Since(start) > time.Second {
+					t.Errorf("owner %d, upload %d: %q, %v after %v", owner, i, body, err, time.Since(start).Round(time.Millisecond))
+				}
+			}
+		}
+	}
+}
+
+// Guards against the same for a caller that speaks HTTP/2.
+func TestEarlyResponseEndsDespiteUnfinishedUploadHTTP2(t *testing.T) {
+	for owner := range 2 {
+		f := newFleet(t, 2)
+		f.own(owner, "b1", serveEarly(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"), 4)
+		upload, more := io.Pipe()
+		defer more.Close()
+		go func() { _, _ = more.Write([]byte("x")) }()
+		start := time.Now()
+		got := f.send(0, "POST", "/", upload, overHTTP2(f.nodes[0]))
+		if got.body != "whole" || got.err != nil || time.Since(start) > time.Second {
+			t.Errorf("owner %d: %+v after %v", owner, got, time.Since(start).Round(time.Millisecond))
+		}
+	}
+}
+
 // Guards against a refusal that is held back after the deadline for a body that came too late.
 func TestLateBodyIsRefusedAtDeadline(t *testing.T) {
 	for _, head := range unfinishedUploads {
