--- a/internal/transport/proxy/caller_end_test.go
+++ b/internal/transport/proxy/caller_end_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -139,3 +140,57 @@
 		}
 	}
 }
+
+// Guards against an attempt that continues with the next bytes after its end, although the bytes
+// before them may have been discarded.
+func TestEndedAttemptGetsNoBytes(t *testing.T) {
+	upload, more := io.Pipe()
+	b, err := newCallerBody(httptest.NewRequest("POST", "/", upload), 0, newByteBudget(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := b.open()
+	type read struct {
+		n   int
+		err error
+	}
+	ended := make(chan read, 1)
+	go func() {
+		n, err := a.Read(make([]byte, 4))
+		ended <- read{n, err}
+	}()
+	waitFor(t, func() bool { return !b.replayable() })
+	_ = a.Close()
+	_, _ = more.Write([]byte("rest"))
+	if got := <-ended; got != (read{0, errAttemptEnded}) {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Guards against a response of the node itself that is held back until the caller has sent its
+// body, and against a caller that is not told that its connection ends with it.
+func TestOutcomeArrivesDespiteUnfinishedUpload(t *testing.T) {
+	cases := []struct {
+		host   string
+		within time.Duration
+		closes bool
+	}{
+		{"booking.test", time.Second, true}, // No owner holds a lease.
+		{"unknown.test", lingerTime + time.Second, false},
+	}
+	for _, tc := range cases {
+		for i, upload := range unfinishedUploads {
+			f := newFleet(t, 2)
+			f.serve(1, "b1", func(http.ResponseWriter, *http.Request) {})
+			f.nodes[1].leases.ReleaseAll()
+			c, r := f.dialCaller(t)
+			_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: %s\r\n%s", tc.host, upload)
+			start := time.Now()
+			_ = c.SetReadDeadline(start.Add(tc.within))
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil || resp.Header.Get(header.Outcome) != header.NotRun || tc.closes && !resp.Close {
+				t.Errorf("%s, upload %d: %+v, %v after %v", tc.host, i, resp, err, time.Since(start).Round(time.Millisecond))
+			}
+		}
+	}
+}
