Reset the connection of an HTTP/1.0 caller whose response is cut

Cause: without chunks, the end of the connection ends a response of unknown length, so a cut one looked whole.

Evidence: TestCutResponseIsNotWholeOverHTTP10 failed: 4 bytes without an error.

Change: such a connection is reset. With it the test passes.

--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -270,6 +270,10 @@
 		}
 		c.endUpload(t)
 		t.done(n)
+		if conn, ok := c.request.Context().Value(connectionKey{}).(interface{ SetLinger(int) error }); ok && !c.request.ProtoAtLeast(1, 1) {
+			// The end of the connection would be taken for that of the response.
+			_ = conn.SetLinger(0)
+		}
 		// Aborts the connection: a truncated body must not look complete.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/transport/proxy/caller_end_test.go
+++ b/internal/transport/proxy/caller_end_test.go
@@ -194,3 +194,22 @@
 		}
 	}
 }
+
+// Guards against a cut response that looks whole to a caller that speaks HTTP/1.0, to which the
+// end of the connection is the end of a response of unknown length.
+func TestCutResponseIsNotWholeOverHTTP10(t *testing.T) {
+	for owner := range 2 {
+		f := newFleet(t, 2)
+		f.own(owner, "b1", serveEarly(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"), 4)
+		c, r := f.dialCaller(t)
+		_, _ = io.WriteString(c, "GET / HTTP/1.0\r\nHost: booking.test\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			continue
+		}
+		if body, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("owner %d: %q looks whole", owner, body)
+		}
+	}
+}
