Bound the wait for the body before a node without policies refuses

Cause: net/http reads the rest of a body before it sends a response, and serveCaller set no deadline.

Evidence: TestNodeWithoutPoliciesRefusesUnfinishedUpload: no response within 4 s.

Change: a limit of 1 s. With it the test passes.

--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -43,7 +43,9 @@
 	closeTimeout = 2 * time.Second
 	// shortCloseTimeout bounds the shutdown of the servers at the end of the drain timeout.
 	shortCloseTimeout = 100 * time.Millisecond
-	reasonNotReady    = "node_not_ready"
+	// refusalTimeout is the time that the caller of a refused request has to send its body.
+	refusalTimeout = time.Second
+	reasonNotReady = "node_not_ready"
 )
 
 // Run serves until ctx is done or an operator drains the node. It then shuts down
@@ -145,6 +147,8 @@
 // knows that its policies are up to date.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if !n.acceptsRequests() {
+		// Bounds how long the server waits for the body of the request before it responds.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalTimeout))
 		w.Header().Set(header.Outcome, header.NotRun)
 		w.Header().Set(header.Reason, reasonNotReady)
 		w.Header().Set("Retry-After", "1")
