Close the connection of an operator after a trailer that cannot be read

Cause: net/http looks at the type of the request's body to find out whether a connection can be used again.

Evidence: TestMalformedTrailerClosesOperatorConnection failed.

Change: the limit is set on a copy of the request. With it the test and the package pass.

--- a/internal/transport/console/guard.go
+++ b/internal/transport/console/guard.go
@@ -80,8 +80,11 @@
 			refuse(w, r, http.StatusUnauthorized, twirp.Unauthenticated, "missing or wrong operator token")
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
-		next.ServeHTTP(w, r)
+		// A copy, because net/http checks the type of r.Body to find out whether the
+		// connection can be used again.
+		limited := *r
+		limited.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		next.ServeHTTP(w, &limited)
 	})
 	return http.NewCrossOriginProtection().Handler(admit)
 }
