--- a/internal/transport/proxy/caller_end_test.go
+++ b/internal/transport/proxy/caller_end_test.go
@@ -213,3 +213,35 @@
 		}
 	}
 }
+
+// Guards against an upload that stops when a response of status 300 or above begins: the HTTP/2
+// client of net/http then sends no more of the body.
+func TestEarlyFailureLeavesUploadWhole(t *testing.T) {
+	for owner := range 2 {
+		f := newFleet(t, 2)
+		ran := make(chan int64, 1)
+		f.serve(owner, "b1", func(w http.ResponseWriter, r *http.Request) {
+			control := http.NewResponseController(w)
+			_ = control.EnableFullDuplex()
+			_, _ = r.Body.Read(make([]byte, 1))
+			w.WriteHeader(http.StatusBadRequest)
+			_, _ = io.WriteString(w, "early, ")
+			_ = control.Flush()
+			n, _ := io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(w, "complete")
+			ran <- n + 1
+		})
+		upload, more := io.Pipe()
+		go func() {
+			defer more.Close()
+			for range 40 {
+				_, _ = more.Write(make([]byte, 1000))
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		got := f.send(0, http.MethodPost, "/", upload)
+		if n := <-ran; n != 40_000 || got.body != "early, complete" || got.err != nil {
+			t.Errorf("owner %d: the backend server ran %d bytes; %+v", owner, n, got)
+		}
+	}
+}
