Send the status of an early failure beside the reply between nodes

Cause: the HTTP/2 client of net/http sends no more of a body once a response of status 300 or above begins, and resets the stream, upon which the owner ends the exchange.

For a streamed body the ingress node now asks for the status in a header, and the reply itself has status 200. Owners of older versions ignore the request, and no owner sends the header unasked, so that both versions work side by side as before.

--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -54,6 +54,11 @@
 	// NoBetterBackend marks an attempt that a suspect backend server may serve, because no
 	// other is better for it.
 	NoBetterBackend = "Wigeonspring-No-Better"
+	// StatusInHeader marks a request whose ingress node reads the status of the response from
+	// the header Status.
+	StatusInHeader = "Wigeonspring-Status-In-Header"
+	// Status is the status of the response, if it is not that of the reply of the owner.
+	Status = "Wigeonspring-Status"
 	// CallerService names the service on the VM where the request began.
 	CallerService = "Wigeonspring-Caller-Service"
 	// ExpectedInstance and Instance identify backend servers; see Dialect.
--- a/internal/protocol/header/header_test.go
+++ b/internal/protocol/header/header_test.go
@@ -25,7 +25,7 @@
 				RequestID: NewRequestID(), Backend: "b", Service: "s", Route: name, Incarnation: incarnation,
 				TimeLeft: time.Duration(ms) * time.Millisecond, AnswerWithin: time.Duration(attempt) * time.Millisecond, Attempt: attempt, Caller: CallerName(name), Region: "r",
 				Baseline:   evidence.Baseline{FailureRate: float64(int(rate*1000)) / 1000, Median: time.Duration(samples) * time.Microsecond, Samples: samples},
-				Idempotent: incarnation&1 != 0, Trial: incarnation&2 != 0, Explore: incarnation&4 != 0, NoBetterBackend: incarnation&8 != 0, Repeat: incarnation&16 != 0,
+				Idempotent: incarnation&1 != 0, Trial: incarnation&2 != 0, Explore: incarnation&4 != 0, NoBetterBackend: incarnation&8 != 0, Repeat: incarnation&16 != 0, StatusInHeader: incarnation&32 != 0,
 				Origin: "n1.0", Sequence: incarnation,
 				Rank: attempt % 5, Objective: time.Duration(attempt) * time.Millisecond,
 			}
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -51,6 +51,10 @@
 	// a suspect one may serve it. This is the case if most backend servers of the service
 	// are suspect, or if all others have refused a request that may run again.
 	NoBetterBackend bool
+	// StatusInHeader is set if a status of 300 or above must not be that of the reply. The
+	// HTTP/2 client of net/http sends no more of a body once a reply of status 300 or above
+	// has begun.
+	StatusInHeader bool
 }
 
 // flagSet is the value of a header that is either absent or set.
@@ -97,6 +101,9 @@
 	if hop.NoBetterBackend {
 		set(NoBetterBackend, flagSet)
 	}
+	if hop.StatusInHeader {
+		set(StatusInHeader, flagSet)
+	}
 	if hop.Origin != "" {
 		set(Origin, hop.Origin)
 		set(Sequence, strconv.FormatUint(hop.Sequence, 10))
@@ -124,6 +131,7 @@
 	hop.Repeat = h.Get(Repeat) == flagSet
 	hop.NoBetterBackend = h.Get(NoBetterBackend) == flagSet
 	hop.Trial = h.Get(Trial) == flagSet
+	hop.StatusInHeader = h.Get(StatusInHeader) == flagSet
 	var err error
 	if s := h.Get(Rank); s != "" {
 		if hop.Rank, err = strconv.Atoi(s); err != nil || hop.Rank < 0 {
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -82,6 +83,7 @@
 		// A retry is available if the trial fails.
 		Trial: c.lastResort || c.route.Idempotent && c.body.replayable() && plan.AllowsRetry(now, c.budget),
 	}
+	hop.StatusInHeader = c.body.streamed()
 	if !c.objective.IsZero() {
 		hop.Objective = max(c.objective.Sub(now), 0)
 	}
@@ -224,6 +226,13 @@
 	}
 	switch r.Outcome {
 	case header.Answered:
+		if s := resp.Header.Get(header.Status); s != "" {
+			var err error
+			if resp.StatusCode, err = strconv.Atoi(s); err != nil || resp.StatusCode < http.StatusMultipleChoices || resp.StatusCode > maxStatus {
+				t.outcome = routing.PeerFailed
+				return unknown(reasonNoOutcome)
+			}
+		}
 		r.Response = resp
 	case header.NotRun:
 		r.RefusedByBackend = r.Reason == reasonBackendRefused
--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -57,6 +58,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	reply := o.run(ctx, a)
+	reply.StatusInHeader = hop.StatusInHeader
 	defer reply.close()
 	o.writeReply(w, hop.RequestID, reply)
 }
@@ -73,6 +75,7 @@
 	complete := false
 	defer func() { o.end(attempt, complete) }()
 	reply := o.run(ctx, a)
+	reply.StatusInHeader = a.StatusInHeader
 	defer reply.close()
 	o.writeReply(&replyRecorder{ResponseWriter: w, attempt: attempt}, a.RequestID, reply)
 	complete = true
@@ -141,6 +144,10 @@
 	if r.Load != nil {
 		h[header.Load] = []string{header.FormatLoad(*r.Load)}
 	}
+	if r.Response != nil && r.StatusInHeader && status >= http.StatusMultipleChoices && status != http.StatusNotModified {
+		h[header.Status] = []string{strconv.Itoa(status)}
+		status = http.StatusOK
+	}
 	if r.Outcome == header.Unknown {
 		status = http.StatusBadGateway
 		if r.Timeout {
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -63,6 +63,9 @@
 	// RefusedByBackend marks a refusal by the backend server itself, which the request
 	// reached.
 	RefusedByBackend bool
+	// StatusInHeader is set if the ingress node reads the status of the response from
+	// header.Status; see header.Hop.
+	StatusInHeader bool
 	// Load is the load of the backend server, or nil.
 	Load *evidence.Load
 	// Response is the response of the backend server; nil unless Outcome is
@@ -70,6 +73,9 @@
 	Response *http.Response
 }
 
+// maxStatus is the highest status of an HTTP response.
+const maxStatus = 599
+
 // withResponseDeadline cancels the context with context.DeadlineExceeded as its cause
 // at the given time, unless began is called before. A zero time sets no limit. The
 // context is also used for the body of the response, which the limit does not cover.
