Compare values in the upgrade check

Cause: `make upgrade` compared the JSON text of the tools of both builds. protojson chooses its white space by a hash of the program, so the check stopped with exit status 1 at its first comparison although the values were the same. Change: `wigeon-verify canonical` copies JSON values in a form that depends on the values only (order of keys, white space; numbers keep their digits) and fails if there is none. The script compares these forms, so that older builds can take part.

--- a/cmd/wigeon-verify/main.go
+++ b/cmd/wigeon-verify/main.go
@@ -1,6 +1,6 @@
 // Command wigeon-verify compares the responses that callers received with the requests
-// that backend servers ran. It can also sample the capacity of services during a test and
-// send a single HTTP request.
+// that backend servers ran. It can also sample the capacity of services during a test,
+// send a single HTTP request and bring JSON into a canonical form.
 package main
 
 import (
@@ -151,10 +151,18 @@
 	return err
 }
 
+type canonicalCommand struct{}
+
+// Execute copies the JSON values of standard input to standard output in canonical form.
+func (*canonicalCommand) Execute([]string) error {
+	return verify.WriteCanonical(os.Stdout, os.Stdin)
+}
+
 func main() {
 	command.RunSubcommands("wigeon-verify",
 		command.Subcommand{Name: "watch", Description: "sample the serving backend servers of services", Command: &watchCommand{}},
 		command.Subcommand{Name: "http", Description: "send one HTTP request", Command: &httpCommand{}},
+		command.Subcommand{Name: "canonical", Description: "copy JSON values in a form that depends on the values only", Command: &canonicalCommand{}},
 		command.Subcommand{Name: "report", Description: "compare the responses of callers with the requests of backend servers", Command: &reportCommand{}},
 	)
 }
--- a/internal/transport/ctl/ctl.go
+++ b/internal/transport/ctl/ctl.go
@@ -4,6 +4,7 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -36,6 +37,9 @@
 	ExitUsage = 2
 )
 
+// jsonIndent is the indentation of a level of JSON output.
+const jsonIndent = "  "
+
 // Options configures the output of the tool and its clients.
 type Options struct {
 	Stdout, Stderr io.Writer
@@ -180,14 +184,18 @@
 
 func (t *tool) printJSON(v any) {
 	e := json.NewEncoder(t.opts.Stdout)
-	e.SetIndent("", "  ")
+	e.SetIndent("", jsonIndent)
 	// Encoding cannot fail, and an error of standard output cannot be reported.
 	_ = e.Encode(v)
 }
 
 // printMessage prints the response of a node as JSON.
 func (t *tool) printMessage(m proto.Message) error {
-	text, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
+	text, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	text, err = indent(text)
 	if err != nil {
 		return err
 	}
@@ -195,6 +203,14 @@
 	return err
 }
 
+// indent replaces the white space of a JSON value, which protojson chooses anew for each
+// build, by that of printJSON.
+func indent(text []byte) ([]byte, error) {
+	var out bytes.Buffer
+	err := json.Indent(&out, text, "", jsonIndent)
+	return out.Bytes(), err
+}
+
 // printTable prints rows in columns under a heading. Words in the heading are
 // separated by spaces, one for each column.
 func (t *tool) printTable(heading string, rows [][]any) error {
--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -137,7 +137,8 @@
 	f.run(ExitUsage, []string{"--node", "", "policy", "apply", "--restore", f.document})
 }
 
-// Guards against output that is not valid JSON, also for errors.
+// Guards against output that is not valid JSON, also for errors, and against white space
+// that differs between builds.
 func TestJSONOutput(t *testing.T) {
 	f := newFixture(t)
 	for _, c := range []struct {
@@ -162,6 +163,13 @@
 		if err := json.Unmarshal([]byte(out), &v); err != nil || v[c.key] == nil {
 			t.Errorf("%v: %v, key %q missing in\n%s", c.args, err, c.key, out)
 		}
+		if text, err := indent([]byte(out)); err != nil || string(text) != out {
+			t.Errorf("%v: %v, white space of another form in\n%s", c.args, err, out)
+		}
+	}
+	out, err := indent([]byte("{\"a\":  \"x y\",\t\"b\": [1,  {}]}"))
+	if want := "{\n  \"a\": \"x y\",\n  \"b\": [\n    1,\n    {}\n  ]\n}"; err != nil || string(out) != want {
+		t.Errorf("%s, %v, want %s", out, err, want)
 	}
 }
 
--- a/scripts/upgrade.sh
+++ b/scripts/upgrade.sh
@@ -54,6 +54,10 @@
   settle "$1"
 }
 
+# values BUILD ARGUMENTS...: prints what the command-line tool of a build shows. The white
+# space of its JSON differs from build to build.
+values() { ctl "$@" --output json | bin/wigeon-verify canonical; }
+
 # same_data WHAT...: fails unless the tools of both builds show the same documents, fleet
 # and further tables.
 same_data() {
@@ -61,9 +65,9 @@
   for build in old new; do
     dir=$OLD
     [ "$build" = old ] || dir=$NEW
-    for service in booking reservations; do ctl "$dir" policy show "$service" --output json; done >"$WORK/policies.$build"
-    ctl "$dir" policy status --output json >"$WORK/status.$build"
-    for what in nodes backends "$@"; do ctl "$dir" "$what" --output json >"$WORK/$what.$build"; done
+    for service in booking reservations; do values "$dir" policy show "$service"; done >"$WORK/policies.$build"
+    values "$dir" policy status >"$WORK/status.$build"
+    for what in nodes backends "$@"; do values "$dir" "$what" >"$WORK/$what.$build"; done
   done
   for what in policies status nodes backends "$@"; do diff "$WORK/$what.old" "$WORK/$what.new"; done
   echo "upgrade: the tools of both builds show the same policies, epochs, nodes and backend servers"
