Read less from the platform at the start of a process

Change: the platform tells whether the whole fleet starts for the first time (`supplied.first_start`). Then nothing can have been kept: departures are not read and the first lease needs no confirmation, and seeds are listed 0.5 s to 1.5 s after the start. If an object exists all the same, the first write conflicts, reads it and keeps its departures. Any value but "true" means that the start may not be the first. Seeds are not listed again once a node of another failure domain is known through them. Weighed: a stale read of departures at a tenth of the price may miss the last seconds, which is when a late heartbeat follows a departure; a listing of all departures with that of the seeds grows with the fleet (pages of 500); a read at the first announcement saves nothing, as every process gets one; skipping it where the backend server was born after the process rests on clocks, which step. So restarted and added processes still read.

--- a/internal/state/settings/supplied.go
+++ b/internal/state/settings/supplied.go
@@ -14,6 +14,7 @@
 	KillAfter  string `toml:"kill_after" allowed:"\"\" (none) or a duration from 1s; above 10m counts as 10m" doc:"Value of the platform for drain.kill_after, which it replaces. Any other text is ignored with a warning."`
 	RetrySlack string `toml:"retry_slack" allowed:"\"\" (none) or a number from 0, also a fraction; above 100000 counts as 100000" doc:"Value of the platform for fleet.retry_slack, which it replaces. 0 allows no repeats beyond the share. Any other text is ignored with a warning."`
 	RetryRatio string `toml:"retry_ratio" allowed:"\"\" (none) or a number from 0 to 1" doc:"Share of the requests to a service that the platform allows nodes to repeat within 10 s. 85 percent of it replace fleet.retry_percent. Any other text is ignored with a warning."`
+	FirstStart string `toml:"first_start" allowed:"\"\" (not known), \"true\" or \"false\"" doc:"Whether the whole fleet starts for the first time. Nothing that an earlier process of the node has kept on the platform is read then. Any other text is ignored with a warning."`
 }
 
 const (
@@ -45,6 +46,18 @@
 	return max(ratio*retryPercentOfRatio, minRetryPercent), err == nil && ratio >= 0 && ratio <= 1
 }
 
+// firstStart returns the supplied truth value and reports whether it can be used.
+func (v *Supplied) firstStart() (first, ok bool) {
+	return v.FirstStart == "true", v.FirstStart == "true" || v.FirstStart == "false"
+}
+
+// FirstStart reports whether no process of any node has run before. It is false if that is
+// not known.
+func (s *Settings) FirstStart() bool {
+	first, _ := s.Supplied.firstStart()
+	return first
+}
+
 // DrainLimit returns the time that requests in flight have to finish after SIGTERM.
 func (s *Settings) DrainLimit() time.Duration {
 	if d, ok := s.Supplied.killAfter(); ok {
@@ -87,5 +100,8 @@
 	if _, ok := s.Supplied.retryPercent(); !ok && s.Supplied.RetryRatio != "" {
 		warn("retry_ratio", s.Supplied.RetryRatio, fmt.Sprintf("fleet.retry_percent = %d", s.Fleet.RetryPercent))
 	}
+	if _, ok := s.Supplied.firstStart(); !ok && s.Supplied.FirstStart != "" {
+		warn("first_start", s.Supplied.FirstStart, "a start that may not be the first")
+	}
 	return lines
 }
--- a/internal/transport/node/departures.go
+++ b/internal/transport/node/departures.go
@@ -39,7 +39,8 @@
 
 // departures keeps the acknowledged departures of this node's backend servers, and the
 // drains that operators requested, on the platform, so that they bind later processes of
-// the node. A node reads them once at its start and writes them after each change.
+// the node. A node reads them once at its start, unless the whole fleet starts for the first
+// time, and writes them after each change.
 type departures struct {
 	platform platform.Client
 	key      string
@@ -106,6 +107,10 @@
 	if n.opts.Adapter != nil {
 		d.wait = departureWait
 	}
+	if n.opts.Settings.FirstStart() {
+		// If an object exists all the same, the first write conflicts with it and reads it.
+		close(d.recalled)
+	}
 	return d
 }
 
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -149,7 +149,7 @@
 	s := opts.Settings
 	leases := ownership.Options{Lease: time.Duration(s.Backend.Lease)}
 	if opts.Adapter != nil {
-		leases.AwaitRecall, leases.KeepDepartures = true, keepDepartures
+		leases.AwaitRecall, leases.KeepDepartures = !s.FirstStart(), keepDepartures
 	}
 	records := newRecords(time.Now(), leases)
 	l, err := listen(s)
--- a/internal/transport/node/seeds.go
+++ b/internal/transport/node/seeds.go
@@ -77,16 +77,24 @@
 // another failure domain or has read maxSeedReads times.
 func (n *Node) discoverSeeds(ctx context.Context) error {
 	timing := n.seedTiming()
-	reads := 0
-	for delay := timing.retry; ; delay = min(2*delay, timing.maxRetry) {
+	reads, delay := 0, timing.retry
+	if n.opts.Settings.FirstStart() && timing.emptyRetry > 0 {
+		// No node has registered yet, so a listing would be empty.
+		if !sleep(ctx, timing.emptyRetry/2+rand.N(timing.emptyRetry)) {
+			return nil
+		}
+		delay = min(2*timing.emptyRetry, timing.maxRetry)
+	}
+	for ; ; delay = min(2*delay, timing.maxRetry) {
 		addrs, err := n.readSeeds(ctx)
-		if err == nil {
+		added := false
+		if err != nil {
+			n.log.Warn("cannot read seeds from the platform", zap.Error(err))
+		} else {
 			reads++
+			added = n.gossip.AddSeeds(addrs)
 		}
-		switch {
-		case err != nil:
-			n.log.Warn("cannot read seeds from the platform", zap.Error(err))
-		case n.gossip.AddSeeds(addrs) && (n.opts.Adapter == nil || n.knowsOtherDomain() || reads >= maxSeedReads):
+		if added && (n.opts.Adapter == nil || n.knowsOtherDomain() || reads >= maxSeedReads) {
 			return nil
 		}
 		if err == nil && len(addrs) == 0 {
@@ -96,6 +104,9 @@
 		if !sleep(ctx, delay/2+rand.N(delay)) {
 			return nil
 		}
+		if added && len(addrs) > 0 && n.knowsOtherDomain() {
+			return nil // The seeds have answered.
+		}
 	}
 }
 
