--- a/internal/state/policy/parse.go
+++ b/internal/state/policy/parse.go
@@ -25,9 +25,13 @@
 var Methods = []string{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
 
 const (
+	// MaxTimeout is the longest timeout of a service or a route.
+	MaxTimeout = 10 * time.Minute
+	// MaxAttempts is the largest number of backend servers to which a request may be sent.
+	MaxAttempts = 5
+
 	maxRoutes       = 1024
 	maxHosts        = 64
-	maxTimeout      = 10 * time.Minute
 	allowedName     = "1 to 63 lower-case letters, digits and hyphens, with a letter or digit at both ends"
 	allowedLabel    = "1 to 63 letters, digits and the characters . _ - /"
 	allowedPath     = `a path that starts with "/", without empty, "." or ".." segments, "?", "#" or "%"; a last segment "*" matches everything below`
@@ -35,7 +39,6 @@
 	maxSlots        = 10000
 	maxFloor        = 100000
 	maxQueue        = 64
-	maxAttempts     = 5
 	maxRetryPercent = 10
 	// maxSpillBytesPerSecond bounds the traffic of one node to other regions. At the
 	// default of 64 KB/s, 2,100 nodes use about a tenth of the links between regions;
@@ -136,7 +139,7 @@
 
 func (v *validator) timeout(key string, value Duration, zeroAllowed bool) {
 	d := time.Duration(value)
-	if (zeroAllowed && d == 0) || (d >= time.Millisecond && d <= maxTimeout) {
+	if (zeroAllowed && d == 0) || (d >= time.Millisecond && d <= MaxTimeout) {
 		return
 	}
 	allowed := "1ms to 10m"
@@ -170,7 +173,7 @@
 	l := &s.Limits
 	v.integerBetween("service.limits.max_slots", int64(l.MaxSlots), 0, maxSlots)
 	v.integerBetween("service.limits.queue", int64(l.Queue), 0, maxQueue)
-	v.integerBetween("service.limits.max_attempts", int64(l.MaxAttempts), 1, maxAttempts)
+	v.integerBetween("service.limits.max_attempts", int64(l.MaxAttempts), 1, MaxAttempts)
 	v.numberBetween("service.limits.retry_percent", l.RetryPercent, 0, maxRetryPercent, " percent")
 	v.numberBetween("service.limits.spill_percent", l.SpillPercent, 0, 100, " percent")
 	v.integerBetween("service.limits.spill_bytes_per_second", l.SpillBytesPerSecond, 0, maxSpillBytesPerSecond)
