Take the retry window and the floor from the platform

Change: `supplied.retry_window` and `supplied.floor_share` follow the bounds of the deployment, with the figures of today without them. The floor has no effect with `backend.detector = "trials"`, whose observations do not reach the detector that ejects.

--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -272,6 +272,8 @@
 	"supplied.kill_after":             func(any) bool { return true },
 	"supplied.retry_slack":            func(any) bool { return true },
 	"supplied.retry_ratio":            func(any) bool { return true },
+	"supplied.retry_window":           func(any) bool { return true },
+	"supplied.floor_share":            func(any) bool { return true },
 	"supplied.first_start":            func(any) bool { return true },
 	"fleet.ask_first":                 func(any) bool { return true },
 	"fleet.free_refusals":             integerBetween(0, 100),
--- a/internal/state/settings/settings_test.go
+++ b/internal/state/settings/settings_test.go
@@ -169,6 +169,23 @@
 	}
 }
 
+// Guards against a window or a floor that is not that of the deployment, or is none.
+func TestSuppliedWindowAndFloor(t *testing.T) {
+	for _, c := range []struct {
+		window, share string
+		retries       time.Duration
+		floor         float64
+	}{
+		{"20s", "0.9", 20 * time.Second, 0.9}, {"1500ms", "1", 1500 * time.Millisecond, 1}, {"1h", "0", 10 * time.Minute, 0},
+		{"", "", 10 * time.Second, 0.6}, {"0s", "70", 10 * time.Second, 0.6}, {"10", "NaN", 10 * time.Second, 0.6}, {"true", "-0.1", 10 * time.Second, 0.6},
+	} {
+		s, _, err := load(t, valid+fmt.Sprintf("[fleet]\nfloor_percent = 60\n[supplied]\nretry_window = %q\nfloor_share = %q\n", c.window, c.share))
+		if err != nil || s.RetryWindow() != c.retries || s.FloorShare() != c.floor {
+			t.Errorf("%+v: %s, %v, %v", c, s.RetryWindow(), s.FloorShare(), err)
+		}
+	}
+}
+
 // Guards against a node that repeats more requests than the platform allows for its deployment.
 func TestSuppliedRetryRatioIsNotExceeded(t *testing.T) {
 	for ratio, percent := range map[string]float64{
--- a/internal/state/settings/supplied.go
+++ b/internal/state/settings/supplied.go
@@ -11,16 +11,22 @@
 // text, so that no form of a value keeps the node from starting: a value that cannot be used
 // leaves the setting of the operator in force.
 type Supplied struct {
-	KillAfter  string `toml:"kill_after" allowed:"\"\" (none) or a duration from 1s; above 10m counts as 10m" doc:"Value of the platform for drain.kill_after, which it replaces. Any other text is ignored with a warning."`
-	RetrySlack string `toml:"retry_slack" allowed:"\"\" (none) or a number from 0, also a fraction; above 100000 counts as 100000" doc:"Value of the platform for fleet.retry_slack, which it replaces. 0 allows no repeats beyond the share. Any other text is ignored with a warning."`
-	RetryRatio string `toml:"retry_ratio" allowed:"\"\" (none) or a number from 0 to 1" doc:"Share of the requests to a service that the platform allows nodes to repeat within 10 s. 85 percent of it replace fleet.retry_percent. Any other text is ignored with a warning."`
-	FirstStart string `toml:"first_start" allowed:"\"\" (not known), \"true\" or \"false\"" doc:"Whether the whole fleet starts for the first time. Nothing that an earlier process of the node has kept on the platform is read then. Any other text is ignored with a warning."`
+	KillAfter   string `toml:"kill_after" allowed:"\"\" (none) or a duration from 1s; above 10m counts as 10m" doc:"Value of the platform for drain.kill_after, which it replaces. Any other text is ignored with a warning."`
+	RetrySlack  string `toml:"retry_slack" allowed:"\"\" (none) or a number from 0, also a fraction; above 100000 counts as 100000" doc:"Value of the platform for fleet.retry_slack, which it replaces. 0 allows no repeats beyond the share. Any other text is ignored with a warning."`
+	RetryRatio  string `toml:"retry_ratio" allowed:"\"\" (none) or a number from 0 to 1" doc:"Share of the requests to a service that the platform allows nodes to repeat. 85 percent of it replace fleet.retry_percent. Any other text is ignored with a warning."`
+	RetryWindow string `toml:"retry_window" allowed:"\"\" (none) or a duration from 1s; above 10m counts as 10m" doc:"Time in which the platform counts the repeats that the retry ratio and the retry slack bound. It replaces the 10 s of the retry settings. Any other text is ignored with a warning."`
+	FloorShare  string `toml:"floor_share" allowed:"\"\" (none) or a number from 0 to 1" doc:"Share of a service's backend servers that the platform expects to get requests. It replaces fleet.floor_percent. Any other text is ignored with a warning."`
+	FirstStart  string `toml:"first_start" allowed:"\"\" (not known), \"true\" or \"false\"" doc:"Whether the whole fleet starts for the first time. Nothing that an earlier process of the node has kept on the platform is read then. Any other text is ignored with a warning."`
 }
 
 const (
 	minKillAfter  = time.Second
 	maxKillAfter  = 10 * time.Minute
 	maxRetrySlack = 100000
+	// defaultRetryWindow is the window to which fleet.retry_percent and fleet.retry_slack refer.
+	defaultRetryWindow = 10 * time.Second
+	minRetryWindow     = time.Second
+	maxRetryWindow     = 10 * time.Minute
 	// retryPercentOfRatio is how much of a supplied retry ratio is used, in percent. The rest
 	// covers the calls that retried requests make.
 	retryPercentOfRatio = 85
@@ -46,11 +52,41 @@
 	return max(ratio*retryPercentOfRatio, minRetryPercent), err == nil && ratio >= 0 && ratio <= 1
 }
 
+// retryWindow returns the supplied duration and reports whether it can be used.
+func (v *Supplied) retryWindow() (time.Duration, bool) {
+	d, err := time.ParseDuration(v.RetryWindow)
+	return min(d, maxRetryWindow), err == nil && d >= minRetryWindow
+}
+
+// floorShare returns the supplied share and reports whether it can be used.
+func (v *Supplied) floorShare() (float64, bool) {
+	share, err := strconv.ParseFloat(v.FloorShare, 64)
+	return share, err == nil && share >= 0 && share <= 1
+}
+
 // firstStart returns the supplied truth value and reports whether it can be used.
 func (v *Supplied) firstStart() (first, ok bool) {
 	return v.FirstStart == "true", v.FirstStart == "true" || v.FirstStart == "false"
 }
 
+// RetryWindow returns the time in which retries are counted. Without a supplied value it is
+// that of the retry settings.
+func (s *Settings) RetryWindow() time.Duration {
+	if d, ok := s.Supplied.retryWindow(); ok {
+		return d
+	}
+	return defaultRetryWindow
+}
+
+// FloorShare returns the share of a service's backend servers that ejection leaves in service,
+// 0 to 1.
+func (s *Settings) FloorShare() float64 {
+	if share, ok := s.Supplied.floorShare(); ok {
+		return share
+	}
+	return float64(s.Fleet.FloorPercent) / 100
+}
+
 // FirstStart reports whether no process of any node has run before. It is false if that is
 // not known.
 func (s *Settings) FirstStart() bool {
@@ -66,8 +102,8 @@
 	return s.Drain.limit()
 }
 
-// RetrySlack returns the repeats within 10 s that the whole fleet may make for a service
-// beyond its share. It reports false if each node allows a minimum instead.
+// RetrySlack returns the repeats within RetryWindow that the whole fleet may make for a
+// service beyond its share. It reports false if each node allows a minimum instead.
 func (s *Settings) RetrySlack() (slack float64, shared bool) {
 	if n, ok := s.Supplied.retrySlack(); ok {
 		return n, true
@@ -75,7 +111,7 @@
 	return float64(s.Fleet.RetrySlack), s.Fleet.RetrySlack > 0
 }
 
-// RetryPercent returns the share of a service's requests that a node may repeat within 10 s, in
+// RetryPercent returns the share of a service's requests that a node may repeat within RetryWindow, in
 // percent.
 func (s *Settings) RetryPercent() float64 {
 	if percent, ok := s.Supplied.retryPercent(); ok {
@@ -100,6 +136,12 @@
 	if _, ok := s.Supplied.retryPercent(); !ok && s.Supplied.RetryRatio != "" {
 		warn("retry_ratio", s.Supplied.RetryRatio, fmt.Sprintf("fleet.retry_percent = %d", s.Fleet.RetryPercent))
 	}
+	if _, ok := s.Supplied.retryWindow(); !ok && s.Supplied.RetryWindow != "" {
+		warn("retry_window", s.Supplied.RetryWindow, "a window of "+s.RetryWindow().String())
+	}
+	if _, ok := s.Supplied.floorShare(); !ok && s.Supplied.FloorShare != "" {
+		warn("floor_share", s.Supplied.FloorShare, fmt.Sprintf("fleet.floor_percent = %d", s.Fleet.FloorPercent))
+	}
 	if _, ok := s.Supplied.firstStart(); !ok && s.Supplied.FirstStart != "" {
 		warn("first_start", s.Supplied.FirstStart, "a start that may not be the first")
 	}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -15,7 +15,6 @@
 
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
 	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
-	"wigeonspring.example/wigeonspring/internal/coordination/retry"
 	"wigeonspring.example/wigeonspring/internal/coordination/routing"
 	"wigeonspring.example/wigeonspring/internal/fault"
 	"wigeonspring.example/wigeonspring/internal/state/event"
@@ -260,7 +259,8 @@
 		Stopping:             n.stopping.Load,
 		RetrySlack:           n.retrySlack(),
 		// An earlier process of this node may have used its slack in the same window.
-		RetrySlackStart: time.Now().Add(retry.DefaultWindow),
+		RetrySlackStart: time.Now().Add(s.RetryWindow()),
+		RetryWindow:     s.RetryWindow(),
 		Events:          n.bus,
 		Logger:          n.log,
 		Tracing:         n.tracing,
@@ -297,7 +297,7 @@
 // fleet document.
 func (n *Node) serviceDefaults() policy.ServiceDefaults {
 	d := policy.DefaultServiceDefaults()
-	d.FloorShare = float64(n.opts.Settings.Fleet.FloorPercent) / 100
+	d.FloorShare = n.opts.Settings.FloorShare()
 	d.Limits.RetryPercent = n.opts.Settings.RetryPercent()
 	return d
 }
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -68,11 +68,13 @@
 	// without being charged to the retry budget or to the number of attempts, after
 	// an owner refused it before anything was sent to a backend server.
 	FreeRefusals int
-	// RetrySlack returns the number of retries in 10 s that this node allows a service
+	// RetrySlack returns the number of retries in RetryWindow that this node allows a service
 	// beyond the percentage of its requests. It may be a fraction; nil selects a minimum.
 	RetrySlack func() float64
 	// RetrySlackStart is the time from which the slack applies.
 	RetrySlackStart time.Time
+	// RetryWindow is the time in which retries are counted; 0 selects the default.
+	RetryWindow time.Duration
 	// MaxBufferedBodyBytes is the largest body that is read into memory before the first
 	// attempt of a request that is not idempotent, so that it can be sent to another owner
 	// after a refusal, and so that a caller that leaves is noticed. 0 streams every body
@@ -360,6 +362,7 @@
 	}
 	options := retry.BudgetOptions{
 		Percent: percent, Slack: slack, Shared: in.opt.RetrySlack != nil, SlackStart: in.opt.RetrySlackStart, RoundingOffset: rand.Float64(),
+		Window: in.opt.RetryWindow,
 	}
 	b, _ := in.budgets.LoadOrStore(id, retry.NewBudget(options))
 	return b.(*retry.Budget)
