Handle SIGHUP from the first line of main

Cause: the signal was handled only after the settings had been read and the logger had been made, and an unhandled SIGHUP ends a process. The platform sends it when the settings file changes, which may happen while a node is being restarted.

Evidence: TestSIGHUPDoesNotEndStart sends a SIGHUP while the node waits for its settings. Before: "signal: hangup".

The handler is now registered before anything else. A hangup during the start is kept and reloads the settings once the node has read them, so a change in between is not missed. What remains is the time that the runtime takes until main begins.

--- a/cmd/wigeonspringd/main.go
+++ b/cmd/wigeonspringd/main.go
@@ -37,6 +37,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	// An unhandled SIGHUP ends the process, also while it reads its settings.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var opts options
 	if _, err := flags.ParseArgs(&opts, args); err != nil {
 		if flags.WroteHelp(err) {
@@ -65,7 +68,8 @@
 	for _, w := range s.Warnings() {
 		log.Warn(w)
 	}
-	if err := serve(s, opts.Config, log, level); err != nil {
+	go reloadOnSIGHUP(hangups, opts.Config, s, log, level)
+	if err := serve(s, log); err != nil {
 		// The logger drops lines that are not read in time, so the error is also
 		// written to standard error.
 		fmt.Fprintln(os.Stderr, err)
@@ -87,7 +91,7 @@
 	memoryLimitBytes = 56 << 20
 )
 
-func serve(s *settings.Settings, configPath string, log *zap.Logger, level zap.AtomicLevel) error {
+func serve(s *settings.Settings, log *zap.Logger) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimitBytes)
 	invariant.SetHandler(func(name, detail string) {
@@ -97,7 +101,6 @@
 	defer cancel()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go reloadOnSIGHUP(configPath, s, log, level)
 	go func() {
 		<-signals
 		cancel()
--- a/cmd/wigeonspringd/reload.go
+++ b/cmd/wigeonspringd/reload.go
@@ -2,8 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
-	"syscall"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -11,12 +9,10 @@
 	"wigeonspring.example/wigeonspring/internal/state/settings"
 )
 
-// reloadOnSIGHUP reloads the settings on each SIGHUP for as long as the process runs: while
+// reloadOnSIGHUP reloads the settings at each hangup for as long as the process runs: while
 // the node drains, a SIGHUP that is not handled would end it. Only the log level can change
 // while the daemon runs. Changes of other settings are logged as needing a restart.
-func reloadOnSIGHUP(path string, current *settings.Settings, log *zap.Logger, level zap.AtomicLevel) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func reloadOnSIGHUP(hangups <-chan os.Signal, path string, current *settings.Settings, log *zap.Logger, level zap.AtomicLevel) {
 	for range hangups {
 		reload(path, current, log, level)
 	}
--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -1,6 +1,9 @@
 package e2e
 
 import (
+	"os"
+	"os/exec"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -25,3 +28,27 @@
 		t.Errorf("the stop failed: %s", n1.cmd.ProcessState)
 	}
 }
+
+// Guards against a node that a SIGHUP ends while it starts, before it has read its settings.
+func TestSIGHUPDoesNotEndStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(binDir, "wigeonspringd"), "--config", path)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	// Opening the pipe waits until the node opens it.
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = cmd.Process.Signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	_, _ = pipe.WriteString("[unknown]")
+	_ = pipe.Close()
+	if err := cmd.Wait(); cmd.ProcessState.ExitCode() != 2 {
+		t.Errorf("the node did not refuse the settings: %v", err)
+	}
+}
