Try a request elsewhere that an owner's GOAWAY excludes

Callers got 502, for requests that had not run and that another owner could have answered, when an owner began its shutdown while they were on their way to it.

Cause: net/http ends such a stream with an error of its own, which was taken for a lost connection. The request then counted as sent: one that must not be repeated failed, another one cost a retry. The recovery made it worse, because a new process at the address answers that the request may have run.

Both tests fail on the code before: TestUnprocessedRequestIsNotRecovered and the new case of TestFailureReportsWhetherRequestWasProcessed.

RFC 9113, section 6.8: streams above the last one that GOAWAY names were not processed. The client of net/http ends exactly these with this error, and its server discards their frames. So the request may be sent elsewhere, whether it may be repeated or not, and there is nothing to recover.

--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -246,12 +246,16 @@
 // processing (RFC 9113, section 8.7).
 const refusedStream = 7
 
+// goAwayError is the text of the error with which net/http, which does not export it, ends a
+// stream that the peer did not process because it shuts down (RFC 9113, section 6.8).
+const goAwayError = "http2: Transport received Server's graceful shutdown GOAWAY"
+
 // classify converts an error of a round trip. The peer may have processed the request
-// unless it refused the stream.
+// unless it refused the stream or closed the connection to further streams before.
 func classify(addr string, err error) *Error {
 	e := &Error{Reason: ReasonLost, Err: fault.New("request to owner", addr, err)}
 	var se streamError
-	if errors.As(err, &se) && se.Code == refusedStream {
+	if errors.As(err, &se) && se.Code == refusedStream || err.Error() == goAwayError {
 		e.NotProcessed, e.Reason = true, ReasonRefused
 	}
 	return e
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -87,6 +87,20 @@
 
 // refuseStreams starts an HTTP/2 server that refuses every stream and returns its address.
 func refuseStreams(t *testing.T) string {
+	return answerStreams(t, func(stream []byte) []byte {
+		reset := append([]byte{0, 0, 4, 3, 0}, stream...)
+		return binary.BigEndian.AppendUint32(reset, refusedStream)
+	})
+}
+
+// goAway starts an HTTP/2 server that shuts down gracefully at the first stream, before it has
+// received it, and returns its address.
+func goAway(t *testing.T) string {
+	return answerStreams(t, func([]byte) []byte { return append([]byte{0, 0, 8, 7}, make([]byte, 13)...) })
+}
+
+// answerStreams starts an HTTP/2 server that sends a frame at each stream and returns its address.
+func answerStreams(t *testing.T, frame func(stream []byte) []byte) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -110,9 +124,7 @@
 				return
 			}
 			if head[3] == 1 { // HEADERS
-				reset := []byte{0, 0, 4, 3, 0}
-				reset = append(reset, head[5:]...)
-				_, _ = c.Write(binary.BigEndian.AppendUint32(reset, refusedStream))
+				_, _ = c.Write(frame(head[5:]))
 			}
 		}
 	}()
@@ -138,6 +150,7 @@
 	}{
 		{"connection refused", closed.Addr().String(), true, ReasonDial},
 		{"refused stream", refuseStreams(t), true, ReasonRefused},
+		{"graceful shutdown", goAway(t), true, ReasonRefused},
 		{"peer killed", killed.addr, false, ReasonLost},
 		{"stream reset", aborted.addr, false, ReasonLost},
 		{"deadline", slow.addr, false, ReasonLost},
@@ -156,6 +169,20 @@
 	}
 }
 
+// Guards against a query to the next process at an address for a request that the previous one
+// did not process. Its response would be that the request may have run.
+func TestUnprocessedRequestIsNotRecovered(t *testing.T) {
+	p := newTestPool(t, Options{})
+	var e *Error
+	_, err := p.DoRecoverable(t.Context(), goAway(t), request("GET", nil), func() *http.Request {
+		t.Error("asked for the response")
+		return request("GET", nil)
+	})
+	if !errors.As(err, &e) || !e.NotProcessed {
+		t.Errorf("error %v", err)
+	}
+}
+
 // Guards against more connections than allowed, and against the eviction of a connection
 // in use.
 func TestLeastRecentlyUsedIsClosed(t *testing.T) {
--- a/internal/transport/peer/recover.go
+++ b/internal/transport/peer/recover.go
@@ -25,7 +25,7 @@
 	go func() { first <- p.roundTrip(firstCtx, c, req) }()
 	select {
 	case r := <-first:
-		if r.err != nil && c.client.Err() != nil && ctx.Err() == nil {
+		if r.err != nil && !r.err.NotProcessed && c.client.Err() != nil && ctx.Err() == nil {
 			cancelFirst()
 			return p.recoverLost(ctx, addr, r.err, query)
 		}
