Repeat a request that its owner's planned stop interrupts

Cause: an owner that stops admits a request that may be repeated if 1.25 times the 90th percentile of the service times fits, because the ingress node can repeat the few that take longer. But it closed their connections at the end of its drain, and the ingress node took that for a failure and found its retry budget spent.

The owner is stopped at 5.9 s, the ingress node at 7.5 s; the request reaches the backend server at 9.4 s and is cut at 11.5 s with the reason retry_budget_spent. TestRequestInterruptedByPlannedStopIsRepeated fails without the change of the plan ("failed: node_stopping").

The owner now ends such requests itself and says why. The budget keeps failures from adding load; a planned stop is none and interrupts few, so the request is repeated even if no retry is left. The number of attempts, the deadline and the promise not to run a request twice hold as before.

Not mended: a request that must not be repeated and outlives the owner's drain is still answered with 502.

--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -43,6 +43,10 @@
 	// RefusedByBackend marks a Refused attempt that the backend server, not the owner,
 	// refused.
 	RefusedByBackend bool
+	// Interrupted marks a Sent attempt that its owner ended because of a planned stop. The
+	// budget limits what failures add to an overload, and such an attempt is no failure of
+	// a backend server: another one takes a retry from the budget only if there is one.
+	Interrupted bool
 }
 
 // Action is what the ingress node does next.
@@ -289,6 +293,9 @@
 	case NotSent:
 		return p.retry(now, b, AttemptNotSent)
 	default:
+		if r.Interrupted && !b.Available(now) {
+			b = nil
+		}
 		return p.retry(now, b, AttemptLost)
 	}
 }
@@ -302,7 +309,8 @@
 	return p.report(reason)
 }
 
-// retry decides whether the limits of the request and the budget allow another attempt.
+// retry decides whether the limits of the request and the budget allow another attempt. A nil
+// budget allows it.
 func (p *Plan) retry(now time.Time, b *Budget, reason Reason) Decision {
 	switch {
 	case p.mayHaveRun && !p.opt.Idempotent && !p.idempotencyCheckDisabled:
@@ -311,7 +319,7 @@
 		return p.report(AttemptsSpent)
 	case !p.opt.Deadline.IsZero() && !now.Before(p.opt.Deadline):
 		return p.report(DeadlinePassed)
-	case !b.Take(now):
+	case b != nil && !b.Take(now):
 		return p.report(BudgetSpent)
 	}
 	invariant.Check(!p.mayHaveRun || p.opt.Idempotent, "retry_at_most_once",
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -326,7 +326,8 @@
 	}
 	<-inService.Done()
 	if err := n.owner.Drain(ctx); err != nil {
-		n.log.Warn("drain timeout interrupted requests of other nodes", zap.Error(err))
+		n.log.Warn("drain timeout interrupts requests of other nodes", zap.Error(err))
+		n.owner.EndRequests()
 	}
 	if err := n.ingress.Drain(ctx); err != nil {
 		n.log.Warn("drain timeout interrupted responses to callers", zap.Error(err))
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -318,6 +318,11 @@
 	return t.reply.Response != nil && t.reply.Response.StatusCode == http.StatusServiceUnavailable
 }
 
+// interrupted reports whether the owner ended the attempt because of a planned stop.
+func (t *ingressAttempt) interrupted() bool {
+	return t.state == retry.Sent && t.reply.Reason == reasonStopping
+}
+
 // done reports the attempt to the balancer and closes the response. Only the first
 // call has an effect.
 func (t *ingressAttempt) done(responseBytes int64) {
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -111,7 +111,9 @@
 		if in.disabled.sentIsFinal && state == retry.Sent {
 			state = retry.NotSent
 		}
-		d := plan.Next(in.opt.Now(), c.budget, retry.AttemptResult{State: state, Shed: t.shed(), RefusedByBackend: t.reply.RefusedByBackend})
+		d := plan.Next(in.opt.Now(), c.budget, retry.AttemptResult{
+			State: state, Shed: t.shed(), RefusedByBackend: t.reply.RefusedByBackend, Interrupted: t.interrupted(),
+		})
 		if d.Action == retry.Retry && !t.releaseBody() {
 			d = plan.GiveUp(reasonBodyConsumed)
 		}
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -72,6 +72,9 @@
 	// attempts are those of other nodes, and keptReplies the memory for their replies.
 	attempts    *attempts.Log[*recoverable]
 	keptReplies *byteBudget
+	// requestCtx is canceled by EndRequests.
+	requestCtx  context.Context
+	endRequests context.CancelFunc
 	drainer
 
 	disabled disabledOwnerMechanisms
@@ -101,10 +104,12 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Owner{
+	owner := &Owner{
 		opt: o, tracer: o.Tracing.Tracer(tracerName), keptReplies: newByteBudget(keptReplyBytes),
 		attempts: attempts.NewLog(attempts.Options{}, (*recoverable).release),
 	}
+	owner.requestCtx, owner.endRequests = context.WithCancel(context.Background())
+	return owner
 }
 
 // Stop refuses new requests as not run.
@@ -114,6 +119,10 @@
 // ended or ctx is done.
 func (o *Owner) Drain(ctx context.Context) error { return o.drain(ctx) }
 
+// EndRequests ends the requests whose response has not begun, because the process exits now.
+// Each ingress node is told so, as it may repeat the request elsewhere.
+func (o *Owner) EndRequests() { o.endRequests() }
+
 // ownerAttempt is an attempt as received by the owner of the backend server.
 type ownerAttempt struct {
 	header.Hop
@@ -148,7 +157,10 @@
 		return notRun(reasonStopping, nil)
 	}
 	ctx, span := o.tracer.Start(ctx, "owner", serverSpan...)
+	ctx, cancel := context.WithCancel(ctx)
+	keepUntilEnd := context.AfterFunc(o.requestCtx, cancel)
 	r := o.admit(ctx, a)
+	keepUntilEnd()
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("wigeonspring.request_id", a.RequestID),
 			attribute.String("wigeonspring.service", string(a.Service)),
@@ -164,12 +176,13 @@
 		})
 	}
 	if r.Response == nil {
+		cancel()
 		span.End()
 		o.leave()
 		return r
 	}
 	// The request is in flight until its response has been forwarded.
-	r.Response.Body = &closeHook{ReadCloser: r.Response.Body, hook: func() { span.End(); o.leave() }}
+	r.Response.Body = &closeHook{ReadCloser: r.Response.Body, hook: func() { cancel(); span.End(); o.leave() }}
 	return r
 }
 
@@ -387,6 +400,8 @@
 		if !x.owner.opt.Now().Before(x.attempt.Deadline) {
 			reason = reasonDeadline
 		}
+	case reason == backend.ReasonCanceled && x.owner.requestCtx.Err() != nil:
+		reason = reasonStopping
 	}
 	x.end(kind, reason, 0)
 	if e.NotSent {
--- a/internal/transport/proxy/stop_test.go
+++ b/internal/transport/proxy/stop_test.go
@@ -8,7 +8,9 @@
 	"testing"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/retry"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
 // Guards against callers whose connection is closed without an answer at the end of a
@@ -57,6 +59,40 @@
 	}
 }
 
+// Guards against a request that may be repeated and still fails, because its owner ends it at the
+// end of a planned stop and the retry budget is spent.
+func TestRequestInterruptedByPlannedStopIsRepeated(t *testing.T) {
+	f := newFleet(t, 2)
+	begun := make(chan struct{}, 2)
+	f.serve(1, "b1", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		begun <- struct{}{}
+		<-r.Context().Done()
+	})
+	safe, once := make(chan result, 1), make(chan result, 1)
+	go func() { safe <- f.send(0, "GET", "/safe", nil) }()
+	go func() { once <- f.send(0, "POST", "/once", strings.NewReader("x")) }()
+	<-begun
+	<-begun
+	f.serve(0, "b2", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	budget, _ := f.nodes[0].ingress.budgets.Load(registry.ServiceID("booking"))
+	for budget.(*retry.Budget).Take(time.Now()) {
+	}
+	f.nodes[1].owner.EndRequests()
+	stop, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := f.nodes[1].peerServer.Shutdown(stop); err != nil {
+		t.Errorf("the owner did not end its requests: %v", err)
+		_ = f.nodes[1].peerServer.Close()
+	}
+	if got := <-safe; got.body != "whole" {
+		t.Errorf("the request that may be repeated: %+v", got)
+	}
+	if got := <-once; got.outcome != header.Unknown || got.reason != reasonStopping {
+		t.Errorf("the other request: %+v", got)
+	}
+}
+
 // Guards against calls of a backend server that are refused because its node stops. The
 // request that makes the call then fails, although it was accepted before.
 func TestCallsOfRunningRequestsAreServedDuringDrain(t *testing.T) {
