Let an interrupted request test suspects as a last resort

Callers got 502, for requests that may be repeated, although the owner had interrupted them for its planned stop and a retry was allowed: every other backend server was full or suspect.

Cause: a request that no healthy backend server takes may test a suspect one, unless it has reached a backend server before, since another attempt is then an ordinary retry. An interrupted attempt counted as such.

The owner cuts the request at 17.918 s; its repeats are refused with queue_full, remote_share_full and backend_suspect, and the caller gets 502 at 17.995 s. The case "suspect" of TestRequestInterruptedByPlannedStopIsRepeated fails without the change.

The repeat of an interrupted attempt needs no retry from the budget, so it may go where a first attempt may go.

--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -67,8 +67,8 @@
 	suspects             []registry.BackendID
 	lastResort, noBetter bool
 	// arrived counts the attempts that reached a backend server, and mayHaveRun those
-	// of them that may have run.
-	arrived, mayHaveRun int
+	// of them that may have run. interrupted counts those that a planned stop ended.
+	arrived, mayHaveRun, interrupted int
 	// reason and timeout describe the last attempt that brought no response.
 	reason  string
 	timeout bool
@@ -185,6 +185,9 @@
 		invariant.Check(c.route.Idempotent || c.mayHaveRun == 1, "at_most_once",
 			"request %s is not idempotent and may have run %d times", c.id, c.mayHaveRun)
 	}
+	if t.interrupted() {
+		c.interrupted++
+	}
 }
 
 // maxEagerBodyBytes is the largest body that is sent to an owner before it has asked
@@ -203,9 +206,10 @@
 // retrySuspects makes the suspect backend servers candidates again, as the last
 // resort. It reports false if there are none, if they have been tried again already,
 // if no attempt can send the whole body any more, or if the request has reached a
-// backend server, because another attempt is then an ordinary retry.
+// backend server, because another attempt is then an ordinary retry. That does not hold
+// for one that a planned stop interrupted, which is repeated without a retry.
 func (c *call) retrySuspects() bool {
-	if c.lastResort || len(c.suspects) == 0 || c.arrived > 0 || !c.body.replayable() || !c.in.opt.Now().Before(c.deadline) {
+	if c.lastResort || len(c.suspects) == 0 || c.arrived > c.interrupted || !c.body.replayable() || !c.in.opt.Now().Before(c.deadline) {
 		return false
 	}
 	c.publish(event.RequestRetried, reasonLastResort, event.Field{Key: "suspects", Value: strconv.Itoa(len(c.suspects))})
--- a/internal/transport/proxy/stop_test.go
+++ b/internal/transport/proxy/stop_test.go
@@ -10,6 +10,7 @@
 
 	"wigeonspring.example/wigeonspring/internal/coordination/retry"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/internal/state/evidence"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
@@ -60,9 +61,16 @@
 }
 
 // Guards against a request that may be repeated and still fails, because its owner ends it at the
-// end of a planned stop and the retry budget is spent.
+// end of a planned stop and the retry budget is spent or all other backend servers are suspect.
 func TestRequestInterruptedByPlannedStopIsRepeated(t *testing.T) {
-	f := newFleet(t, 2)
+	t.Run("healthy", func(t *testing.T) { interruptRequests(t, false) })
+	t.Run("suspect", func(t *testing.T) { interruptRequests(t, true) })
+}
+
+func interruptRequests(t *testing.T, suspect bool) {
+	t.Helper()
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.FreeRefusals = 8 })
+	f.nodes[0].backends.opt.SuspicionTrials = suspect
 	begun := make(chan struct{}, 2)
 	f.serve(1, "b1", func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -75,6 +83,10 @@
 	<-begun
 	<-begun
 	f.serve(0, "b2", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	if suspect {
+		f.nodes[0].backends.get("b2").tracker.Observe(time.Now(), time.Now(), evidence.Reset)
+		time.Sleep(300 * time.Millisecond) // A trial is due.
+	}
 	budget, _ := f.nodes[0].ingress.budgets.Load(registry.ServiceID("booking"))
 	for budget.(*retry.Budget).Take(time.Now()) {
 	}
