Refuse announcements with the token of an earlier process

A backend server that had left was in service again for up to 3 s if one of its announcements arrived late at an owner that had restarted since: the token was another process's, so the lease counted from the receipt. The age of such a token is not known, and the lease now counts as lapsed. A backend server that is still there announces itself again at once with the token of the refusal, as it does with one that is too old. Announcements without tokens, such as the platform's, are unchanged.

TestLateAnnouncementAfterRestart failed before (the announcement was accepted). TestTokenLeaseFrom demanded that the lease count from the receipt, which was the fault; it now demands a lapsed one.

--- a/internal/coordination/ownership/token.go
+++ b/internal/coordination/ownership/token.go
@@ -9,6 +9,9 @@
 // wall-clock time, 8 bytes each.
 const tokenSize = 24
 
+// unknownTokenAge stands for the age of a token of another process. It is longer than a lease.
+const unknownTokenAge = time.Hour
+
 // TokenIssuer issues and reads lease tokens. A token carries the time, on the owner's
 // clock, at which the owner responded to an announcement. The backend server echoes the
 // token in its next announcement, which it must therefore have sent after that time. A
@@ -34,14 +37,20 @@
 }
 
 // LeaseFrom returns the value of Announcement.LeaseFrom for an announcement that was
-// received at now with the token. It is zero if the token was not issued by this
-// process; the lease then counts from the receipt of the announcement. The age of the
+// received at now with the token. It is zero if there is no token; the lease then counts
+// from the receipt of the announcement. The age of a token that was not issued by this
+// process is not known: the announcement may be a late one of a backend server that left
+// before this process started, so its lease has lapsed. A backend server that is still
+// there announces itself again with the token of the refusal. The age of any other
 // token is the larger of the monotonic and the wall-clock difference, because the
 // monotonic clock stands still while a VM is suspended.
 func (k *TokenIssuer) LeaseFrom(now time.Time, token []byte) time.Time {
-	if len(token) != tokenSize || binary.BigEndian.Uint64(token) != k.processID {
+	if len(token) == 0 {
 		return time.Time{}
 	}
+	if len(token) != tokenSize || binary.BigEndian.Uint64(token) != k.processID {
+		return now.Add(-unknownTokenAge)
+	}
 	monotonic := now.Sub(k.start) - time.Duration(binary.BigEndian.Uint64(token[8:]))
 	wall := time.Duration(now.UnixNano() - int64(binary.BigEndian.Uint64(token[16:])))
 	return now.Add(-max(monotonic, wall, 0))
--- a/internal/coordination/ownership/token_test.go
+++ b/internal/coordination/ownership/token_test.go
@@ -21,8 +21,8 @@
 		{"response 2 s ago", tokens.Issue(issued), issued},
 		{"response just now", tokens.Issue(now), now},
 		{"none", nil, time.Time{}},
-		{"truncated", tokens.Issue(issued)[:tokenSize-1], time.Time{}},
-		{"other process", NewTokenIssuer(2, t0).Issue(issued), time.Time{}},
+		{"truncated", tokens.Issue(issued)[:tokenSize-1], now.Add(-unknownTokenAge)},
+		{"other process", NewTokenIssuer(2, t0).Issue(issued), now.Add(-unknownTokenAge)},
 		{"from the future", tokens.Issue(now.Add(time.Hour)), now},
 		{"suspended for an hour", NewTokenIssuer(1, t0.Add(-time.Hour)).Issue(issued.Add(-time.Hour)), issued.Add(-time.Hour)},
 	}
@@ -33,6 +33,24 @@
 	}
 }
 
+// Guards against a lease for a backend server that has left, because an announcement from before
+// the restart of its owner arrives late. One that is still there gets its lease with the token
+// of the refusal.
+func TestLateAnnouncementAfterRestart(t *testing.T) {
+	token := NewTokenIssuer(1, t0).Issue(t0)
+	restarted, tokens, now := New(Options{}), NewTokenIssuer(2, t0), t0.Add(6*time.Second)
+	restarted.Tick(now)
+	a := announcement()
+	a.LeaseFrom = tokens.LeaseFrom(now, token)
+	if res := restarted.Announce(now, a); res.Reason != StaleAnnouncement {
+		t.Errorf("announcement with the token of an earlier process: %+v", res)
+	}
+	a.LeaseFrom = tokens.LeaseFrom(now, tokens.Issue(now))
+	if res := restarted.Announce(now, a); !res.Accepted {
+		t.Errorf("announcement with the token of the refusal: %+v", res)
+	}
+}
+
 // Guards against two nodes that hold the lease because the network delays a renewal
 // until the backend server has moved to another owner. Without the token, both nodes
 // hold the lease.
