Cut bodies, overlap signals and deliver late announcements in the soak

Callers now send three tenths of the requests on connections of their own, the bodies in segments with pauses, and break some of them off. Backend servers respond before the body has been read, reset it, leave and are replaced; announcements arrive late; several nodes stop to their end at once; SIGHUPs come at any moment. The new faults have random numbers of their own. The check compares the length and the hash of each body that was received whole with what its caller sent. TestSoakPlannedWork does planned work alone: each request that was read is answered, and no backend server gets work after its departure.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -6,10 +6,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -48,6 +50,8 @@
 	basePort  int
 	nodes     int
 	processes map[string]*process
+	// ended lists the processes that a later start replaced.
+	ended []*process
 	// backends lists the indexes of the started backend servers by service.
 	backends map[string][]int
 	relays   map[int]*relay.Relay
@@ -62,9 +66,11 @@
 	// detector is the setting backend.detector of the nodes; empty means the default.
 	detector string
 	// drain holds the settings under [drain]; empty means a timeout of 10 s.
-	drain  string
-	cancel context.CancelFunc
-	ctx    context.Context
+	drain string
+	// segmented and cut are the caller.Options of this name, in percent.
+	segmented, cut float64
+	cancel         context.CancelFunc
+	ctx            context.Context
 }
 
 func newFleet(t *testing.T, basePort, nodes int) *fleet {
@@ -112,8 +118,12 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		f.t.Error(err)
 	}
-	for name, p := range f.processes {
-		if err := os.WriteFile(filepath.Join(dir, name+".log"), []byte(p.stdout.String()+p.stderr.String()), 0o600); err != nil {
+	for i, p := range f.allProcesses() {
+		name := p.name + ".log"
+		if i < len(f.ended) {
+			name = fmt.Sprintf("%s.%d.log", p.name, i)
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(p.stdout.String()+p.stderr.String()), 0o600); err != nil {
 			f.t.Error(err)
 		}
 	}
@@ -138,7 +148,7 @@
 
 func (f *fleet) startProcess(name, program string, args ...string) *process {
 	f.t.Helper()
-	p := &process{name: name, exited: make(chan struct{})}
+	p := &process{name: name, exited: make(chan struct{}), started: time.Now()}
 	p.cmd = exec.Command(filepath.Join(binDir, program), args...)
 	p.cmd.Stdout = &p.stdout
 	p.cmd.Stderr = &p.stderr
@@ -149,10 +159,18 @@
 		_ = p.cmd.Wait()
 		close(p.exited)
 	}()
+	if replaced := f.processes[name]; replaced != nil {
+		f.ended = append(f.ended, replaced)
+	}
 	f.processes[name] = p
 	return p
 }
 
+// allProcesses returns all processes, also those that a later start replaced.
+func (f *fleet) allProcesses() []*process {
+	return slices.AppendSeq(slices.Clone(f.ended), maps.Values(f.processes))
+}
+
 func (f *fleet) startPlatform() {
 	f.startProcess("platform", "wigeon-platform", "--listen", f.addr(0, 0))
 	f.eventually(5*time.Second, "the platform responds", func() bool { return httpOK(f.platformURL() + "/admin/calls") })
--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -31,7 +31,8 @@
 	l := &runningLoad{done: make(chan struct{}), results: &syncBuffer{}}
 	run := caller.New(caller.Options{
 		Targets: targets, Service: service, Host: host, Rate: rate, Duration: duration,
-		BookingPercent: 40, UploadPercent: 2, UploadBytes: 500_000, ChunkedPercent: 50, Timeout: 40 * time.Second,
+		BookingPercent: 40, UploadPercent: 2, UploadBytes: 500_000, ChunkedPercent: 50,
+		SegmentedPercent: f.segmented, CutPercent: f.cut, Timeout: 40 * time.Second,
 		Teams: 20, Seed: 1, IDPrefix: fmt.Sprintf("%s-%d", service, f.loadCount), Records: record.NewWriter(l.results),
 	})
 	go func() {
@@ -73,20 +74,26 @@
 	<-l.done
 	results, runs := f.resultsAndRuns(l, service)
 	rep := verify.Compare(runs, results)
-	f.t.Logf("sent %d, outcomes %v, wrong responses %d, answered without a commit %d, run twice %d, falsely reported as not run %d, p50 %v, p99 %v",
-		rep.Sent, rep.Outcomes, rep.Wrong, rep.Lost, rep.RunTwice, rep.FalseNotRun, rep.LatencyP50, rep.LatencyP99)
+	f.t.Logf("sent %d, outcomes %v, wrong responses %d, answered without a commit %d, run twice %d, falsely reported as not run %d, ran with another body %d, p50 %v, p99 %v",
+		rep.Sent, rep.Outcomes, rep.Wrong, rep.Lost, rep.RunTwice, rep.FalseNotRun, rep.OtherBody, rep.LatencyP50, rep.LatencyP99)
 	if rep.Violated() {
-		f.t.Errorf("violations: %v", rep.Examples)
-		for _, r := range results {
-			if slices.ContainsFunc(rep.Examples, func(e string) bool { return strings.Contains(e, r.Operation+" ") }) {
-				f.t.Logf("%+v", r)
-			}
-		}
+		f.logViolations(rep, results)
 	}
 	f.checkInvariantCounters()
 	return rep
 }
 
+// logViolations fails the test and logs the results in which the violations were seen.
+func (f *fleet) logViolations(rep *verify.Report, results []record.Result) {
+	f.t.Helper()
+	f.t.Errorf("violations: %v", rep.Examples)
+	for _, r := range results {
+		if slices.ContainsFunc(rep.Examples, func(e string) bool { return strings.Contains(e, r.Operation+" ") }) {
+			f.t.Logf("%+v", r)
+		}
+	}
+}
+
 // resultsAndRuns returns what the callers of a load saw and what the backend servers of its
 // service ran.
 func (f *fleet) resultsAndRuns(l *runningLoad, service string) ([]record.Result, []record.Run) {
@@ -96,8 +103,8 @@
 		f.t.Fatal(err)
 	}
 	var runs []record.Run
-	for name, p := range f.processes {
-		if !strings.HasPrefix(name, service+"-") {
+	for _, p := range f.allProcesses() {
+		if !strings.HasPrefix(p.name, service+"-") {
 			continue
 		}
 		lines, err := verify.ReadLines[record.Run](strings.NewReader(p.stdout.String()))
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -34,6 +34,8 @@
 	stdout syncBuffer
 	stderr syncBuffer
 	exited chan struct{}
+	// started is when the process was started.
+	started time.Time
 }
 
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -18,6 +17,7 @@
 	"wigeonspring.example/wigeonspring/standin/backend"
 	platformstandin "wigeonspring.example/wigeonspring/standin/platform"
 	"wigeonspring.example/wigeonspring/standin/relay"
+	"wigeonspring.example/wigeonspring/standin/schedule"
 )
 
 // soakRegressions maps each seed that ever failed to the cause of its failure.
@@ -29,7 +29,8 @@
 const defaultSoakSeed = 1
 
 const (
-	soakNodes = 6
+	soakNodes   = 6
+	soakServers = 12
 	// soakFaultDuration is the time in which faults begin. The last one ends at most
 	// 5 s later.
 	soakFaultDuration = 14 * time.Second
@@ -73,7 +74,10 @@
 // twice, a request that is falsely reported as not run, a response that is incomplete or
 // belongs to another request, a policy that reverts to a lower epoch, and a fleet that
 // does not recover.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { runSoaks(t, runSoak) }
+
+// runSoaks runs a soak with each seed.
+func runSoaks(t *testing.T, run func(t *testing.T, seed uint64, basePort int)) {
 	slots := make(chan int, maxParallelSoaks)
 	for i := range maxParallelSoaks {
 		slots <- i
@@ -84,7 +88,7 @@
 			slot := <-slots
 			defer func() { slots <- slot }()
 			// The cleanup of the subtest stops the fleet before its ports are used again.
-			t.Run("fleet", func(t *testing.T) { runSoak(t, seed, soakBasePort+200*slot) })
+			t.Run("fleet", func(t *testing.T) { run(t, seed, soakBasePort+200*slot) })
 		})
 	}
 }
@@ -92,26 +96,21 @@
 func runSoak(t *testing.T, seed uint64, basePort int) {
 	t.Logf("repeat with WIGEONSPRING_SOAK=%d", seed)
 	f := newFleet(t, basePort, soakNodes)
+	f.segmented, f.cut = 30, 30
 	for i := 1; i <= soakNodes; i++ {
 		f.addRelay(i)
 	}
 	f.addPlatformRelay()
 	f.start("booking", bookingPolicy, 5, bookingFloor)
-	s := &soak{fleet: f, seed: seed, rng: rand.New(rand.NewPCG(seed, 0)), stopped: map[int]bool{}}
+	s := newSoak(f, seed)
 	stop := s.checkEpochsNeverFall()
 	l := f.startLoad("booking", bookingHost, 120, soakFaultDuration+7*time.Second, 1, 2, 3, 4, 5, 6)
-	s.injectFaults()
+	s.run(s.faults())
 	rep := f.report(l, "booking")
 	if rep.Outcomes[header.Answered] == 0 {
 		t.Error("no request was answered")
 	}
-	for i := 1; i <= soakNodes; i++ {
-		f.eventually(soakRecoveryLimit, nodeName(i)+" is ready after the faults", func() bool { return httpOK(f.operatorURL(i) + "/ready") })
-	}
-	f.eventually(soakRecoveryLimit, "the same epoch is in force on all nodes", func() bool {
-		epoch := f.epochInForce(1, "booking")
-		return epoch > 0 && f.epochInForceEverywhere("booking", epoch)
-	})
+	s.awaitRecovery()
 	after := f.startLoad("booking", bookingHost, 60, 3*time.Second, 1, 2, 3, 4, 5, 6)
 	if rep := f.report(after, "booking"); rep.Outcomes[header.Answered] < rep.Sent/4 {
 		t.Errorf("after the faults %d of %d requests were answered, want at least a quarter", rep.Outcomes[header.Answered], rep.Sent)
@@ -119,6 +118,18 @@
 	stop()
 }
 
+// awaitRecovery waits until all nodes are ready with the same epoch.
+func (s *soak) awaitRecovery() {
+	s.t.Helper()
+	for i := 1; i <= soakNodes; i++ {
+		s.eventually(soakRecoveryLimit, nodeName(i)+" is ready after the faults", func() bool { return httpOK(s.operatorURL(i) + "/ready") })
+	}
+	s.eventually(soakRecoveryLimit, "the same epoch is in force on all nodes", func() bool {
+		epoch := s.epochInForce(1, "booking")
+		return epoch > 0 && s.epochInForceEverywhere("booking", epoch)
+	})
+}
+
 // soak is the state of the run of one seed.
 type soak struct {
 	*fleet
@@ -129,38 +140,39 @@
 	stopped map[int]bool
 	// restarts counts the restarts of each node.
 	restarts [soakNodes + 1]atomic.Uint64
+	// left holds the backend servers that leave or have left.
+	left   map[int]bool
+	runner schedule.Runner
+	// policyChanges are those of the planned work that run.
+	policyChanges sync.WaitGroup
 }
 
-// faultStep is one action of a fault.
-type faultStep struct {
-	at time.Duration
-	// name describes the fault. It is empty for the end of a fault.
-	name string
-	run  func()
+func newSoak(f *fleet, seed uint64) *soak {
+	return &soak{fleet: f, seed: seed, rng: rand.New(rand.NewPCG(seed, 0)), stopped: map[int]bool{}, left: map[int]bool{}, runner: schedule.Runner{Log: f.t.Logf}}
 }
 
-// injectFaults injects overlapping faults and ends all of them.
-func (s *soak) injectFaults() {
-	var steps []faultStep
+// faults selects the faults of a seed, which overlap, and the end of each.
+func (s *soak) faults() []schedule.Step {
+	var steps []schedule.Step
 	for at := time.Second; at < soakFaultDuration; at += time.Duration(300+s.rng.IntN(1200)) * time.Millisecond {
 		steps = append(steps, s.randomFault(at, time.Duration(200+s.rng.IntN(4800))*time.Millisecond)...)
 	}
-	steps = append(steps, s.randomPlatformLinkFaults()...)
-	steps = append(steps, s.extraByteFaults()...)
-	slices.SortStableFunc(steps, func(a, b faultStep) int { return cmp.Compare(a.at, b.at) })
-	start := time.Now()
-	for _, step := range steps {
-		time.Sleep(time.Until(start.Add(step.at)))
-		if step.name != "" {
-			s.t.Logf("%.1f s: %s", time.Since(start).Seconds(), step.name)
-		}
-		step.run()
+	return slices.Concat(steps, s.randomPlatformLinkFaults(), s.extraByteFaults(), schedule.UploadFaults(s.seed, soakServers, soakFaultDuration, s),
+		schedule.PlannedWork(s.seed, soakNodes, soakFaultDuration/2, s), schedule.Departures(s.seed, soakServers, soakFaultDuration/2, s, &s.runner))
+}
+
+// run runs the steps and what follows from them.
+func (s *soak) run(steps []schedule.Step) {
+	s.t.Helper()
+	if err := s.runner.Run(steps, soakFaultDuration+soakRecoveryLimit, s.checkNodesRun); err != nil {
+		s.t.Fatal(err)
 	}
+	s.policyChanges.Wait()
 }
 
 // randomPlatformLinkFaults selects faults of the link to the platform. They use a random
 // number generator of their own, so that they do not change the other faults of a seed.
-func (s *soak) randomPlatformLinkFaults() (steps []faultStep) {
+func (s *soak) randomPlatformLinkFaults() (steps []schedule.Step) {
 	rng := rand.New(rand.NewPCG(s.seed, 1))
 	link := s.platformRelay
 	set := func(l relay.Link) func() { return func() { link.SetLink(l) } }
@@ -169,13 +181,13 @@
 		end := at + time.Duration(200+rng.IntN(4800))*time.Millisecond
 		switch rng.IntN(4) {
 		case 0:
-			steps = append(steps, faultStep{at, "link to the platform: connections reset", link.ResetConnections})
+			steps = append(steps, schedule.At(at, "link to the platform: connections reset", link.ResetConnections))
 		case 1:
-			steps = append(steps, faultStep{at, "link to the platform: cut", set(relay.Link{CutIn: true, CutOut: true})}, faultStep{end, "", set(relay.Link{})})
+			steps = append(steps, schedule.At(at, "link to the platform: cut", set(relay.Link{CutIn: true, CutOut: true})), schedule.At(end, "", set(relay.Link{})))
 		case 2:
-			steps = append(steps, faultStep{at, "link to the platform: cut from it", set(relay.Link{CutOut: true})}, faultStep{end, "", set(relay.Link{})})
+			steps = append(steps, schedule.At(at, "link to the platform: cut from it", set(relay.Link{CutOut: true})), schedule.At(end, "", set(relay.Link{})))
 		default:
-			steps = append(steps, faultStep{at, "link to the platform: connections stalled", link.StallConnections})
+			steps = append(steps, schedule.At(at, "link to the platform: connections stalled", link.StallConnections))
 		}
 	}
 	return steps
@@ -183,39 +195,39 @@
 
 // extraByteFaults lets some backend servers send extra bytes after their responses. They use a
 // random number generator of their own, so that they do not change the other faults of a seed.
-func (s *soak) extraByteFaults() (steps []faultStep) {
+func (s *soak) extraByteFaults() (steps []schedule.Step) {
 	rng := rand.New(rand.NewPCG(s.seed, 2))
 	for range 3 {
-		server := 1 + rng.IntN(12)
+		server := 1 + rng.IntN(soakServers)
 		at := time.Second + time.Duration(rng.Int64N(int64(soakFaultDuration-time.Second)))
 		end := at + time.Duration(500+rng.IntN(4500))*time.Millisecond
 		steps = append(steps,
-			faultStep{at, backendName(server) + ": extra bytes", func() { s.setFaults(server, backend.Faults{ExtraPercent: 20, LoadReport: -1}) }},
-			faultStep{end, "", func() { s.setFaults(server, backend.Faults{LoadReport: -1}) }})
+			schedule.At(at, backendName(server)+": extra bytes", func() { s.SetFaults(server, backend.Faults{ExtraPercent: 20, LoadReport: -1}) }),
+			schedule.At(end, "", func() { s.SetFaults(server, backend.Faults{LoadReport: -1}) }))
 	}
 	return steps
 }
 
 // randomFault selects a fault and returns the steps that begin it at the time at and end
 // it after the given duration.
-func (s *soak) randomFault(at, duration time.Duration) []faultStep {
-	node, server := 1+s.rng.IntN(soakNodes), 1+s.rng.IntN(12)
-	beginAndEnd := func(name string, begin, end func()) []faultStep {
-		return []faultStep{{at, name, begin}, {at + duration, "", end}}
+func (s *soak) randomFault(at, duration time.Duration) []schedule.Step {
+	node, server := 1+s.rng.IntN(soakNodes), 1+s.rng.IntN(soakServers)
+	beginAndEnd := func(name string, begin, end func()) []schedule.Step {
+		return []schedule.Step{schedule.At(at, name, begin), schedule.At(at+duration, "", end)}
 	}
-	linkFault := func(what string, l relay.Link) []faultStep {
+	linkFault := func(what string, l relay.Link) []schedule.Step {
 		return beginAndEnd(fmt.Sprintf("link to n%d: %s", node, what), func() { s.relays[node].SetLink(l) }, func() { s.relays[node].SetLink(relay.Link{}) })
 	}
-	platformFault := func(what string, faults platformstandin.Faults) []faultStep {
+	platformFault := func(what string, faults platformstandin.Faults) []schedule.Step {
 		set := func(faults platformstandin.Faults) func() {
 			return func() { s.post(s.platformURL()+"/admin/faults", faults) }
 		}
 		return beginAndEnd("platform: "+what, set(faults), set(platformstandin.Faults{}))
 	}
-	serverFault := func(what string, faults backend.Faults) []faultStep {
+	serverFault := func(what string, faults backend.Faults) []schedule.Step {
 		faults.LoadReport = -1
-		return beginAndEnd(fmt.Sprintf("%s: %s", backendName(server), what), func() { s.setFaults(server, faults) },
-			func() { s.setFaults(server, backend.Faults{LoadReport: -1}) })
+		return beginAndEnd(fmt.Sprintf("%s: %s", backendName(server), what), func() { s.SetFaults(server, faults) },
+			func() { s.SetFaults(server, backend.Faults{LoadReport: -1}) })
 	}
 	switch s.rng.IntN(14) {
 	case 0:
@@ -231,9 +243,9 @@
 	case 5:
 		return linkFault("delayed", relay.Link{DelayMicros: int64(1000 * (1 + s.rng.IntN(150)))})
 	case 6:
-		return []faultStep{{at, fmt.Sprintf("link to n%d: connections reset", node), s.relays[node].ResetConnections}}
+		return []schedule.Step{schedule.At(at, fmt.Sprintf("link to n%d: connections reset", node), s.relays[node].ResetConnections)}
 	case 7:
-		return []faultStep{{at, fmt.Sprintf("link to n%d: connections stalled", node), s.relays[node].StallConnections}}
+		return []schedule.Step{schedule.At(at, fmt.Sprintf("link to n%d: connections stalled", node), s.relays[node].StallConnections)}
 	case 8:
 		return platformFault("down", platformstandin.Faults{Outage: true})
 	case 9:
@@ -245,23 +257,23 @@
 	case 12:
 		return serverFault("truncates, resets and fails", backend.Faults{TruncatePercent: 30, ResetPercent: 30, FailPercent: 20})
 	default:
-		return []faultStep{{at, "policy changes", s.changePolicy}}
+		return []schedule.Step{schedule.At(at, "policy changes", s.changePolicy)}
 	}
 }
 
 // restartFault ends a node with a signal and starts it again. It has no effect on a node
 // that another fault has ended or paused.
-func (s *soak) restartFault(node int, at, duration time.Duration, signal syscall.Signal) []faultStep {
+func (s *soak) restartFault(node int, at, duration time.Duration, signal syscall.Signal) []schedule.Step {
 	applied := false
-	return []faultStep{
-		{at, fmt.Sprintf("n%d: %s", node, signal), func() {
+	return []schedule.Step{
+		schedule.At(at, fmt.Sprintf("n%d: %s", node, signal), func() {
 			if applied = !s.stopped[node]; !applied {
 				return
 			}
 			s.stopped[node] = true
 			s.processes[nodeName(node)].signal(signal)
-		}},
-		{at + duration, "", func() {
+		}),
+		schedule.At(at+duration, "", func() {
 			if !applied {
 				return
 			}
@@ -271,27 +283,27 @@
 			s.restarts[node].Add(1)
 			s.startNode(node)
 			s.stopped[node] = false
-		}},
+		}),
 	}
 }
 
 // pauseFault pauses the process of a node. It has no effect on a node that another fault
 // has ended or paused.
-func (s *soak) pauseFault(node int, at, duration time.Duration) []faultStep {
+func (s *soak) pauseFault(node int, at, duration time.Duration) []schedule.Step {
 	applied := false
-	return []faultStep{
-		{at, fmt.Sprintf("n%d: paused", node), func() {
+	return []schedule.Step{
+		schedule.At(at, fmt.Sprintf("n%d: paused", node), func() {
 			if applied = !s.stopped[node]; applied {
 				s.stopped[node] = true
 				s.processes[nodeName(node)].signal(syscall.SIGSTOP)
 			}
-		}},
-		{at + duration, "", func() {
+		}),
+		schedule.At(at+duration, "", func() {
 			if applied {
 				s.processes[nodeName(node)].signal(syscall.SIGCONT)
 				s.stopped[node] = false
 			}
-		}},
+		}),
 	}
 }
 
--- a/standin/backend/announcer.go
+++ b/standin/backend/announcer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
 	"wigeonspring.example/wigeonspring/internal/protocol/controlpb"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
@@ -34,9 +36,12 @@
 	// was sent.
 	lastSent time.Time
 	client   *http.Client
-	// mu guards token, the lease token of the last response of the current node.
+	// mu guards token, the lease token of the last response of the current node, and the
+	// last announcement with the node that it was sent to.
 	mu         sync.Mutex
 	token      []byte
+	last       *controlpb.AnnounceRequest
+	lastNode   string
 	newRequest func() *controlpb.AnnounceRequest
 }
 
@@ -105,6 +110,7 @@
 	service := controlpb.NewControlProtobufClient("http://"+a.nodes[a.current], a.client)
 	a.mu.Lock()
 	req.LeaseToken = a.token
+	a.last, a.lastNode = req, a.nodes[a.current]
 	a.mu.Unlock()
 	resp, err := service.Announce(ctx, req)
 	if err != nil {
@@ -120,5 +126,20 @@
 	a.token = token
 }
 
-// announceNow announces outside the schedule, for a drain or a release.
-func (a *announcer) announceNow(ctx context.Context) { _, _, _ = a.send(ctx, a.newRequest()) }
+// lastAnnouncement returns the last announcement in its wire format, and its node.
+func (a *announcer) lastAnnouncement() (node string, data []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	data, err := proto.Marshal(a.last)
+	if err != nil {
+		return "", nil
+	}
+	return a.lastNode, data
+}
+
+// announceNow announces outside the schedule, for a drain or a release. It reports whether
+// the node accepted the announcement.
+func (a *announcer) announceNow(ctx context.Context) bool {
+	refused, _, err := a.send(ctx, a.newRequest())
+	return err == nil && !refused
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -84,6 +84,7 @@
 
 // Run serves and announces until ctx ends. Then it drains and releases the lease.
 func (s *Server) Run(ctx context.Context) error {
+	s.recordRun(record.Run{Backend: s.opts.ID, Service: s.opts.Service}, record.Joined)
 	announceCtx, stopAnnouncing := context.WithCancel(context.Background())
 	defer stopAnnouncing()
 	announcerStopped := make(chan struct{})
@@ -101,15 +102,22 @@
 	s.draining.Store(true)
 	stopAnnouncing()
 	<-announcerStopped
-	s.announcer.announceNow(context.Background())
+	s.announceDeparture()
 	s.waitUntilIdle(10 * time.Second)
 	s.released.Store(true)
-	s.announcer.announceNow(context.Background())
+	s.announceDeparture()
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	return s.http.Shutdown(shutdownCtx)
 }
 
+// announceDeparture announces the drain or the release, and records that it was acknowledged.
+func (s *Server) announceDeparture() {
+	if s.announcer.announceNow(context.Background()) {
+		s.recordRun(record.Run{Backend: s.opts.ID, Service: s.opts.Service}, record.Left)
+	}
+}
+
 // waitUntilIdle waits until no request has been in progress for 200 ms, or until
 // the limit has passed.
 func (s *Server) waitUntilIdle(limit time.Duration) {
@@ -152,6 +160,7 @@
 		s.draining.Store(true)
 		w.WriteHeader(http.StatusNoContent)
 	})
+	r.Get("/admin/announcement", s.serveAnnouncement)
 	r.NotFound(s.serveWork)
 	r.MethodNotAllowed(s.serveWork)
 	return r
@@ -169,6 +178,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// NodeHeader is the header with the node to which the last announcement was sent, in the
+// response that has this announcement in its wire format.
+const NodeHeader = "Node"
+
+// serveAnnouncement returns the last announcement, so that a test can deliver it late.
+func (s *Server) serveAnnouncement(w http.ResponseWriter, _ *http.Request) {
+	node, data := s.announcer.lastAnnouncement()
+	w.Header().Set(NodeHeader, node)
+	_, _ = w.Write(data)
+}
+
 func (s *Server) serveWork(w http.ResponseWriter, r *http.Request) {
 	if s.inUse.Add(1) > int64(s.opts.Slots) {
 		s.inUse.Add(-1)
@@ -187,9 +207,15 @@
 		Faulty:    faults.faulty,
 	}
 	s.recordRun(run, record.Started)
-	bodyHash := sha256.New()
-	n, err := io.Copy(bodyHash, r.Body)
-	run.Bytes = n
+	switch {
+	case faults.bodyReset && r.ContentLength != 0:
+		s.resetDuringBody(w, r, run)
+		return
+	case faults.early && r.ContentLength != 0:
+		s.respondBeforeBody(w, r, run, faults)
+		return
+	}
+	err := s.receiveBody(r, &run)
 	if err == nil {
 		err = s.simulateWork(r.Context(), faults)
 	}
@@ -203,7 +229,51 @@
 		return
 	}
 	s.recordRun(run, record.Committed)
-	s.writeResponse(w, r, faults, n, hex.EncodeToString(bodyHash.Sum(nil)))
+	s.writeResponse(w, r, faults, run.Bytes, run.BodyHash)
+}
+
+// receiveBody reads the body to its end, and records that it was received whole.
+func (s *Server) receiveBody(r *http.Request, run *record.Run) error {
+	hash := sha256.New()
+	n, err := io.Copy(hash, r.Body)
+	run.Bytes = n
+	if err != nil {
+		return err
+	}
+	run.BodyHash = hex.EncodeToString(hash.Sum(nil))
+	s.recordRun(*run, record.Received)
+	return nil
+}
+
+// earlyResponsePause is the time between a response and the read of the body that it
+// preceded.
+const earlyResponsePause = 100 * time.Millisecond
+
+// respondBeforeBody responds, and then reads the body to its end.
+func (s *Server) respondBeforeBody(w http.ResponseWriter, r *http.Request, run record.Run, faults requestFaults) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	s.recordRun(run, record.Committed)
+	s.writeResponse(w, r, faults, 0, record.BodyNotReceived)
+	_ = control.Flush()
+	time.Sleep(earlyResponsePause)
+	if s.receiveBody(r, &run) != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// resetDuringBody resets the connection after the first bytes of the body.
+func (s *Server) resetDuringBody(w http.ResponseWriter, r *http.Request, run record.Run) {
+	_, _ = io.ReadFull(r.Body, make([]byte, 1))
+	s.recordRun(run, record.Aborted)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
 }
 
 func (s *Server) recordRun(run record.Run, phase record.Phase) {
--- a/standin/backend/faults.go
+++ b/standin/backend/faults.go
@@ -27,6 +27,12 @@
 	// look like a further response, once the next request has arrived, and closes the
 	// connection. That request is not run.
 	ExtraPercent float64 `json:"extra_percent"`
+	// EarlyPercent is the share of requests with a body that are answered before the body
+	// has been read. The backend server keeps the connection and reads the rest later.
+	EarlyPercent float64 `json:"early_percent"`
+	// BodyResetPercent is the share of requests with a body whose connection is reset
+	// while the body arrives.
+	BodyResetPercent float64 `json:"body_reset_percent"`
 	// FlapMillis switches the faults off after this time, on again after the same
 	// time, and so on; 0 keeps them on. LoadReport stays in effect throughout.
 	FlapMillis int64 `json:"flap_ms"`
@@ -73,6 +79,8 @@
 	truncate   bool
 	reset      bool
 	extra      bool
+	early      bool
+	bodyReset  bool
 	slowFactor float64
 }
 
@@ -94,6 +102,13 @@
 	if f.ExtraPercent > 0 {
 		rf.extra = i.rng.Float64()*100 < f.ExtraPercent
 	}
-	rf.faulty = rf.hang || f.FailPercent > 0 || rf.slowFactor > 1 || f.TruncatePercent > 0 || f.ResetPercent > 0 || f.ExtraPercent > 0
+	if f.EarlyPercent > 0 {
+		rf.early = i.rng.Float64()*100 < f.EarlyPercent
+	}
+	if f.BodyResetPercent > 0 {
+		rf.bodyReset = i.rng.Float64()*100 < f.BodyResetPercent
+	}
+	rf.faulty = rf.hang || f.FailPercent > 0 || rf.slowFactor > 1 || f.TruncatePercent > 0 || f.ResetPercent > 0 || f.ExtraPercent > 0 ||
+		f.EarlyPercent > 0 || f.BodyResetPercent > 0
 	return rf
 }
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -16,6 +16,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -49,6 +50,12 @@
 	UploadBytes    int64
 	// ChunkedPercent is the share of the bodies that are sent in chunks, without a length.
 	ChunkedPercent int
+	// SegmentedPercent is the share of the operations that callers send on connections of
+	// their own, their bodies in several segments with pauses. Such a caller goes on sending
+	// when the response comes before the end of its body.
+	SegmentedPercent float64
+	// CutPercent is the share of the segmented bodies that callers break off.
+	CutPercent float64
 	// Timeout is how long a caller waits for a complete response.
 	Timeout time.Duration
 	// Teams is the number of teams in whose name operations are sent.
@@ -73,6 +80,7 @@
 type Generator struct {
 	opts      Options
 	client    *http.Client
+	idle      idleConnections
 	mu        sync.Mutex
 	latencies *hdrhistogram.Histogram
 	summary   Summary
@@ -101,6 +109,7 @@
 // for the responses and returns the summary.
 func (g *Generator) Run(ctx context.Context) Summary {
 	rng := rand.New(rand.NewPCG(g.opts.Seed, 7))
+	segmentRNG := rand.New(rand.NewPCG(g.opts.Seed, 8))
 	start := time.Now()
 	var wg sync.WaitGroup
 	for i := 0; ; i++ {
@@ -110,6 +119,9 @@
 		}
 		time.Sleep(time.Until(due))
 		op := g.newOperation(i, rng)
+		if g.opts.SegmentedPercent > 0 {
+			g.segment(&op, segmentRNG)
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -117,6 +129,7 @@
 		}()
 	}
 	wg.Wait()
+	g.idle.close()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.summary.P50 = time.Duration(g.latencies.ValueAtQuantile(50))
@@ -129,6 +142,8 @@
 	id, kind, method, path, target, team string
 	bodyBytes                            int64
 	chunked                              bool
+	// segments is nil if the body is sent at once by net/http.
+	segments *segments
 }
 
 func (g *Generator) newOperation(i int, rng *rand.Rand) operation {
@@ -158,8 +173,13 @@
 		Service:    g.opts.Service,
 		Kind:       op.kind,
 		Idempotent: op.kind == Read,
+		BodyBytes:  op.bodyBytes,
+		BodyHash:   hashBody(op.id, op.bodyBytes),
+	}
+	var body io.Reader
+	if op.bodyBytes > 0 {
+		body = newBody(op.id, op.bodyBytes)
 	}
-	body, bodyHash := newBody(op.bodyBytes)
 	req, err := http.NewRequest(op.method, "http://"+op.target+op.path, body)
 	if err != nil {
 		res.Outcome, res.Error = "transport-error", err.Error()
@@ -174,7 +194,11 @@
 	req.Host = g.opts.Host
 	req.Header.Set(record.OperationHeader, op.id)
 	req.Header.Set(header.Caller, op.team)
-	g.exchange(req, &res, bodyHash)
+	if op.segments != nil {
+		g.exchangeSegmented(op, req, &res)
+	} else {
+		g.exchange(req, &res)
+	}
 	res.Time = time.Now()
 	res.Latency = time.Since(due)
 	return res
@@ -185,10 +209,21 @@
 // request says nothing about the first one.
 var errRequestResent = errors.New("the HTTP client sent the request again on another connection")
 
-func (g *Generator) exchange(req *http.Request, res *record.Result, bodyHash func() string) {
+func (g *Generator) exchange(req *http.Request, res *record.Result) {
 	attempts := 0
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { attempts++ }}
+	var sentAt atomic.Pointer[time.Time]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { attempts++ },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if now := time.Now(); info.Err == nil {
+				sentAt.Store(&now)
+			}
+		},
+	}
 	resp, err := g.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if t := sentAt.Load(); t != nil && attempts == 1 {
+		res.SentAt = *t
+	}
 	if err == nil && attempts > 1 {
 		resp.Body.Close()
 		err = errRequestResent
@@ -198,6 +233,11 @@
 		return
 	}
 	defer resp.Body.Close()
+	readResponse(resp, res)
+}
+
+// readResponse reads a response and sets the outcome of its operation.
+func readResponse(resp *http.Response, res *record.Result) {
 	res.Status = resp.StatusCode
 	res.Outcome = resp.Header.Get(header.Outcome)
 	body, err := io.ReadAll(resp.Body)
@@ -211,7 +251,7 @@
 	if res.Outcome == "" {
 		res.Outcome = header.Answered
 	}
-	if err := checkResponse(res.Operation, resp.Header, body, bodyHash()); err != nil {
+	if err := checkResponse(res.Operation, resp.Header, body, res.BodyHash); err != nil {
 		res.Wrong, res.Error = true, err.Error()
 	}
 }
@@ -228,7 +268,7 @@
 	if len(fields) != 3 || fields[0] != operation {
 		return fmt.Errorf("answer belongs to another operation: %q", firstLine)
 	}
-	if fields[2] != sentHash {
+	if fields[2] != sentHash && fields[2] != record.BodyNotReceived {
 		return errors.New("backend server received another body")
 	}
 	return nil
@@ -250,24 +290,15 @@
 	}
 }
 
-// newBody returns a generated body that is streamed rather than held in memory,
-// and a function that returns the hash of what was read from the body.
-func newBody(size int64) (io.Reader, func() string) {
-	hash := sha256.New()
-	sum := func() string { return hex.EncodeToString(hash.Sum(nil)) }
-	if size == 0 {
-		return nil, sum
-	}
-	return io.TeeReader(io.LimitReader(&patternReader{}, size), hash), sum
+// newBody returns the body of an operation. It is generated while it is read, and no other
+// operation has the same.
+func newBody(operation string, size int64) io.Reader {
+	return io.LimitReader(rand.NewChaCha8(sha256.Sum256([]byte(operation))), size)
 }
 
-// patternReader is an endless sequence of bytes that count up and wrap around.
-type patternReader struct{ next byte }
-
-func (p *patternReader) Read(b []byte) (int, error) {
-	for i := range b {
-		b[i] = p.next
-		p.next++
-	}
-	return len(b), nil
+// hashBody returns the hash of the body of an operation.
+func hashBody(operation string, size int64) string {
+	hash := sha256.New()
+	_, _ = io.Copy(hash, newBody(operation, size)) // Neither of them fails.
+	return hex.EncodeToString(hash.Sum(nil))
 }
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -18,17 +18,29 @@
 // BodyHashHeader is the header with the hash of the body of a response.
 const BodyHashHeader = "Body-Hash"
 
-// Phase is the progress of a run.
+// BodyNotReceived stands for the hash of the request's body in the response of a backend
+// server that has not read the body yet.
+const BodyNotReceived = "-"
+
+// Phase is the progress of a run, or of the backend server itself.
 type Phase string
 
 // Phases of a run. Each run has a line for its start, and normally one for its end:
-// committed if the work was done, aborted if not.
+// committed if the work was done, aborted if not. A run that reads its body to the end has
+// a line for that too, which may come after its commit.
 const (
 	Started   Phase = "started"
+	Received  Phase = "received"
 	Committed Phase = "committed"
 	Aborted   Phase = "aborted"
 )
 
+// Phases of a backend server: it starts, and a node acknowledges that it leaves.
+const (
+	Joined Phase = "joined"
+	Left   Phase = "left"
+)
+
 // Run is a line in the log of a backend server. A run is the execution of one
 // request.
 type Run struct {
@@ -41,6 +53,8 @@
 	Phase     Phase     `json:"phase"`
 	// Bytes is the size of the received body.
 	Bytes int64 `json:"bytes,omitempty"`
+	// BodyHash is the hash of a body that was received whole.
+	BodyHash string `json:"body_hash,omitempty"`
 	// Faulty says that the injected faults in effect at the start of the run could
 	// affect it.
 	Faulty bool `json:"sick,omitempty"`
@@ -57,10 +71,16 @@
 	Outcome    string `json:"outcome"`
 	Status     int    `json:"status"`
 	// Wrong says that the response was not the complete response to this operation.
-	Wrong         bool          `json:"wrong,omitempty"`
-	Error         string        `json:"error,omitempty"`
-	Latency       time.Duration `json:"latency"`
-	BodyBytesSent int64         `json:"body_bytes_sent,omitempty"`
+	Wrong   bool          `json:"wrong,omitempty"`
+	Error   string        `json:"error,omitempty"`
+	Latency time.Duration `json:"latency"`
+	// BodyBytes and BodyHash are the size and the hash of the whole body.
+	BodyBytes int64  `json:"body_bytes,omitempty"`
+	BodyHash  string `json:"body_hash,omitempty"`
+	// Cut says how the caller broke off its body. It is empty if it did not.
+	Cut string `json:"cut,omitempty"`
+	// SentAt is when the last byte of the request was sent. It is zero if it was not.
+	SentAt time.Time `json:"sent_at,omitzero"`
 }
 
 // Writer writes records as JSON lines. It is safe for concurrent use.
--- a/standin/verify/print.go
+++ b/standin/verify/print.go
@@ -125,6 +125,7 @@
 	row("answered without a commit", r.Lost)
 	row("non-idempotent but run twice", r.RunTwice)
 	row("reported as not run but began", r.FalseNotRun)
+	row("ran with another body", r.OtherBody)
 	for _, id := range slices.Sorted(maps.Keys(r.Detection)) {
 		row("last new work after the fault, "+id, r.Detection[id].Round(time.Millisecond))
 	}
--- a/standin/verify/verify.go
+++ b/standin/verify/verify.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"sort"
 	"time"
 
@@ -27,6 +28,14 @@
 	RunTwice int `json:"run_twice"`
 	// FalseNotRun counts operations that were reported as not run although they began.
 	FalseNotRun int `json:"false_not_run"`
+	// OtherBody counts runs that received, as a whole body, another one than their caller
+	// sent, or one that it broke off.
+	OtherBody int `json:"other_body"`
+	// Unanswered counts the requests that a node had read and that ended without an answer
+	// under planned work; see AddUnanswered.
+	Unanswered int `json:"unanswered"`
+	// Departed counts the requests placed at backend servers that had left; see AddDeparted.
+	Departed int `json:"departed"`
 	// LatencyP50 and LatencyP99 are the latencies of the operations that were answered
 	// with status 200.
 	LatencyP50 time.Duration `json:"latency_p50"`
@@ -53,7 +62,7 @@
 
 // Violated reports whether an invariant was violated.
 func (r *Report) Violated() bool {
-	return r.Wrong+r.Lost+r.RunTwice+r.FalseNotRun+r.BelowFloor+len(r.Undetected) > 0
+	return r.Wrong+r.Lost+r.RunTwice+r.FalseNotRun+r.OtherBody+r.Unanswered+r.Departed+r.BelowFloor+len(r.Undetected) > 0
 }
 
 func (r *Report) addExample(format string, args ...any) {
@@ -68,10 +77,13 @@
 	rep := &Report{Outcomes: map[string]int{}}
 	started := map[string]int{}
 	committed := map[string]int{}
+	received := map[string][]record.Run{}
 	for _, run := range runs {
 		switch run.Phase {
 		case record.Started:
 			started[run.Operation]++
+		case record.Received:
+			received[run.Operation] = append(received[run.Operation], run)
 		case record.Committed:
 			committed[run.Operation]++
 		}
@@ -85,6 +97,7 @@
 			rep.addExample("wrong response: %s: %s", res.Operation, res.Error)
 		}
 		rep.checkResult(res, started[res.Operation], committed[res.Operation])
+		rep.checkBodies(res, received[res.Operation])
 		if res.Outcome == header.Answered && res.Status == 200 {
 			latencies = append(latencies, res.Latency)
 		}
@@ -109,6 +122,45 @@
 	}
 }
 
+// checkBodies compares the bodies that the runs of an operation received whole with the one
+// that the caller sent.
+func (r *Report) checkBodies(res record.Result, received []record.Run) {
+	for _, run := range received {
+		if run.BodyHash == res.BodyHash && run.Bytes == res.BodyBytes && res.Cut == "" {
+			continue
+		}
+		r.OtherBody++
+		r.addExample("received another body: %s at %s: %d bytes of %d, broken off by the caller: %q", res.Operation, run.Backend, run.Bytes, res.BodyBytes, res.Cut)
+	}
+}
+
+// lossSlack is the time after which a node must have read a request that was sent.
+const lossSlack = 200 * time.Millisecond
+
+// AddUnanswered counts the requests that a node had read whole and that ended without the
+// answer of a backend server, although it had begun them, or without any answer. It applies
+// to runs in which all work was planned and no backend server failed. A request that has
+// reached the timeout of its route is not counted; timeouts are by kind of operation.
+func (r *Report) AddUnanswered(runs []record.Run, results []record.Result, timeouts map[string]time.Duration) {
+	started := map[string]bool{}
+	for _, run := range runs {
+		started[run.Operation] = true
+	}
+	for _, res := range results {
+		if res.Cut != "" || res.SentAt.IsZero() || res.Outcome == header.Answered || res.Status == http.StatusGatewayTimeout {
+			continue
+		}
+		if timeout := timeouts[res.Kind]; timeout > 0 && res.Latency >= timeout {
+			continue
+		}
+		noAnswer := res.Outcome != header.NotRun && res.Status < 300
+		if started[res.Operation] || noAnswer && res.Time.Sub(res.SentAt) > lossSlack {
+			r.Unanswered++
+			r.addExample("read but not answered: %s ended as %s, %v after its last byte: %s", res.Operation, res.Outcome, res.Time.Sub(res.SentAt), res.Error)
+		}
+	}
+}
+
 func quantile(values []time.Duration, q float64) time.Duration {
 	if len(values) == 0 {
 		return 0
--- a/standin/verify/verify_test.go
+++ b/standin/verify/verify_test.go
@@ -1,8 +1,10 @@
 package verify
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"wigeonspring.example/wigeonspring/standin/record"
 )
@@ -26,6 +28,10 @@
 			record.Result{Operation: "a", Outcome: "answered", Status: 200}, func(r *Report) int { return r.Lost }},
 		{"wrong response", []record.Run{run("a", record.Started), run("a", record.Committed)},
 			record.Result{Operation: "a", Outcome: "answered", Status: 200, Wrong: true}, func(r *Report) int { return r.Wrong }},
+		{"other body", []record.Run{{Operation: "a", Phase: record.Received, Bytes: 1, BodyHash: "x"}},
+			record.Result{Operation: "a", BodyBytes: 2, BodyHash: "y"}, func(r *Report) int { return r.OtherBody }},
+		{"cut body", []record.Run{{Operation: "a", Phase: record.Received, Bytes: 2, BodyHash: "y"}},
+			record.Result{Operation: "a", BodyBytes: 2, BodyHash: "y", Cut: "reset"}, func(r *Report) int { return r.OtherBody }},
 	}
 	for _, c := range cases {
 		rep := Compare(c.runs, []record.Result{c.result})
@@ -41,6 +47,36 @@
 	}
 }
 
+// Guards against a request that a node read and did not answer under planned work, or that was
+// placed at a departed backend server, and is not found.
+func TestPlannedWorkViolations(t *testing.T) {
+	at := time.Date(2026, 12, 6, 1, 0, 0, 0, time.UTC)
+	results := []record.Result{
+		{Operation: "slow", Kind: "read", Outcome: "transport-error", Latency: time.Second, SentAt: at, Time: at.Add(time.Second)},
+		{Operation: "began", Outcome: "unknown", Status: 502, SentAt: at, Time: at},
+		{Operation: "crossed", Outcome: "transport-error", SentAt: at, Time: at},
+		{Operation: "not-sent", Outcome: "transport-error", Time: at},
+		{Operation: "late", Kind: "read", Outcome: "transport-error", Latency: 2 * time.Second, SentAt: at, Time: at.Add(time.Second)},
+		{Operation: "cut", Outcome: "transport-error", Cut: "reset", SentAt: at, Time: at.Add(time.Second)},
+		{Operation: "answered", Outcome: "answered", Status: 200, SentAt: at, Time: at.Add(time.Second)},
+	}
+	runs := []record.Run{
+		{Operation: "began", Phase: record.Started}, {Operation: "answered", Phase: record.Started},
+		{Backend: "b1", Phase: record.Joined, Time: at}, {Backend: "b1", Phase: record.Left, Time: at.Add(time.Second)},
+		{Backend: "b1", Phase: record.Joined, Time: at.Add(10 * time.Second)},
+	}
+	rep := &Report{}
+	rep.AddUnanswered(runs, results, map[string]time.Duration{"read": 2 * time.Second})
+	var log strings.Builder
+	for _, second := range []int{1, 3, 5, 11} {
+		fmt.Fprintf(&log, "{\"msg\":\"request_placed\",\"at\":\"2026-12-06T01:00:%02d.000Z\",\"backend\":\"b1\"}\nother\n", second)
+	}
+	rep.AddDeparted(runs, ReadPlacements(strings.NewReader(log.String())), 3*time.Second)
+	if rep.Unanswered != 2 || rep.Departed != 1 || !rep.Violated() {
+		t.Errorf("got %+v, want 2 unanswered and 1 placed after the departure", rep)
+	}
+}
+
 // Guards against a log that cannot be read because a killed process left an
 // incomplete last line, and against a malformed line in the middle that is accepted.
 func TestReadLinesIgnoresOnlyIncompleteLastLine(t *testing.T) {
