Let an attempt without a retry use the time of its request

Cause: an attempt of a request that may be repeated is ended early, so that time is left for another one. Whether the retry budget allows another one was not asked, and a new process has few retries and no samples, so that it ends attempts after half of the time.

TestAttemptWithoutRetryMayUseItsTime fails before with 502 after 1 s. Attempts that may be followed by a retry end as before.

--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -66,7 +66,8 @@
 	left -= responseMargin(left)
 	baseline := in.opt.Balancer.Baseline(now, c.service, target.Backend)
 	var responseTimeout time.Duration
-	if by := plan.ResponseDeadline(now, baseline); c.body.replayable() && !by.IsZero() {
+	// Without a retry, an attempt that ends early only loses the response.
+	if by := plan.ResponseDeadline(now, baseline); c.body.replayable() && !by.IsZero() && plan.AllowsRetry(now, c.budget) {
 		responseTimeout = by.Sub(now)
 	}
 	hop := header.Hop{
--- a/internal/transport/proxy/stop_test.go
+++ b/internal/transport/proxy/stop_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// Guards against a slow response that is given up so that the request can be repeated, although
+// no retry is left.
+func TestAttemptWithoutRetryMayUseItsTime(t *testing.T) {
+	f := newFleet(t, 2)
+	f.serve(1, "b1", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(1200 * time.Millisecond) // The timeout of the route is 2 s.
+		_, _ = io.WriteString(w, "whole")
+	})
+	budget := f.nodes[0].ingress.budget("booking", 0)
+	for budget.Take(time.Now()) {
+	}
+	if got := f.send(0, "GET", "/", nil); got.body != "whole" {
+		t.Errorf("%+v", got)
+	}
+}
+
 // Guards against a request that may be repeated and still fails, because its owner ends it at the
 // end of a planned stop and the retry budget is spent or all other backend servers are suspect.
 func TestRequestInterruptedByPlannedStopIsRepeated(t *testing.T) {
