Keep the origin service of requests between nodes

Backend servers got no Wigeonspring-Caller-Service with requests that came through another node: the owner removes all headers with the project's prefix, and this is the only one of them that goes on to the backend server.

The extended TestRequestPassesUnchanged failed before with "owner 1: origin service []" and passes now.

--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -38,8 +38,12 @@
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	// An ingress node that reads slowly must not hold a slot beyond the deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(ownerGrace))
+	// The ingress node has set the origin service. It is the only header of this package that
+	// goes on to the backend server as it is.
+	origin := r.Header.Get(o.opt.Dialect.CallerService)
 	header.StripInternal(r.Header)
 	header.StripHopByHop(r.Header)
+	header.Set(r.Header, o.opt.Dialect.CallerService, origin)
 	a := &ownerAttempt{Hop: hop, Deadline: deadline, Request: r}
 	if hop.AnswerWithin > 0 {
 		a.ResponseDeadline = o.opt.Now().Add(hop.AnswerWithin)
--- a/internal/transport/proxy/proxy_test.go
+++ b/internal/transport/proxy/proxy_test.go
@@ -57,11 +57,16 @@
 }
 
 // Guards against a request or a response that is changed on its way, within one process
-// and over a connection between nodes.
+// and over a connection between nodes, and against a backend server that is told another
+// origin service than that of the ingress node, or none.
 func TestRequestPassesUnchanged(t *testing.T) {
 	for _, owner := range []int{0, 1} {
 		f := newFleet(t, 2)
+		f.nodes[0].ingress.opt.LocalService, f.nodes[1].ingress.opt.LocalService = "shop", "other"
 		f.serve(owner, "b1", func(w http.ResponseWriter, r *http.Request) {
+			if origin := r.Header[header.CallerService]; len(origin) != 1 || origin[0] != "shop" {
+				t.Errorf("owner %d: origin service %q", owner, origin)
+			}
 			b, _ := io.ReadAll(r.Body)
 			w.Header().Set("X-Answer", r.Header.Get("X-Question"))
 			w.Header().Set(header.Load, "internal")
@@ -74,6 +79,7 @@
 		res := f.send(0, "POST", "/a%2Fb?q=1", strings.NewReader("payload"), func(r *http.Request) {
 			r.Header.Set("X-Question", "x")
 			r.Header.Set(header.Backend, "b9")
+			r.Header.Set(header.CallerService, "forged")
 			r.Header["User-Agent"] = []string{""}
 		})
 		if res.status != http.StatusCreated || res.outcome != header.Answered || res.body != "POST booking.test /a%2Fb?q=1 payload" {
