--- a/e2e/clock_test.go
+++ b/e2e/clock_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -66,14 +65,18 @@
 // an older build can be played in the same way.
 var buildSteppedDaemon = sync.OnceValues(func() (program string, err error) {
 	dir := filepath.Join(binDir, "stepped")
-	timePackage := filepath.Join(runtime.GOROOT(), "src", "time")
+	root, err := exec.Command("go", "env", "GOROOT").Output()
+	if err != nil {
+		return "", err
+	}
+	timePackage := filepath.Join(strings.TrimSpace(string(root)), "src", "time")
 	original, err := os.ReadFile(filepath.Join(timePackage, "time.go"))
 	if err != nil {
 		return "", err
 	}
 	const now, stepped = "func Now() Time {\n\tsec, nsec, mono := runtimeNow()", "func Now() Time {\n\tsec, nsec, mono := steppedNow()"
 	if strings.Count(string(original), now) != 1 {
-		return "", fmt.Errorf("time.Now of %s is not as expected", runtime.Version())
+		return "", fmt.Errorf("time.Now in %s is not as expected", timePackage)
 	}
 	overlay, err := json.Marshal(map[string]map[string]string{"Replace": {
 		filepath.Join(timePackage, "time.go"):          filepath.Join(dir, "time.go"),
