Give no two processes of a node the same incarnation

An owner answers "withdrawn, not run" only for attempts that were sent to its own process, which it recognises by the incarnation. That was the start in milliseconds of the time of day, rose by one, and a process took each value from its first to its current one for its own. A process that starts behind the clock of the one before, and both of which refute a report of 1000, therefore answered for attempts at 1001 that the other had run; the same holds if both start in one millisecond.

Incarnations now have 22 random bits below the milliseconds, rise by a random distance, and a process knows its own ones singly instead of as a range.

With steps of one TestIncarnationsOfEarlierProcessAreNotOwn fails, without random bits TestIncarnationsDoNotRestOnTimeAlone.

--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -4,7 +4,6 @@
 	"math/bits"
 	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/state/registry"
@@ -85,9 +84,7 @@
 	// directory until it learns of a member.
 	filled     bool
 	superseded bool
-	// firstIncarnation is the lowest incarnation that only this process has used. It is
-	// read concurrently.
-	firstIncarnation atomic.Uint64
+	own        ownIncarnations
 	// corrections lists the members of which the sender of the current message has
 	// reported an old version. The next message carries the version known here.
 	corrections []*member
@@ -162,7 +159,7 @@
 	}
 	c.budget.refill(now)
 	self := opts.Self
-	c.firstIncarnation.Store(self.Incarnation)
+	c.own.reset(self.Incarnation)
 	self.Status = registry.Alive
 	if self.Sequence == 0 {
 		self.Sequence = 1
@@ -190,11 +187,6 @@
 	return time.Duration(c.rand.Int64N(int64(d)))
 }
 
-// FirstIncarnation returns the lowest incarnation of the local node that no earlier process
-// has used, as far as is known. It is the one that the process started with, unless its
-// clock was behind that of an earlier process. It is safe for concurrent use.
-func (c *Core) FirstIncarnation() uint64 { return c.firstIncarnation.Load() }
-
 // Ready returns the output since the previous call. The caller sends the datagrams
 // and applies the changes in order.
 func (c *Core) Ready() Ready {
--- a/internal/coordination/membership/message.go
+++ b/internal/coordination/membership/message.go
@@ -75,11 +75,13 @@
 
 // The functions below return an upper bound of the encoded size of a message, so
 // that the core can keep its byte limits without knowing the encoding. Varints of
-// counters are assumed to have the size of a millisecond timestamp, 6 bytes.
+// counters are assumed to have the size of a millisecond timestamp, 6 bytes. An
+// incarnation uses all 64 bits.
 const (
-	tagLen       = 2
-	varintBytes  = 7
-	fixed64Bytes = 9
+	tagLen           = 2
+	varintBytes      = 7
+	incarnationBytes = 11
+	fixed64Bytes     = 9
 )
 
 func stringBytes(n int) int {
@@ -93,7 +95,7 @@
 }
 
 func versionBytes(v *Version) int {
-	n := 2 + stringBytes(len(v.ID)) + 2*varintBytes
+	n := 2 + stringBytes(len(v.ID)) + incarnationBytes + varintBytes
 	if v.Status != registry.Alive {
 		n += 2
 	}
@@ -109,7 +111,7 @@
 
 // RecordBytes returns an upper bound of the encoded size of a full record.
 func RecordBytes(n *registry.Node) int {
-	size := 4 + stringBytes(len(n.ID)) + 2*varintBytes + 2 + stringBytes(len(n.PeerAddr)) +
+	size := 4 + stringBytes(len(n.ID)) + incarnationBytes + varintBytes + 2 + stringBytes(len(n.PeerAddr)) +
 		stringBytes(len(n.OperatorAddr)) + stringBytes(len(n.FailureDomain)) + stringBytes(len(n.Region))
 	for i := range n.Backends {
 		b := &n.Backends[i]
@@ -133,12 +135,12 @@
 // Size returns an upper bound of the encoded size of the message, without IP and
 // UDP headers.
 func (m *Message) Size() int {
-	n := 2 + stringBytes(len(m.From)) + varintBytes + stringBytes(len(m.Target)) + stringBytes(len(m.TargetAddr))
+	n := 2 + stringBytes(len(m.From)) + incarnationBytes + stringBytes(len(m.Target)) + stringBytes(len(m.TargetAddr))
 	if m.Probe != 0 {
 		n += varintBytes
 	}
 	if m.TargetIncarnation != 0 {
-		n += varintBytes
+		n += incarnationBytes
 	}
 	if m.PolicyDigest != 0 {
 		n += fixed64Bytes
--- a/internal/coordination/membership/self.go
+++ b/internal/coordination/membership/self.go
@@ -110,19 +110,23 @@
 // refuteEarlierProcess raises the incarnation above that of an earlier process of the local
 // node, to which all lower ones may belong.
 func (c *Core) refuteEarlierProcess(reported uint64, reason string) {
-	c.firstIncarnation.Store(reported + 1)
-	c.refute(reported, reason)
+	if c.refute(reported, reason) {
+		c.own.reset(c.self.node.Incarnation)
+	}
 }
 
-// refute raises the incarnation of the local node above reported and publishes it.
-func (c *Core) refute(reported uint64, reason string) {
+// refute raises the incarnation of the local node above reported and publishes it, unless that
+// is disabled.
+func (c *Core) refute(reported uint64, reason string) bool {
 	if c.opts.Disabled.Refutation {
-		return
+		return false
 	}
-	c.self.node.Incarnation = reported + 1
+	c.self.node.Incarnation = c.incarnationAbove(reported)
+	c.own.add(c.self.node.Incarnation)
 	c.stats.Refutations++
 	c.reindex(c.self)
 	c.change(Stored, c.self)
 	c.event(EventRefuted, c.self, reason)
 	c.queue.add(c.self.node.ID, true)
+	return true
 }
--- a/internal/coordination/membership/simnet/simnet.go
+++ b/internal/coordination/membership/simnet/simnet.go
@@ -162,7 +162,7 @@
 
 func (n *Network) startProcess(node *Node, opts membership.Options) {
 	if opts.Self.Incarnation == 0 {
-		opts.Self.Incarnation = uint64(n.now.UnixMilli())
+		opts.Self.Incarnation = membership.NewIncarnation(n.now, n.Rand.Uint64())
 	}
 	opts.Rand = rand.New(rand.NewPCG(n.Rand.Uint64(), n.Rand.Uint64()))
 	node.Down = false
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -138,9 +138,14 @@
 	return t.calls.Offer(func() { t.core.SendPolicyNotice(time.Now(), notice, to) })
 }
 
-// FirstIncarnation returns the lowest incarnation that only this process has used; see
+// OwnsIncarnation reports whether only this process has used an incarnation; see
 // membership.Core.
-func (t *Transport) FirstIncarnation() uint64 { return t.core.FirstIncarnation() }
+func (t *Transport) OwnsIncarnation(incarnation uint64) bool {
+	return t.core.OwnsIncarnation(incarnation)
+}
+
+// Incarnation returns the current incarnation of the local node.
+func (t *Transport) Incarnation() uint64 { return t.core.Incarnation() }
 
 // Self returns the published record of the local node.
 func (t *Transport) Self(ctx context.Context) (registry.Node, error) {
--- a/internal/transport/gossip/options.go
+++ b/internal/transport/gossip/options.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -80,7 +81,7 @@
 		o.Listen = o.Self.PeerAddr
 	}
 	if o.Self.Incarnation == 0 {
-		o.Self.Incarnation = uint64(time.Now().UnixMilli())
+		o.Self.Incarnation = membership.NewIncarnation(time.Now(), rand.Uint64())
 	}
 	if o.PolicyDigest == nil {
 		o.PolicyDigest = func() uint64 { return 0 }
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
+	"wigeonspring.example/wigeonspring/internal/coordination/membership"
 	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
 	"wigeonspring.example/wigeonspring/internal/coordination/routing"
 	"wigeonspring.example/wigeonspring/internal/fault"
@@ -158,7 +159,7 @@
 	n := &Node{
 		opts:             opts,
 		log:              opts.Log,
-		incarnation:      uint64(time.Now().UnixMilli()),
+		incarnation:      membership.NewIncarnation(time.Now(), rand.Uint64()),
 		peerAddr:         l.peer.Addr().String(),
 		listeners:        l,
 		directory:        registry.NewDirectory(),
@@ -228,16 +229,17 @@
 	})
 	n.peers = peer.NewPool(peer.Options{MaxPeers: s.Limits.MaxPeerConnections})
 	n.owner = proxy.NewOwner(proxy.OwnerOptions{
-		Self:         n.ID(),
-		Region:       s.Node.Region,
-		Incarnations: n.incarnations,
-		Leases:       n.records.leases,
-		Backends:     n.backends,
-		Dialect:      n.dialect(),
-		Observe:      n.observe,
-		Events:       n.bus,
-		Logger:       n.log,
-		Tracing:      n.tracing,
+		Self:   n.ID(),
+		Region: s.Node.Region,
+		// The gossip transport is created later, and before the first request.
+		OwnsIncarnation: func(incarnation uint64) bool { return n.gossip.OwnsIncarnation(incarnation) },
+		Leases:          n.records.leases,
+		Backends:        n.backends,
+		Dialect:         n.dialect(),
+		Observe:         n.observe,
+		Events:          n.bus,
+		Logger:          n.log,
+		Tracing:         n.tracing,
 	})
 	n.ingress = proxy.NewIngress(proxy.IngressOptions{
 		Self:      n.ID(),
@@ -321,10 +323,7 @@
 func (n *Node) ID() registry.NodeID { return registry.NodeID(n.opts.Settings.Node.ID) }
 
 // Incarnation implements control.Node.
-func (n *Node) Incarnation() uint64 {
-	_, current := n.incarnations()
-	return current
-}
+func (n *Node) Incarnation() uint64 { return n.gossip.Incarnation() }
 
 // Snapshot implements control.Node.
 func (n *Node) Snapshot() *registry.Snapshot { return n.directory.Snapshot() }
@@ -341,16 +340,6 @@
 // PeerAddr returns the advertised address for nodes.
 func (n *Node) PeerAddr() string { return n.peerAddr }
 
-// incarnations returns the lowest incarnation that only this process has used and the
-// current one, which rises when the node refutes a suspicion.
-func (n *Node) incarnations() (first, current uint64) {
-	current = n.incarnation
-	if self := n.directory.Snapshot().Node(n.ID()); self != nil {
-		current = max(current, self.Incarnation)
-	}
-	return max(n.incarnation, n.gossip.FirstIncarnation()), current
-}
-
 // publish publishes an event about a backend server of this node.
 func (n *Node) publish(kind event.Kind, service registry.ServiceID, id registry.BackendID, reason string) {
 	n.bus.Publish(event.Event{Kind: kind, Service: string(service), Backend: string(id), Reason: reason})
--- a/internal/transport/proxy/body_framing_test.go
+++ b/internal/transport/proxy/body_framing_test.go
@@ -121,7 +121,7 @@
 				return
 			}
 			opt := n.owner.opt
-			opt.Incarnations = func() (first, current uint64) { return 2, 2 }
+			opt.OwnsIncarnation = func(incarnation uint64) bool { return incarnation == 2 }
 			n.peerServer = peer.NewServer(NewOwner(opt))
 			go func() { _ = n.peerServer.Serve(l) }()
 		},
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -45,12 +45,12 @@
 type OwnerOptions struct {
 	Self   registry.NodeID
 	Region string
-	// Incarnations returns the lowest incarnation that only this process has used and
-	// the current one. A request with an incarnation outside this range was meant for
-	// another process of this node and is refused. Nil accepts every incarnation.
-	Incarnations func() (first, current uint64)
-	Leases       Leases
-	Backends     *Backends
+	// OwnsIncarnation reports whether only this process has used an incarnation. A request
+	// with any other one was meant for another process of this node and is refused. Nil
+	// accepts every incarnation.
+	OwnsIncarnation func(incarnation uint64) bool
+	Leases          Leases
+	Backends        *Backends
 	// Dialect names the headers of backend servers; nil selects header.DefaultDialect.
 	Dialect *header.Dialect
 	// Observe receives every exchange with a backend server. It must not block.
@@ -186,12 +186,16 @@
 	return r
 }
 
+// ownsIncarnation reports whether a request that was sent to an incarnation of this node was
+// meant for this process.
+func (o *Owner) ownsIncarnation(incarnation uint64) bool {
+	return o.opt.OwnsIncarnation == nil || o.opt.OwnsIncarnation(incarnation)
+}
+
 // admit checks that this node may run the attempt and waits for a slot.
 func (o *Owner) admit(ctx context.Context, a *ownerAttempt) *reply {
-	if o.opt.Incarnations != nil {
-		if first, current := o.opt.Incarnations(); a.Incarnation < first || a.Incarnation > current {
-			return notRun(reasonIncarnation, nil)
-		}
+	if !o.ownsIncarnation(a.Incarnation) {
+		return notRun(reasonIncarnation, nil)
 	}
 	b := o.opt.Backends.get(a.Backend)
 	if b == nil || b.service != a.Service {
--- a/internal/transport/proxy/proxy_test.go
+++ b/internal/transport/proxy/proxy_test.go
@@ -227,7 +227,7 @@
 			prepare: func(_ *testFleet, n *testNode) { _ = n.owner.Drain(t.Context()) }},
 		{name: "restarted owner", status: 503, reason: reasonIncarnation,
 			prepare: func(_ *testFleet, n *testNode) {
-				n.owner.opt.Incarnations = func() (uint64, uint64) { return 2, 2 }
+				n.owner.opt.OwnsIncarnation = func(incarnation uint64) bool { return incarnation == 2 }
 			}},
 		{name: "connection refused", status: 503, reason: "backend_dial_failed",
 			prepare: func(f *testFleet, n *testNode) {
--- a/internal/transport/proxy/recovery.go
+++ b/internal/transport/proxy/recovery.go
@@ -243,12 +243,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(ownerGrace))
-	if o.opt.Incarnations != nil {
-		if first, current := o.opt.Incarnations(); q.Incarnation < first || q.Incarnation > current {
-			// The attempt may have run at another process of this node.
-			o.writeReply(w, q.RequestID, unknown(reasonIncarnation))
-			return
-		}
+	if !o.ownsIncarnation(q.Incarnation) {
+		// The attempt may have run at another process of this node.
+		o.writeReply(w, q.RequestID, unknown(reasonIncarnation))
+		return
 	}
 	status, attempt := o.attempts.Resolve(o.opt.Now(), attempts.Key{Origin: q.Origin, Sequence: q.Sequence})
 	recoveries.Add(status.String(), 1)
