Test that a connection rests only while its reader waits

The wait of conn.becomeIdle could be taken out and no test failed. The new test fails without it ("the connection is idle before its reader waits").

--- a/internal/transport/backend/upload_framing_test.go
+++ b/internal/transport/backend/upload_framing_test.go
@@ -142,3 +142,33 @@
 		}
 	}
 }
+
+// Guards against a connection that is used again before its reader waits for data. What the
+// backend server sent after the last response would be read as the next one, or the next
+// request would be refused for it.
+func TestConnectionIsIdleOnlyWhileItsReaderWaits(t *testing.T) {
+	p := NewPool(Options{MaxConns: 1})
+	p.open = 1
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{Conn: near, pool: p, written: true, used: true}
+	c.finish()
+	if _, idle := p.Stats(); idle != 0 {
+		t.Error("the connection is idle before its reader waits")
+	}
+	readerEnded := make(chan struct{})
+	go func() {
+		defer close(readerEnded)
+		_, _ = c.Read(make([]byte, 1))
+	}()
+	deadline := time.Now().Add(5 * time.Second)
+	for idle := 0; idle != 1; _, idle = p.Stats() {
+		if time.Now().After(deadline) {
+			t.Fatal("the connection is not idle although its reader waits")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_ = c.Close()
+	<-readerEnded
+	p.Close()
+}
