Play outages with the protocols of the users' platform too

Half of the seeds of TestSoakOutages now use the object store, announcements and headers of the platform; stand-ins take the names of headers from the adapter.

--- a/cmd/wigeon-backend/main.go
+++ b/cmd/wigeon-backend/main.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/standin/backend"
 	"wigeonspring.example/wigeonspring/standin/command"
 	"wigeonspring.example/wigeonspring/standin/record"
@@ -18,7 +20,8 @@
 	ID          string            `long:"id" required:"true" description:"identifier of the backend server"`
 	Service     string            `long:"service" required:"true" description:"service name"`
 	Listen      string            `long:"listen" default:"127.0.0.1:0" description:"address for requests and administration"`
-	Nodes       []string          `long:"node" required:"true" description:"peer address of a node; may be repeated, in order of preference"`
+	Nodes       []string          `long:"node" description:"peer address of a node; may be repeated, in order of preference; none: not announced"`
+	Headers     string            `long:"headers" description:"names of the headers as a JSON object of header.Dialect; empty for those of the project"`
 	Slots       int               `long:"slots" default:"5" description:"number of requests processed concurrently"`
 	Labels      map[string]string `long:"label" description:"label as key:value; may be repeated"`
 	ServiceTime time.Duration     `long:"service-time" default:"5ms" description:"processing time of a request"`
@@ -36,6 +39,12 @@
 }
 
 func run(ctx context.Context, opts options) error {
+	var headers *header.Dialect
+	if opts.Headers != "" {
+		if err := json.Unmarshal([]byte(opts.Headers), &headers); err != nil {
+			return fmt.Errorf("--headers: %w", err)
+		}
+	}
 	server, err := backend.New(backend.Options{
 		ID:          opts.ID,
 		Service:     opts.Service,
@@ -43,6 +52,7 @@
 		Nodes:       opts.Nodes,
 		Slots:       opts.Slots,
 		Labels:      opts.Labels,
+		Headers:     headers,
 		Calls:       backend.Calls{Node: opts.CallNode, Host: opts.CallHost, PathPrefix: opts.CallPath},
 		ServiceTime: opts.ServiceTime,
 		ColdStart:   opts.ColdStart,
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -79,6 +79,10 @@
 	nodeEnv func(i int) []string
 	// moreSettings is appended to the settings of the nodes, whose last table is [backend].
 	moreSettings string
+	// morePlatform and moreListen are appended to the tables [platform] and [listen], the latter
+	// for a node.
+	morePlatform string
+	moreListen   func(i int) string
 	// portStride is the number of ports of each kind.
 	portStride int
 	// location returns the numbers of the failure domain and the region of a node.
@@ -270,6 +274,10 @@
 		advertise = f.relayAddr(i)
 	}
 	failureDomain, region := f.location(i)
+	listen := ""
+	if f.moreListen != nil {
+		listen = f.moreListen(i)
+	}
 	platform := f.platformURL()
 	if f.platformRelay != nil {
 		platform = "http://" + f.platformRelay.Addr()
@@ -286,9 +294,11 @@
 peer_listen = %q
 peer_advertise = %q
 operator_listen = %q
+%s
 
 [platform]
 address = %q
+%s
 
 [membership]
 seeds = [%q, %q]
@@ -303,7 +313,7 @@
 detector = %q
 %s
 `, nodeName(i), failureDomain, region, f.origins[i], f.callerAddr(i), f.peerAddr(i), advertise,
-		strings.TrimPrefix(f.operatorURL(i), "http://"), platform, f.peerAddr(1), f.peerAddr(2), f.token,
+		strings.TrimPrefix(f.operatorURL(i), "http://"), listen, platform, f.morePlatform, f.peerAddr(1), f.peerAddr(2), f.token,
 		cmp.Or(f.drain, `timeout = "10s"`), cmp.Or(f.detector, settings.Defaults().Backend.Detector), f.moreSettings)
 	path := filepath.Join(f.t.TempDir(), nodeName(i)+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
+	"wigeonspring.example/wigeonspring/platform/objectstore"
 	"wigeonspring.example/wigeonspring/standin/backend"
 	"wigeonspring.example/wigeonspring/standin/caller"
 	"wigeonspring.example/wigeonspring/standin/schedule"
@@ -34,18 +35,24 @@
 // outageServices are the services of the VMs, in turn.
 var outageServices = []string{"catalogue", "reservations", "returns"}
 
+// outageRoutes are the routes of each service. Prefixes end with a slash.
+var outageRoutes = []struct {
+	name, method, prefix string
+	idempotent           bool
+}{
+	{"items", "GET", "/items/", true}, {"feeds", "GET", "/feeds/", true}, {"holds", "POST", "/holds/", true},
+	{"bookings", "POST", "/bookings/", false}, {"photos", "POST", "/photos/", false},
+}
+
 func outageHost(service string) string { return service + ".plechovka.example" }
 
 func outagePolicy(t *testing.T, service string, timeout time.Duration) string {
 	text := fmt.Sprintf("[service]\nname = %q\nhosts = [%q]\nfloor = 2\ndetection_weight = 0.8\ntimeout = %q\n\n"+
 		"[service.limits]\nmax_slots = %d\nqueue = 20\nmax_attempts = 3\nretry_percent = 10.0\nmax_body_bytes = 33554432\n",
 		service, outageHost(service), timeout, outageSlots)
-	for _, r := range []struct {
-		method, path string
-		idempotent   bool
-	}{{"GET", "/items/*", true}, {"GET", "/feeds/*", true}, {"POST", "/holds", true}, {"POST", "/bookings", false}, {"POST", "/photos", false}} {
+	for _, r := range outageRoutes {
 		text += fmt.Sprintf("\n[[service.route]]\nname = %q\nmethods = [%q]\npath = %q\nidempotent = %t\n",
-			strings.Trim(r.path, "/*"), r.method, r.path, r.idempotent)
+			r.name, r.method, r.prefix+"*", r.idempotent)
 	}
 	path := filepath.Join(t.TempDir(), service+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -60,8 +67,16 @@
 	daemonClocks map[int]*steppedClock
 	// generation counts the backend servers that have run on each VM.
 	generation map[int]int
+	// form is nil if the fleet uses the protocols of the project.
+	form *objectsForm
+	// noReads leaves out the requests that may be repeated, so that only the others test suspect
+	// backend servers.
+	noReads bool
 }
 
+// announceKind and readyKind are kinds of addresses of a fleet with objectsForm.
+const announceKind, readyKind = 6, 7
+
 func intVariable(t *testing.T, name string, preset int) int {
 	text := os.Getenv(name)
 	if text == "" {
@@ -79,8 +94,8 @@
 // after. Also guards against requests that run twice or ran although they were refused.
 func TestSoakOutages(t *testing.T) { runSoaks(t, runOutages, outageDefaultSeeds...) }
 
-// outageDefaultSeeds are a seed of each parity, which selects the traffic; see startLoads.
-var outageDefaultSeeds = []uint64{1, 2}
+// outageDefaultSeeds are two seeds that differ in the traffic and in the protocols.
+var outageDefaultSeeds = []uint64{2, 3}
 
 func runOutages(t *testing.T, seed uint64, basePort int) {
 	vms, rounds := intVariable(t, "WIGEONSPRING_VMS", defaultOutageVMs), intVariable(t, "WIGEONSPRING_ROUNDS", defaultOutageRounds)
@@ -88,19 +103,37 @@
 	f.startAll()
 	duration := time.Second + time.Duration(rounds)*schedule.OutageRound
 	loads := f.startLoads(duration)
-	if err := f.runner.Run(schedule.Outages(seed, vms, rounds, f), duration+soakRecoveryLimit, f.checkNodesRun); err != nil {
+	steps := append(schedule.Outages(seed, vms, rounds, f), f.announcements(duration)...)
+	if err := f.runner.Run(steps, duration+soakRecoveryLimit, f.checkNodesRun); err != nil {
 		t.Fatal(err)
 	}
 	f.policyChanges.Wait()
 	f.check(loads)
-	f.awaitRecoveryOf("catalogue")
-	for _, rep := range f.check(f.startLoads(3 * time.Second)) {
+	if f.awaitReady(); f.form == nil {
+		f.awaitSameEpoch("catalogue")
+	}
+	loads = f.startLoads(afterDuration)
+	if err := f.runner.Run(f.announcements(afterDuration), soakRecoveryLimit, f.checkNodesRun); err != nil {
+		t.Fatal(err)
+	}
+	for _, rep := range f.check(loads) {
 		if rep.Outcomes[header.Answered] < rep.Sent/4 {
 			t.Errorf("after the faults %d of %d requests were answered, want at least a quarter", rep.Outcomes[header.Answered], rep.Sent)
 		}
 	}
 }
 
+// afterDuration is how long load runs after the faults.
+const afterDuration = 3 * time.Second
+
+// announcements returns the announcements of the backend servers that do not announce themselves.
+func (f *outageFleet) announcements(duration time.Duration) (steps []schedule.Step) {
+	for at := time.Duration(0); f.form != nil && at < duration; at += heartbeatInterval {
+		steps = append(steps, schedule.At(at, "", f.announce))
+	}
+	return steps
+}
+
 func newOutageFleet(t *testing.T, seed uint64, vms, basePort int) *outageFleet {
 	daemon, err := buildSteppedDaemon()
 	if err != nil {
@@ -109,6 +142,7 @@
 	f := &outageFleet{
 		soak:         newSoak(newFleet(t, basePort, vms), seed),
 		daemonClocks: map[int]*steppedClock{}, generation: map[int]int{},
+		noReads: seed%2 == 0,
 	}
 	f.portStride = portsPerKind * (vms/portsPerKind + 1)
 	f.location = outageLocation
@@ -122,6 +156,13 @@
 	}
 	f.nodeEnv = func(vm int) []string { return f.daemonClocks[vm].env() }
 	f.addPlatformRelay()
+	if seed%4 == 0 || seed%4 == 3 {
+		f.form = startObjectsForm(t, f.addr(0, 0))
+		f.morePlatform = f.form.platformSettings()
+		f.moreListen = func(vm int) string {
+			return fmt.Sprintf("announce_listen = %q\nready_listen = %q", f.addr(announceKind, vm), f.addr(readyKind, vm))
+		}
+	}
 	return f
 }
 
@@ -130,7 +171,11 @@
 func outageLocation(vm int) (failureDomain, region int) { return (vm-1)/6 + 1, (vm-1)/12 + 1 }
 
 func (f *outageFleet) startAll() {
-	f.startPlatform()
+	if f.form == nil {
+		f.startPlatform()
+	} else {
+		f.form.putPolicies(f.t, 5*time.Second)
+	}
 	for vm := 1; vm <= f.nodes; vm++ {
 		f.startNode(vm)
 		f.startServer(vm)
@@ -139,11 +184,16 @@
 		f.waitReady(vm)
 	}
 	for _, service := range outageServices {
-		if out, code := f.wigeonctl(1, "policy", "apply", outagePolicy(f.t, service, 5*time.Second)); code != 0 {
-			f.t.Fatalf("wigeonctl policy apply: %s", out)
+		if f.form == nil {
+			if out, code := f.wigeonctl(1, "policy", "apply", outagePolicy(f.t, service, 5*time.Second)); code != 0 {
+				f.t.Fatalf("wigeonctl policy apply: %s", out)
+			}
+			f.eventually(10*time.Second, "policy in force", func() bool { return f.epochInForceEverywhere(service, 1) })
+		} else {
+			f.announce()
 		}
-		f.eventually(10*time.Second, "policy in force and backend servers announced", func() bool {
-			return f.epochInForceEverywhere(service, 1) && f.servingBackends(1, service) == f.nodes/len(outageServices)
+		f.eventually(10*time.Second, "backend servers are announced", func() bool {
+			return f.servingBackends(1, service) == f.nodes/len(outageServices)
 		})
 	}
 }
@@ -155,13 +205,19 @@
 	f.generation[vm]++
 	service := f.origins[vm]
 	path := calls[service].path
-	if f.seed%2 == 0 {
+	if f.noReads {
 		path = noCalls
 	}
-	f.startProcess(serverName(vm), "wigeon-backend", "--id", fmt.Sprintf("%s-%d.%d", service, vm, f.generation[vm]), "--service", service,
+	id := fmt.Sprintf("%s-%d.%d", service, vm, f.generation[vm])
+	announced := []string{"--node", f.peerAddr(vm)}
+	if f.form != nil {
+		announced = f.form.serverFlags(f.t)
+		f.form.servers[vm] = objectstore.Instance{ID: id, Service: service, Address: f.backendAddr(vm), Capacity: outageSlots, Born: time.Now()}
+	}
+	f.startProcess(serverName(vm), "wigeon-backend", append(announced, "--id", id, "--service", service,
 		"--slots", fmt.Sprint(outageSlots), "--service-time", outageServiceTime.String(), "--cold-start", "500ms", "--listen", f.backendAddr(vm),
-		"--seed", fmt.Sprint(vm), "--node", f.peerAddr(vm),
-		"--call-node", f.callerAddr(vm), "--call-path", path, "--call-host", outageHost(calls[service].to))
+		"--seed", fmt.Sprint(vm),
+		"--call-node", f.callerAddr(vm), "--call-path", path, "--call-host", outageHost(calls[service].to))...)
 }
 
 // calls holds the paths of the requests whose runs make calls, and the service that is called.
@@ -190,10 +246,12 @@
 	var loads []*runningLoad
 	for _, service := range outageServices {
 		o := mixes[service]
-		if f.seed%2 == 0 {
-			// Without reads, only requests that must not be repeated test suspect backend servers.
+		if f.noReads {
 			o = caller.Options{BookingPercent: 60, UploadPercent: 40}
 		}
+		if f.form != nil {
+			o.Headers = f.form.headers
+		}
 		o.Targets, o.Service, o.Host, o.Origins = targets, service, outageHost(service), origins
 		o.Rate, o.Duration, o.Timeout = float64(ratePerVM*f.nodes/len(outageServices)), duration, 10*time.Second
 		o.UploadBytes, o.ChunkedPercent, o.NewConnectionPercent = 60_000, 100, 20
@@ -279,6 +337,9 @@
 		p.signal(syscall.SIGKILL)
 	}
 	for i, vm := range vms {
+		if f.form != nil {
+			delete(f.form.servers, vm)
+		}
 		f.runner.After(outage, "", f.relays[vm].RestorePower)
 		f.startAgain(vm, outage+startAfter[i], true)
 	}
@@ -301,7 +362,12 @@
 // ChangePolicyThrough implements schedule.VMs. It does not wait for the change.
 func (f *outageFleet) ChangePolicyThrough(vm int) {
 	service := outageServices[f.rng.IntN(len(outageServices))]
-	file := outagePolicy(f.t, service, 4*time.Second+time.Duration(f.rng.IntN(1000))*time.Millisecond)
+	timeout := 4*time.Second + time.Duration(f.rng.IntN(1000))*time.Millisecond
+	if f.form != nil {
+		f.form.putPolicies(f.t, timeout)
+		return
+	}
+	file := outagePolicy(f.t, service, timeout)
 	f.policyChanges.Go(func() { _, _ = f.wigeonctl(vm, "policy", "apply", file) })
 }
 
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -120,13 +120,21 @@
 }
 
 // awaitRecovery waits until all nodes are ready with the same epoch.
-func (s *soak) awaitRecovery() { s.awaitRecoveryOf("booking") }
+func (s *soak) awaitRecovery() {
+	s.t.Helper()
+	s.awaitReady()
+	s.awaitSameEpoch("booking")
+}
 
-func (s *soak) awaitRecoveryOf(service string) {
+func (s *soak) awaitReady() {
 	s.t.Helper()
 	for i := 1; i <= s.nodes; i++ {
 		s.eventually(soakRecoveryLimit, nodeName(i)+" is ready after the faults", func() bool { return httpOK(s.operatorURL(i) + "/ready") })
 	}
+}
+
+func (s *soak) awaitSameEpoch(service string) {
+	s.t.Helper()
 	s.eventually(soakRecoveryLimit, "the same epoch is in force on all nodes", func() bool {
 		epoch := s.epochInForce(1, service)
 		return epoch > 0 && s.epochInForceEverywhere(service, epoch)
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -34,9 +34,12 @@
 	Listen string
 	// Calls configures the calls that runs make.
 	Calls Calls
-	// Nodes are the peer addresses of nodes, that of the server's own VM first.
+	// Nodes are the peer addresses of nodes, that of the server's own VM first. Without any, the
+	// server does not announce itself.
 	Nodes []string
-	Slots int
+	// Headers names the headers; nil selects header.DefaultDialect.
+	Headers *header.Dialect
+	Slots   int
 	// Labels are announced and matched by the selectors of routes.
 	Labels map[string]string
 	// ServiceTime is the time that a request takes after the cold start.
@@ -70,6 +73,9 @@
 
 // New binds the address and returns a server that is ready to Run.
 func New(opts Options) (*Server, error) {
+	if opts.Headers == nil {
+		opts.Headers = header.DefaultDialect()
+	}
 	listener, err := net.Listen("tcp", opts.Listen)
 	if err != nil {
 		return nil, err
@@ -96,7 +102,9 @@
 	announcerStopped := make(chan struct{})
 	go func() {
 		defer close(announcerStopped)
-		s.announcer.run(announceCtx)
+		if len(s.opts.Nodes) > 0 {
+			s.announcer.run(announceCtx)
+		}
 	}()
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- s.http.Serve(s.listener) }()
@@ -119,7 +127,7 @@
 
 // announceDeparture announces the drain or the release, and records that it was acknowledged.
 func (s *Server) announceDeparture() {
-	if s.announcer.announceNow(context.Background()) {
+	if len(s.opts.Nodes) > 0 && s.announcer.announceNow(context.Background()) {
 		s.recordRun(record.Run{Backend: s.opts.ID, Service: s.opts.Service}, record.Left)
 	}
 }
@@ -196,15 +204,20 @@
 }
 
 func (s *Server) serveWork(w http.ResponseWriter, r *http.Request) {
+	names := s.opts.Headers
+	header.Set(w.Header(), names.RequestID, r.Header.Get(names.RequestID))
 	if s.inUse.Add(1) > int64(s.opts.Slots) {
 		s.inUse.Add(-1)
+		if names.RefusalsMeanNotRun {
+			header.Set(w.Header(), names.NotRun, "1")
+		}
 		http.Error(w, "all slots in use", http.StatusServiceUnavailable)
 		return
 	}
 	defer s.inUse.Add(-1)
 
-	if instance := r.Header.Get(header.ExpectedInstance); instance != "" && instance != s.opts.ID {
-		w.Header().Set(header.BackendNotRun, "1")
+	if instance := r.Header.Get(names.ExpectedInstance); instance != "" && instance != s.opts.ID {
+		header.Set(w.Header(), names.NotRun, "1")
 		http.Error(w, "another backend server is expected", http.StatusMisdirectedRequest)
 		return
 	}
@@ -217,8 +230,8 @@
 		Path:      r.URL.Path,
 		Target:    r.RequestURI,
 		Key:       r.Header.Get(record.KeyHeader),
-		RequestID: r.Header.Get(header.RequestID),
-		Origin:    r.Header.Get(header.CallerService),
+		RequestID: r.Header.Get(names.RequestID),
+		Origin:    r.Header.Get(names.CallerService),
 		Faulty:    faults.faulty,
 	}
 	s.recordRun(run, record.Started)
@@ -339,9 +352,7 @@
 	w.Header().Set(record.BodyHashHeader, hex.EncodeToString(sum[:]))
 	w.Header().Set(record.OperationHeader, operation)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if id := r.Header.Get(header.RequestID); id != "" {
-		w.Header().Set(header.RequestID, id)
-	}
+	header.Set(w.Header(), s.opts.Headers.Signature, "signed")
 	if faults.extra && sendExtraBytes(w, body) {
 		return
 	}
--- a/standin/backend/calls.go
+++ b/standin/backend/calls.go
@@ -47,7 +47,7 @@
 func (s *Server) makeCall(r *http.Request, run record.Run) bool {
 	n := s.calls.Add(1)
 	call := record.Run{
-		Backend: s.opts.ID, Service: s.opts.Service, Operation: fmt.Sprintf("%s/%s-%d", run.Operation, s.opts.ID, n),
+		Backend: s.opts.ID, Service: s.opts.Service, Operation: fmt.Sprintf("%s_%s-%d", run.Operation, s.opts.ID, n),
 		Method: http.MethodGet, Target: fmt.Sprintf("/items/call?n=%d", n), Origin: s.opts.Service,
 	}
 	req, err := http.NewRequestWithContext(r.Context(), call.Method, "http://"+s.opts.Calls.Node+call.Target, nil)
@@ -56,8 +56,10 @@
 	}
 	req.Host = s.opts.Calls.Host
 	req.Header.Set(record.OperationHeader, call.Operation)
-	if left := r.Header.Get(header.DeadlineMillis); left != "" {
-		req.Header.Set(header.DeadlineMillis, left)
+	names := s.opts.Headers
+	header.Set(req.Header, names.Deadline, r.Header.Get(names.Deadline))
+	if names.UseCallerRequestID {
+		header.Set(req.Header, names.RequestID, call.Operation)
 	}
 	s.recordRun(call, record.Called)
 	resp, err := http.DefaultClient.Do(req)
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -37,7 +37,7 @@
 )
 
 // kindPaths holds the path, or its beginning, of the operations of a kind.
-var kindPaths = map[string]string{Read: "/items/", Booking: "/bookings", Upload: "/photos", Hold: "/holds", Feed: "/feeds/"}
+var kindPaths = map[string]string{Read: "/items/", Booking: "/bookings", Upload: "/photos", Hold: "/holds/new", Feed: "/feeds/"}
 
 // Options configures the load.
 type Options struct {
@@ -64,6 +64,8 @@
 	// Origins, if set, holds the service on the VM of each target. Operations then have
 	// targets that a decoder changes, and name a false origin.
 	Origins map[string]string
+	// Headers names the headers of the nodes; nil selects header.DefaultDialect.
+	Headers *header.Dialect
 	// ChunkedPercent is the share of the bodies that are sent in chunks, without a length.
 	ChunkedPercent int
 	// SegmentedPercent is the share of the operations that callers send on connections of
@@ -111,6 +113,9 @@
 
 // New returns a Generator.
 func New(opts Options) *Generator {
+	if opts.Headers == nil {
+		opts.Headers = header.DefaultDialect()
+	}
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &Generator{
 		opts: opts,
@@ -195,8 +200,8 @@
 		op.kind, op.path = Feed, kindPaths[Feed]+fmt.Sprint(i)
 	}
 	if g.opts.Origins != nil {
-		if op.kind == Read {
-			op.path += "%2fpart"
+		if op.kind != Hold {
+			op.path = strings.TrimSuffix(op.path, "/") + "/a%2fpart"
 		}
 		op.path += fmt.Sprintf("?z=%d&path=a%%2fb&flag", i)
 	}
@@ -238,7 +243,11 @@
 		req.Header.Set(record.KeyHeader, op.key)
 	}
 	if g.opts.Origins != nil {
-		req.Header.Set(header.CallerService, "forged")
+		header.Set(req.Header, g.opts.Headers.CallerService, "forged")
+	}
+	if g.opts.Headers.UseCallerRequestID {
+		header.Set(req.Header, g.opts.Headers.RequestID, op.id)
+		header.Set(req.Header, g.opts.Headers.Deadline, header.FormatDeadline(g.opts.Timeout))
 	}
 	req.Close = op.newConnection
 	if op.segments != nil {
