Describe the deployment of the outage soak outside its test

The test held the services, their policies and traffic and the reading of /proc/net/tcp beside the steps that it plays. They are packages of the stand-ins now, standin/site and standin/relay.

--- a/e2e/outage_form_test.go
+++ b/e2e/outage_form_test.go
@@ -11,6 +11,7 @@
 	"wigeonspring.example/wigeonspring/platform"
 	"wigeonspring.example/wigeonspring/platform/objectstore"
 	standin "wigeonspring.example/wigeonspring/standin/platform"
+	"wigeonspring.example/wigeonspring/standin/site"
 )
 
 // objectsForm runs a fleet with the protocols of the users' platform: its object store, its
@@ -44,7 +45,7 @@
 	return p
 }
 
-// settings returns the settings that select the form, for the table [platform] and [listen].
+// platformSettings returns the settings that select the form, for the table [platform].
 func (p *objectsForm) platformSettings() string { return "form = \"objects\"\ntimeout = \"2s\"" }
 
 func (p *objectsForm) serverFlags(t *testing.T) []string {
@@ -59,11 +60,11 @@
 func (p *objectsForm) putPolicies(t *testing.T, timeout time.Duration) {
 	p.version++
 	var routes []objectstore.Route
-	for _, service := range outageServices {
-		for _, r := range outageRoutes {
+	for _, service := range site.Services {
+		for _, r := range site.Routes {
 			routes = append(routes, objectstore.Route{
-				Name: service + "-" + r.name, Host: outageHost(service), Prefix: r.prefix, Service: service,
-				Safe: r.idempotent, Timeout: timeout, Attempts: 3,
+				Name: service.Name + "-" + r.Name, Host: service.Host(), Prefix: r.Prefix, Service: service.Name,
+				Safe: r.Idempotent, Timeout: timeout, Attempts: site.MaxAttempts,
 			})
 		}
 	}
--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -13,8 +12,9 @@
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/platform/objectstore"
 	"wigeonspring.example/wigeonspring/standin/backend"
-	"wigeonspring.example/wigeonspring/standin/caller"
+	"wigeonspring.example/wigeonspring/standin/relay"
 	"wigeonspring.example/wigeonspring/standin/schedule"
+	"wigeonspring.example/wigeonspring/standin/site"
 	"wigeonspring.example/wigeonspring/standin/verify"
 )
 
@@ -32,35 +32,6 @@
 	outageSettings = "lease = \"10s\"\n\n[fleet]\nfloor_percent = 70\nretry_percent = 5\nretry_slack = 56\nfree_refusals = 8\nask_first = true\n"
 )
 
-// outageServices are the services of the VMs, in turn.
-var outageServices = []string{"catalogue", "reservations", "returns"}
-
-// outageRoutes are the routes of each service. Prefixes end with a slash.
-var outageRoutes = []struct {
-	name, method, prefix string
-	idempotent           bool
-}{
-	{"items", "GET", "/items/", true}, {"feeds", "GET", "/feeds/", true}, {"holds", "POST", "/holds/", true},
-	{"bookings", "POST", "/bookings/", false}, {"photos", "POST", "/photos/", false},
-}
-
-func outageHost(service string) string { return service + ".plechovka.example" }
-
-func outagePolicy(t *testing.T, service string, timeout time.Duration) string {
-	text := fmt.Sprintf("[service]\nname = %q\nhosts = [%q]\nfloor = 2\ndetection_weight = 0.8\ntimeout = %q\n\n"+
-		"[service.limits]\nmax_slots = %d\nqueue = 20\nmax_attempts = 3\nretry_percent = 10.0\nmax_body_bytes = 33554432\n",
-		service, outageHost(service), timeout, outageSlots)
-	for _, r := range outageRoutes {
-		text += fmt.Sprintf("\n[[service.route]]\nname = %q\nmethods = [%q]\npath = %q\nidempotent = %t\n",
-			r.name, r.method, r.prefix+"*", r.idempotent)
-	}
-	path := filepath.Join(t.TempDir(), service+".toml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return path
-}
-
 // outageFleet is a fleet in which each VM has a node and a backend server.
 type outageFleet struct {
 	*soak
@@ -150,7 +121,7 @@
 	f.segmented, f.cut = 75, 10
 	f.origins = map[int]string{}
 	for vm := 1; vm <= vms; vm++ {
-		f.origins[vm] = outageServices[vm%len(outageServices)]
+		f.origins[vm] = site.Services[vm%len(site.Services)].Name
 		f.daemonClocks[vm] = newSteppedClock(t)
 		f.addRelay(vm)
 	}
@@ -183,17 +154,17 @@
 	for vm := 1; vm <= f.nodes; vm++ {
 		f.waitReady(vm)
 	}
-	for _, service := range outageServices {
+	for _, service := range site.Services {
 		if f.form == nil {
-			if out, code := f.wigeonctl(1, "policy", "apply", outagePolicy(f.t, service, 5*time.Second)); code != 0 {
+			if out, code := f.wigeonctl(1, "policy", "apply", f.writePolicy(service, 5*time.Second)); code != 0 {
 				f.t.Fatalf("wigeonctl policy apply: %s", out)
 			}
-			f.eventually(10*time.Second, "policy in force", func() bool { return f.epochInForceEverywhere(service, 1) })
+			f.eventually(10*time.Second, "policy in force", func() bool { return f.epochInForceEverywhere(service.Name, 1) })
 		} else {
 			f.announce()
 		}
 		f.eventually(10*time.Second, "backend servers are announced", func() bool {
-			return f.servingBackends(1, service) == f.nodes/len(outageServices)
+			return f.servingBackends(1, service.Name) == f.nodes/len(site.Services)
 		})
 	}
 }
@@ -203,33 +174,23 @@
 // startServer starts a new backend server on a VM, at the address of the former one.
 func (f *outageFleet) startServer(vm int) {
 	f.generation[vm]++
-	service := f.origins[vm]
-	path := calls[service].path
-	if f.noReads {
-		path = noCalls
+	service := site.Services[vm%len(site.Services)]
+	callNode := f.callerAddr(vm)
+	if f.noReads || service.Calls == "" {
+		callNode = ""
 	}
-	id := fmt.Sprintf("%s-%d.%d", service, vm, f.generation[vm])
+	id := fmt.Sprintf("%s-%d.%d", service.Name, vm, f.generation[vm])
 	announced := []string{"--node", f.peerAddr(vm)}
 	if f.form != nil {
 		announced = f.form.serverFlags(f.t)
-		f.form.servers[vm] = objectstore.Instance{ID: id, Service: service, Address: f.backendAddr(vm), Capacity: outageSlots, Born: time.Now()}
+		f.form.servers[vm] = objectstore.Instance{ID: id, Service: service.Name, Address: f.backendAddr(vm), Capacity: outageSlots, Born: time.Now()}
 	}
-	f.startProcess(serverName(vm), "wigeon-backend", append(announced, "--id", id, "--service", service,
+	f.startProcess(serverName(vm), "wigeon-backend", append(announced, "--id", id, "--service", service.Name,
 		"--slots", fmt.Sprint(outageSlots), "--service-time", outageServiceTime.String(), "--cold-start", "500ms", "--listen", f.backendAddr(vm),
 		"--seed", fmt.Sprint(vm),
-		"--call-node", f.callerAddr(vm), "--call-path", path, "--call-host", outageHost(calls[service].to))...)
+		"--call-node", callNode, "--call-path", service.CallingPath, "--call-host", site.Host(service.Calls))...)
 }
 
-// calls holds the paths of the requests whose runs make calls, and the service that is called.
-var calls = map[string]struct{ path, to string }{
-	"catalogue":    {"/items/", "reservations"},
-	"reservations": {"/bookings", "returns"},
-	"returns":      {noCalls, "returns"},
-}
-
-// noCalls begins no path.
-const noCalls = "/none"
-
 // startLoads starts the traffic of each service at all nodes.
 func (f *outageFleet) startLoads(duration time.Duration) []*runningLoad {
 	origins := map[string]string{}
@@ -238,22 +199,17 @@
 		targets = append(targets, f.callerAddr(vm))
 		origins[f.callerAddr(vm)] = f.origins[vm]
 	}
-	mixes := map[string]caller.Options{
-		"catalogue":    {BookingPercent: 20, HoldPercent: 15, FeedPercent: 15, UploadPercent: 5, SegmentPause: 80 * time.Millisecond},
-		"reservations": {BookingPercent: 70, HoldPercent: 10, FeedPercent: 5, SegmentPause: 80 * time.Millisecond},
-		"returns":      {BookingPercent: 20, UploadPercent: 40, HoldPercent: 10, FeedPercent: 5, SegmentPause: 80 * time.Millisecond},
-	}
 	var loads []*runningLoad
-	for _, service := range outageServices {
-		o := mixes[service]
+	for _, service := range site.Services {
+		o := service.Traffic
 		if f.noReads {
-			o = caller.Options{BookingPercent: 60, UploadPercent: 40}
+			o = site.TrafficWithoutReads
 		}
 		if f.form != nil {
 			o.Headers = f.form.headers
 		}
-		o.Targets, o.Service, o.Host, o.Origins = targets, service, outageHost(service), origins
-		o.Rate, o.Duration, o.Timeout = float64(ratePerVM*f.nodes/len(outageServices)), duration, 10*time.Second
+		o.Targets, o.Service, o.Host, o.Origins = targets, service.Name, service.Host(), origins
+		o.Rate, o.Duration, o.Timeout = float64(ratePerVM*f.nodes/len(site.Services)), duration, 10*time.Second
 		o.UploadBytes, o.ChunkedPercent, o.NewConnectionPercent = 60_000, 100, 20
 		o.LargestSegmented, o.SegmentedPercent, o.CutPercent, o.Teams, o.Seed = 360_000, f.segmented, f.cut, 20, f.seed
 		loads = append(loads, f.runLoad(o))
@@ -278,6 +234,14 @@
 	return reports
 }
 
+func (f *outageFleet) writePolicy(service site.Service, timeout time.Duration) string {
+	path := filepath.Join(f.t.TempDir(), service.Name+".toml")
+	if err := os.WriteFile(path, []byte(service.Policy(timeout, outageSlots)), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
 // StepClocks implements schedule.VMs.
 func (f *outageFleet) StepClocks(vms []int, ahead time.Duration) {
 	for _, vm := range vms {
@@ -325,7 +289,10 @@
 	for _, p := range dark {
 		p.signal(syscall.SIGSTOP)
 	}
-	ports := connectedPorts(f.t, dark)
+	ports, err := relay.ConnectedPorts(pids(dark))
+	if err != nil {
+		f.t.Fatal(err)
+	}
 	for _, vm := range vms {
 		f.relays[vm].LosePower(outage)
 	}
@@ -345,6 +312,13 @@
 	}
 }
 
+func pids(processes []*process) (list []int) {
+	for _, p := range processes {
+		list = append(list, p.cmd.Process.Pid)
+	}
+	return list
+}
+
 // SignalVM implements schedule.VMs.
 func (f *outageFleet) SignalVM(vm int, signal syscall.Signal) {
 	if !f.stopped[vm] {
@@ -361,46 +335,12 @@
 
 // ChangePolicyThrough implements schedule.VMs. It does not wait for the change.
 func (f *outageFleet) ChangePolicyThrough(vm int) {
-	service := outageServices[f.rng.IntN(len(outageServices))]
+	service := site.Services[f.rng.IntN(len(site.Services))]
 	timeout := 4*time.Second + time.Duration(f.rng.IntN(1000))*time.Millisecond
 	if f.form != nil {
 		f.form.putPolicies(f.t, timeout)
 		return
 	}
-	file := outagePolicy(f.t, service, timeout)
+	file := f.writePolicy(service, timeout)
 	f.policyChanges.Go(func() { _, _ = f.wigeonctl(vm, "policy", "apply", file) })
 }
-
-// connectedPorts returns the local ports of all TCP connections of processes.
-func connectedPorts(t *testing.T, processes []*process) map[int]bool {
-	sockets := map[string]bool{}
-	for _, p := range processes {
-		dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
-		files, err := os.ReadDir(dir)
-		if err != nil {
-			continue // The process has ended.
-		}
-		for _, file := range files {
-			if link, err := os.Readlink(filepath.Join(dir, file.Name())); err == nil && strings.HasPrefix(link, "socket:[") {
-				sockets[strings.Trim(link[len("socket:"):], "[]")] = true
-			}
-		}
-	}
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		t.Fatal(err)
-	}
-	const established, inodeColumn = "01", 9
-	ports := map[int]bool{}
-	for line := range strings.Lines(string(table)) {
-		columns := strings.Fields(line)
-		if len(columns) <= inodeColumn || columns[3] != established || !sockets[columns[inodeColumn]] {
-			continue
-		}
-		_, hex, _ := strings.Cut(columns[1], ":")
-		if port, err := strconv.ParseUint(hex, 16, 16); err == nil {
-			ports[int(port)] = true
-		}
-	}
-	return ports
-}
