Let the hidden request of the outage soak match a route

The request behind a malformed trailer had the path of a route that ends with a slash in the deployment of the soak, and no identifier where callers must send one: it could not run even if it was taken for a request. Seen while reading the diff.

--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -24,7 +24,7 @@
 	defaultOutageVMs    = 12
 	defaultOutageRounds = 2
 	outageBasePort      = 12000
-	// outageSlots, serviceTime and outageRate make services busy, not overloaded, with all VMs.
+	// With these, services are busy and not overloaded while all VMs run. Rates are in requests/s.
 	outageSlots       = 16
 	outageServiceTime = 25 * time.Millisecond
 	ratePerVM         = 25
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -349,14 +349,19 @@
 // newBody returns the body of an operation. It is generated while it is read, and no other
 // operation has the same. It begins with a request, which runs if the body is not read as one.
 func newBody(host, operation string, size int64) io.Reader {
-	embedded := embeddedRequest(host, "body-of-"+operation)
+	embedded := embeddedRequest(header.DefaultDialect(), host, "body-of-"+operation)
 	return io.LimitReader(io.MultiReader(strings.NewReader(embedded), rand.NewChaCha8(sha256.Sum256([]byte(operation)))), size)
 }
 
 // embeddedRequest returns a request that runs if what contains it is misread. No caller sends it
 // as a request.
-func embeddedRequest(host, operation string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", kindPaths[Booking], host, record.OperationHeader, operation)
+func embeddedRequest(names *header.Dialect, host, operation string) string {
+	id := ""
+	if names.UseCallerRequestID {
+		id = names.RequestID + ": " + operation + "\r\n"
+	}
+	return fmt.Sprintf("POST %s/hidden HTTP/1.1\r\nHost: %s\r\n%s%s: %s\r\nContent-Length: 0\r\n\r\n",
+		kindPaths[Booking], host, id, record.OperationHeader, operation)
 }
 
 // hashBody returns the hash of the body of an operation.
--- a/standin/caller/segmented.go
+++ b/standin/caller/segmented.go
@@ -51,6 +51,8 @@
 	// cut is how the caller breaks off the body after cutAt bytes. It is empty if it does not.
 	cut   string
 	cutAt int64
+	// hidden is the request that follows the trailer of cutByTrailer.
+	hidden string
 	// freeze is the pause before a frozen caller closes the connection.
 	freeze time.Duration
 }
@@ -88,7 +90,7 @@
 	if op.chunked && rng.IntN(4) == 0 {
 		s.cutAt = op.bodyBytes // Only the end of the last chunk is missing.
 		if g.opts.Origins != nil {
-			s.cut = cutByTrailer
+			s.cut, s.hidden = cutByTrailer, embeddedRequest(g.opts.Headers, g.opts.Host, "trailer-of-"+op.id)
 		}
 	}
 }
@@ -154,7 +156,7 @@
 			return err
 		}
 		if s.cut != "" && s.cutAt <= end {
-			return c.breakOff(s, embeddedRequest(req.Host, "trailer-of-"+op.id))
+			return c.breakOff(s)
 		}
 		if at = end; end < op.bodyBytes {
 			time.Sleep(s.pause)
@@ -183,10 +185,10 @@
 	return err
 }
 
-func (c *ownConnection) breakOff(s *segments, hidden string) error {
+func (c *ownConnection) breakOff(s *segments) error {
 	switch s.cut {
 	case cutByTrailer:
-		_, _ = io.WriteString(c, "0\r\nmalformed\r\n"+hidden)
+		_, _ = io.WriteString(c, "0\r\nmalformed\r\n"+s.hidden)
 		return errCut
 	case cutByHalfClose:
 		_ = c.CloseWrite()
