--- a/internal/coordination/membership/core.go
+++ b/internal/coordination/membership/core.go
@@ -84,7 +84,7 @@
 	// directory until it learns of a member.
 	filled     bool
 	superseded bool
-	own        ownIncarnations
+	own        ownIncarnations // read concurrently
 	// corrections lists the members of which the sender of the current message has
 	// reported an old version. The next message carries the version known here.
 	corrections []*member
--- a/internal/coordination/membership/message.go
+++ b/internal/coordination/membership/message.go
@@ -75,8 +75,8 @@
 
 // The functions below return an upper bound of the encoded size of a message, so
 // that the core can keep its byte limits without knowing the encoding. Varints of
-// counters are assumed to have the size of a millisecond timestamp, 6 bytes. An
-// incarnation uses all 64 bits.
+// counters are assumed to have the size of a millisecond timestamp, 6 bytes; those of
+// incarnations use all 64 bits.
 const (
 	tagLen           = 2
 	varintBytes      = 7
--- a/standin/relay/ports.go
+++ b/standin/relay/ports.go
@@ -14,8 +14,8 @@
 	stateEstablished                      = "01"
 )
 
-// ConnectedPorts returns the local ports of the TCP connections over IPv4 of processes on this
-// machine. It leaves out processes that have ended. An error means that the connections
+// ConnectedPorts returns the local ports of the TCP connections over IPv4 of the processes with
+// the given ids. It leaves out processes that have ended. An error means that the connections
 // cannot be read.
 func ConnectedPorts(pids []int) (map[int]bool, error) {
 	sockets := map[string]bool{}
