--- a/e2e/outage_form_test.go
+++ b/e2e/outage_form_test.go
@@ -21,7 +21,7 @@
 	headers *header.Dialect
 	version int
 	client  *http.Client
-	// servers are the backend servers that announce themselves, by VM.
+	// servers are the backend servers that run, by VM. The test announces them.
 	servers map[int]objectstore.Instance
 	// sequence counts the announcements of all.
 	sequence int
--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -28,7 +28,7 @@
 	outageSlots       = 16
 	outageServiceTime = 25 * time.Millisecond
 	ratePerVM         = 25
-	// outageSettings are those of a deployment, whose backend servers fail gray in series.
+	// outageSettings continue the table [backend] with the settings of a deployment.
 	outageSettings = "lease = \"10s\"\n\n[fleet]\nfloor_percent = 70\nretry_percent = 5\nretry_slack = 56\nfree_refusals = 8\nask_first = true\n"
 )
 
@@ -97,7 +97,7 @@
 // afterDuration is how long load runs after the faults.
 const afterDuration = 3 * time.Second
 
-// announcements returns the announcements of the backend servers that do not announce themselves.
+// announcements returns the steps that announce the backend servers of a fleet with objectsForm.
 func (f *outageFleet) announcements(duration time.Duration) (steps []schedule.Step) {
 	for at := time.Duration(0); f.form != nil && at < duration; at += heartbeatInterval {
 		steps = append(steps, schedule.At(at, "", f.announce))
