Keep the order of faults when a soak runs late

Hypotheses: (1) a step waits for the end of a process that nobody ends; (2) a request of the test to a process has no answer and no limit; (3) a load does not end.

(3) is ruled out by reading: every wait of a caller has a deadline. (2) did not show, but nothing bounded it.

A step that is more than 100 ms late now postpones the later ones, so that none overtakes what follows from an earlier one, and the runner logs it. Waits for killed processes end after 20 s and requests of the tests after 10 s, both with a message.

--- a/e2e/docs_test.go
+++ b/e2e/docs_test.go
@@ -119,7 +119,7 @@
 	killed := f.processes["n4"]
 	load(60, 3*time.Second, 3, func() {
 		killed.signal(syscall.SIGKILL)
-		<-killed.exited
+		killed.awaitKilled(t)
 		f.startNode(4)
 	})
 	setFaultsOnAll(backend.Faults{ResetPercent: 100})
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -39,7 +39,7 @@
 		}},
 		{"owner node killed and restarted", []int{1, 3, 5}, func(f *fleet) func() {
 			f.processes["n4"].signal(syscall.SIGKILL)
-			<-f.processes["n4"].exited
+			f.processes["n4"].awaitKilled(f.t)
 			return func() { f.startNode(4) }
 		}},
 		{"owner node paused beyond its leases", []int{1, 3, 5}, func(f *fleet) func() {
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -116,7 +116,7 @@
 		p.signal(syscall.SIGKILL)
 	}
 	for _, p := range f.processes {
-		<-p.exited
+		p.awaitKilled(f.t)
 	}
 	if f.t.Failed() {
 		f.writeLogs()
@@ -205,8 +205,11 @@
 	f.eventually(5*time.Second, "the platform responds", func() bool { return httpOK(f.platformURL() + "/admin/calls") })
 }
 
+// localClient sends requests to processes of the fleet, which may have stopped responding.
+var localClient = &http.Client{Timeout: 10 * time.Second}
+
 func httpOK(url string) bool {
-	resp, err := http.Get(url)
+	resp, err := localClient.Get(url)
 	if err != nil {
 		return false
 	}
@@ -227,7 +230,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.Post(url, "application/json", bytes.NewReader(data))
+	resp, err := localClient.Post(url, "application/json", bytes.NewReader(data))
 	if err != nil {
 		return err
 	}
--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -156,7 +155,7 @@
 // an invariant.
 func (f *fleet) checkInvariantCounters() {
 	for i := 1; i <= f.nodes; i++ {
-		resp, err := http.Get(f.operatorURL(i) + "/debug/vars")
+		resp, err := localClient.Get(f.operatorURL(i) + "/debug/vars")
 		if err != nil {
 			continue
 		}
--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -268,11 +268,11 @@
 // startAgain starts a VM's node, and its backend server if it has lost power.
 func (f *outageFleet) startAgain(vm int, after time.Duration, server bool) {
 	f.runner.After(after, "", func() {
-		<-f.processes[nodeName(vm)].exited
+		f.processes[nodeName(vm)].awaitKilled(f.t)
 		f.startNode(vm)
 		f.stopped[vm] = false
 		if server {
-			<-f.processes[serverName(vm)].exited
+			f.processes[serverName(vm)].awaitKilled(f.t)
 			f.startServer(vm)
 		}
 	})
--- a/e2e/policy_test.go
+++ b/e2e/policy_test.go
@@ -168,7 +168,7 @@
 
 	f.post(f.platformURL()+"/admin/faults", platformstandin.Faults{Outage: true})
 	f.processes["n4"].signal(9)
-	<-f.processes["n4"].exited
+	f.processes["n4"].awaitKilled(t)
 	f.startNode(4)
 	f.waitReady(4)
 	if epoch := f.epochInForce(4, "booking"); epoch != 2 {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -40,6 +40,19 @@
 
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// killLimit bounds the wait for the end of a killed process.
+const killLimit = 20 * time.Second
+
+// awaitKilled waits for the end of a process that was killed.
+func (p *process) awaitKilled(t *testing.T) {
+	t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(killLimit):
+		t.Fatalf("%s runs %v after it was to be killed", p.name, killLimit)
+	}
+}
+
 func (p *process) waitExit(t *testing.T, limit time.Duration) {
 	t.Helper()
 	select {
--- a/e2e/recovery_test.go
+++ b/e2e/recovery_test.go
@@ -71,7 +71,7 @@
 	f.eventually(policyInForceLimit, "epoch 2 on all nodes", func() bool { return f.epochInForceEverywhere("booking", 2) })
 	for i := 1; i <= f.nodes; i++ {
 		f.processes[nodeName(i)].signal(syscall.SIGKILL)
-		<-f.processes[nodeName(i)].exited
+		f.processes[nodeName(i)].awaitKilled(t)
 	}
 	start := time.Now()
 	for i := 1; i <= f.nodes; i++ {
@@ -124,10 +124,10 @@
 	f := newFleet(t, 26400, 4)
 	f.start("booking", bookingPolicy, 5, bookingFloor)
 	f.processes["n1"].signal(syscall.SIGKILL)
-	<-f.processes["n1"].exited
+	f.processes["n1"].awaitKilled(t)
 	left := f.processes["booking-1"] // It was announced to n1.
 	left.signal(syscall.SIGKILL)
-	<-left.exited
+	left.awaitKilled(t)
 	f.eventually(15*time.Second, "the other nodes no longer list the backend server", func() bool { return f.servingBackends(2, "booking") == 11 })
 	f.startNode(1)
 	f.waitReady(1)
--- a/e2e/soak_planned_test.go
+++ b/e2e/soak_planned_test.go
@@ -128,7 +128,7 @@
 // CaptureAnnouncement implements schedule.Fleet. The announcement goes to the node that it was
 // sent to; one that is down does not get it.
 func (s *soak) CaptureAnnouncement(server int) (deliver func()) {
-	resp, err := http.Get("http://" + s.backendAddr(server) + "/admin/announcement")
+	resp, err := localClient.Get("http://" + s.backendAddr(server) + "/admin/announcement")
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -290,7 +290,7 @@
 			}
 			p := s.processes[nodeName(node)]
 			p.signal(syscall.SIGKILL) // A graceful stop may take longer than the fault.
-			<-p.exited
+			p.awaitKilled(s.t)
 			s.restarts[node].Add(1)
 			s.startNode(node)
 			s.stopped[node] = false
--- a/standin/schedule/schedule.go
+++ b/standin/schedule/schedule.go
@@ -25,10 +25,15 @@
 // ended.
 const pollInterval = 5 * time.Millisecond
 
-// Runner runs steps one after another. Its methods may be called by steps only.
+// maxLateness is how late a step may run before all later ones are postponed by the same time.
+const maxLateness = 100 * time.Millisecond
+
+// Runner runs steps one after another. One that runs late postpones the others, so that none
+// overtakes what follows from an earlier one. Its methods may be called by steps only.
 type Runner struct {
 	// Log logs the name of each step.
-	Log   func(format string, args ...any)
+	Log func(format string, args ...any)
+	// start is when the run started, plus the time by which steps were postponed.
 	start time.Time
 	steps []Step
 	ends  []end
@@ -41,7 +46,7 @@
 }
 
 // Run runs the steps and those that follow from them. The function check runs between steps.
-// An error means that some are left after the limit.
+// An error means that some are left after the limit, which postponed steps extend.
 func (r *Runner) Run(steps []Step, limit time.Duration, check func()) error {
 	r.start, r.steps = time.Now(), slices.Clone(steps)
 	for ; len(r.steps)+len(r.ends) > 0; time.Sleep(pollInterval) {
@@ -54,6 +59,10 @@
 		for len(r.steps) > 0 && r.steps[0].At <= r.elapsed() {
 			step := r.steps[0]
 			r.steps = r.steps[1:]
+			if late := r.elapsed() - step.At; late > maxLateness {
+				r.Log("%.2f s: late by %v", r.elapsed().Seconds(), late.Round(time.Millisecond))
+				r.start = r.start.Add(late)
+			}
 			if step.Name != "" {
 				r.Log("%.2f s: %s", r.elapsed().Seconds(), step.Name)
 			}
@@ -76,9 +85,9 @@
 	}
 }
 
-// After adds a step.
+// After adds a step, which is due at once if the delay is negative.
 func (r *Runner) After(delay time.Duration, name string, run func()) {
-	r.steps = append(r.steps, Step{r.elapsed() + delay, name, run})
+	r.steps = append(r.steps, Step{r.elapsed() + max(0, delay), name, run})
 }
 
 // WhenEnded runs a function when a process has ended.
