Wait for the caller in the test of the end of a drain

Cause: the test took the response for begun when the backend server had written its first bytes, which may still be on their way through the owner when the ingress node ends its requests; a caller that has seen nothing is then told "unknown", which is right.

It now waits until the caller has got the first byte, and asserts the same.

--- a/internal/transport/proxy/stop_test.go
+++ b/internal/transport/proxy/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -19,13 +20,18 @@
 func TestEveryCallerIsAnsweredWhenDrainEnds(t *testing.T) {
 	for _, owner := range []int{0, 1} {
 		f := newFleet(t, 2)
-		begun, free := make(chan string, 2), make(chan struct{})
+		begun, free := make(chan struct{}, 2), make(chan struct{})
+		callerSawResponse := func(r *http.Request) {
+			trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { begun <- struct{}{} }}
+			*r = *r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+		}
 		f.serve(owner, "b1", func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/begun" {
 				_, _ = io.WriteString(w, "first ")
 				_ = http.NewResponseController(w).Flush()
+			} else {
+				begun <- struct{}{}
 			}
-			begun <- r.URL.Path
 			select {
 			case <-free:
 			case <-r.Context().Done():
@@ -37,7 +43,11 @@
 		for _, path := range []string{"/begun", "/running", "/waiting"} {
 			ch := make(chan result, 1)
 			results[path] = ch
-			go func() { ch <- f.send(0, "POST", path, nil) }()
+			edit := func(*http.Request) {}
+			if path == "/begun" {
+				edit = callerSawResponse
+			}
+			go func() { ch <- f.send(0, "POST", path, nil, edit) }()
 			if path != "/waiting" {
 				<-begun
 			}
