Let the time of a soak stand still while a step takes long

The runner now has a time of its own, which advances by 100 ms at most between two looks, also for the steps that are added meanwhile.

--- a/standin/schedule/schedule.go
+++ b/standin/schedule/schedule.go
@@ -25,18 +25,20 @@
 // ended.
 const pollInterval = 5 * time.Millisecond
 
-// maxLateness is how late a step may run before all later ones are postponed by the same time.
-const maxLateness = 100 * time.Millisecond
+// maxAdvance is how far the time of a run advances at once.
+const maxAdvance = 100 * time.Millisecond
 
-// Runner runs steps one after another. One that runs late postpones the others, so that none
-// overtakes what follows from an earlier one. Its methods may be called by steps only.
+// Runner runs steps one after another. If a step takes long or the machine is busy, the time of
+// the run stands still, so that no step overtakes what follows from an earlier one. Its methods
+// may be called by steps only.
 type Runner struct {
 	// Log logs the name of each step.
 	Log func(format string, args ...any)
-	// start is when the run started, plus the time by which steps were postponed.
-	start time.Time
-	steps []Step
-	ends  []end
+	// now is the time of the run. It was advanced at the time advanced.
+	now      time.Duration
+	advanced time.Time
+	steps    []Step
+	ends     []end
 }
 
 // end is what follows the end of a process.
@@ -46,25 +48,21 @@
 }
 
 // Run runs the steps and those that follow from them. The function check runs between steps.
-// An error means that some are left after the limit, which postponed steps extend.
+// An error means that some are left after the limit, in the time of the run.
 func (r *Runner) Run(steps []Step, limit time.Duration, check func()) error {
-	r.start, r.steps = time.Now(), slices.Clone(steps)
+	r.now, r.advanced, r.steps = 0, time.Now(), slices.Clone(steps)
 	for ; len(r.steps)+len(r.ends) > 0; time.Sleep(pollInterval) {
-		if r.elapsed() > limit {
+		if r.advance(); r.now > limit {
 			return fmt.Errorf("%d steps are left and %d processes have not ended after %v", len(r.steps), len(r.ends), limit)
 		}
 		check()
 		r.runEnds()
 		slices.SortStableFunc(r.steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
-		for len(r.steps) > 0 && r.steps[0].At <= r.elapsed() {
+		for len(r.steps) > 0 && r.steps[0].At <= r.now {
 			step := r.steps[0]
 			r.steps = r.steps[1:]
-			if late := r.elapsed() - step.At; late > maxLateness {
-				r.Log("%.2f s: late by %v", r.elapsed().Seconds(), late.Round(time.Millisecond))
-				r.start = r.start.Add(late)
-			}
 			if step.Name != "" {
-				r.Log("%.2f s: %s", r.elapsed().Seconds(), step.Name)
+				r.Log("%.2f s: %s", r.now.Seconds(), step.Name)
 			}
 			step.Run()
 		}
@@ -72,6 +70,16 @@
 	return nil
 }
 
+// advance advances the time of the run.
+func (r *Runner) advance() {
+	passed := time.Since(r.advanced)
+	r.advanced = r.advanced.Add(passed)
+	if passed > maxAdvance {
+		r.Log("%.2f s: late by %v", r.now.Seconds(), (passed - maxAdvance).Round(time.Millisecond))
+	}
+	r.now += min(passed, maxAdvance)
+}
+
 func (r *Runner) runEnds() {
 	ends := r.ends
 	r.ends = nil
@@ -87,12 +95,11 @@
 
 // After adds a step, which is due at once if the delay is negative.
 func (r *Runner) After(delay time.Duration, name string, run func()) {
-	r.steps = append(r.steps, Step{r.elapsed() + max(0, delay), name, run})
+	r.advance()
+	r.steps = append(r.steps, Step{r.now + max(0, delay), name, run})
 }
 
 // WhenEnded runs a function when a process has ended.
 func (r *Runner) WhenEnded(exited <-chan struct{}, then func()) {
 	r.ends = append(r.ends, end{exited, then})
 }
-
-func (r *Runner) elapsed() time.Duration { return time.Since(r.start) }
