Make stepped clocks a package of the stand-ins

The build of a daemon whose time of day a test can step stood in a test file of e2e. It is a stand-in like the others, and measurements can use it now: standin/clock.

--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -12,6 +12,7 @@
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/platform/objectstore"
 	"wigeonspring.example/wigeonspring/standin/backend"
+	"wigeonspring.example/wigeonspring/standin/clock"
 	"wigeonspring.example/wigeonspring/standin/relay"
 	"wigeonspring.example/wigeonspring/standin/schedule"
 	"wigeonspring.example/wigeonspring/standin/site"
@@ -35,7 +36,7 @@
 // outageFleet is a fleet in which each VM has a node and a backend server.
 type outageFleet struct {
 	*soak
-	daemonClocks map[int]*steppedClock
+	daemonClocks map[int]*clock.Clock
 	// generation counts the backend servers that have run on each VM.
 	generation map[int]int
 	// form is nil if the fleet uses the protocols of the project.
@@ -112,7 +113,7 @@
 	}
 	f := &outageFleet{
 		soak:         newSoak(newFleet(t, basePort, vms), seed),
-		daemonClocks: map[int]*steppedClock{}, generation: map[int]int{},
+		daemonClocks: map[int]*clock.Clock{}, generation: map[int]int{},
 		noReads: seed%2 == 0,
 	}
 	f.portStride = portsPerKind * (vms/portsPerKind + 1)
@@ -122,10 +123,10 @@
 	f.origins = map[int]string{}
 	for vm := 1; vm <= vms; vm++ {
 		f.origins[vm] = site.Services[vm%len(site.Services)].Name
-		f.daemonClocks[vm] = newSteppedClock(t)
+		f.daemonClocks[vm] = newClock(t)
 		f.addRelay(vm)
 	}
-	f.nodeEnv = func(vm int) []string { return f.daemonClocks[vm].env() }
+	f.nodeEnv = func(vm int) []string { return f.daemonClocks[vm].Env() }
 	f.addPlatformRelay()
 	if seed%4 == 0 || seed%4 == 3 {
 		f.form = startObjectsForm(t, f.addr(0, 0))
@@ -245,7 +246,9 @@
 // StepClocks implements schedule.VMs.
 func (f *outageFleet) StepClocks(vms []int, ahead time.Duration) {
 	for _, vm := range vms {
-		f.daemonClocks[vm].set(f.t, ahead)
+		if err := f.daemonClocks[vm].Set(ahead); err != nil {
+			f.t.Error(err)
+		}
 	}
 }
 
