--- a/cmd/wigeon-backend/main.go
+++ b/cmd/wigeon-backend/main.go
@@ -27,6 +27,7 @@
 	ServiceTime time.Duration     `long:"service-time" default:"5ms" description:"processing time of a request"`
 	ColdStart   time.Duration     `long:"cold-start" default:"2s" description:"time after the start during which requests take three times as long"`
 	CallNode    string            `long:"call-node" description:"address for callers of the node to which runs make calls; empty for none"`
+	CallService string            `long:"call-service" description:"name of the service that runs call, for the records"`
 	CallHost    string            `long:"call-host" description:"HTTP host name of the service that runs call"`
 	CallPath    string            `long:"call-path" description:"beginning of the paths of requests that make calls"`
 	AnswerBytes int               `long:"answer-bytes" default:"512" description:"size of the filler in a response, in bytes"`
@@ -53,7 +54,7 @@
 		Slots:       opts.Slots,
 		Labels:      opts.Labels,
 		Headers:     headers,
-		Calls:       backend.Calls{Node: opts.CallNode, Host: opts.CallHost, PathPrefix: opts.CallPath},
+		Calls:       backend.Calls{Node: opts.CallNode, Service: opts.CallService, Host: opts.CallHost, PathPrefix: opts.CallPath},
 		ServiceTime: opts.ServiceTime,
 		ColdStart:   opts.ColdStart,
 		AnswerBytes: opts.AnswerBytes,
--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -37,8 +37,15 @@
 type outageFleet struct {
 	*soak
 	daemonClocks map[int]*clock.Clock
+	// ahead holds how far the clocks are ahead, by VM.
+	ahead map[int]time.Duration
 	// generation counts the backend servers that have run on each VM.
 	generation map[int]int
+	// moved counts how often the address of each VM's backend server has gone to another service.
+	moved map[int]int
+	// mixed replaces backend servers in all ways, and adds callers that speak HTTP/2 or send
+	// bodies of known length.
+	mixed bool
 	// form is nil if the fleet uses the protocols of the project.
 	form *objectsForm
 	// noReads leaves out the requests that may be repeated, so that only the others test suspect
@@ -66,8 +73,9 @@
 // after. Also guards against requests that run twice or ran although they were refused.
 func TestSoakOutages(t *testing.T) { runSoaks(t, runOutages, outageDefaultSeeds...) }
 
-// outageDefaultSeeds are two seeds that differ in the traffic and in the protocols.
-var outageDefaultSeeds = []uint64{2, 3}
+// outageDefaultSeeds are two seeds that differ in the traffic and in the protocols. In the
+// second one, backend servers are replaced too while their nodes run.
+var outageDefaultSeeds = []uint64{2, 7}
 
 func runOutages(t *testing.T, seed uint64, basePort int) {
 	vms, rounds := intVariable(t, "WIGEONSPRING_VMS", defaultOutageVMs), intVariable(t, "WIGEONSPRING_ROUNDS", defaultOutageRounds)
@@ -76,6 +84,9 @@
 	duration := time.Second + time.Duration(rounds)*schedule.OutageRound
 	loads := f.startLoads(duration)
 	steps := append(schedule.Outages(seed, vms, rounds, f), f.announcements(duration)...)
+	if f.mixed {
+		steps = append(steps, schedule.Replacements(seed, vms, rounds, f)...)
+	}
 	if err := f.runner.Run(steps, duration+soakRecoveryLimit, f.checkNodesRun); err != nil {
 		t.Fatal(err)
 	}
@@ -113,8 +124,8 @@
 	}
 	f := &outageFleet{
 		soak:         newSoak(newFleet(t, basePort, vms), seed),
-		daemonClocks: map[int]*clock.Clock{}, generation: map[int]int{},
-		noReads: seed%2 == 0,
+		daemonClocks: map[int]*clock.Clock{}, ahead: map[int]time.Duration{}, generation: map[int]int{}, moved: map[int]int{},
+		noReads: seed%2 == 0, mixed: (seed-1)%8 >= 4,
 	}
 	f.portStride = portsPerKind * (vms/portsPerKind + 1)
 	f.location = outageLocation
@@ -150,7 +161,7 @@
 	}
 	for vm := 1; vm <= f.nodes; vm++ {
 		f.startNode(vm)
-		f.startServer(vm)
+		f.startServer(vm, schedule.NewIdentity)
 	}
 	for vm := 1; vm <= f.nodes; vm++ {
 		f.waitReady(vm)
@@ -172,24 +183,41 @@
 
 func serverName(vm int) string { return fmt.Sprintf("server-%d", vm) }
 
-// startServer starts a new backend server on a VM, at the address of the former one.
-func (f *outageFleet) startServer(vm int) {
-	f.generation[vm]++
-	service := site.Services[vm%len(site.Services)]
+// startServer starts a backend server on a VM, at the address of the former one.
+func (f *outageFleet) startServer(vm int, by schedule.Replacement) {
+	if by != schedule.SameIdentity {
+		f.generation[vm]++
+	}
+	if by == schedule.OtherService {
+		f.moved[vm]++
+	}
+	service := site.Services[(vm+f.moved[vm])%len(site.Services)]
 	callNode := f.callerAddr(vm)
-	if f.noReads || service.Calls == "" {
+	// Calls begin at the service that the node is configured with.
+	if f.noReads || service.Calls == "" || service.Name != f.origins[vm] {
 		callNode = ""
 	}
 	id := fmt.Sprintf("%s-%d.%d", service.Name, vm, f.generation[vm])
 	announced := []string{"--node", f.peerAddr(vm)}
 	if f.form != nil {
 		announced = f.form.serverFlags(f.t)
-		f.form.servers[vm] = objectstore.Instance{ID: id, Service: service.Name, Address: f.backendAddr(vm), Capacity: outageSlots, Born: time.Now()}
+		f.form.servers[vm] = objectstore.Instance{ID: id, Service: service.Name, Address: f.backendAddr(vm), Capacity: outageSlots, Born: time.Now().Add(f.ahead[vm])}
 	}
 	f.startProcess(serverName(vm), "wigeon-backend", append(announced, "--id", id, "--service", service.Name,
 		"--slots", fmt.Sprint(outageSlots), "--service-time", outageServiceTime.String(), "--cold-start", "500ms", "--listen", f.backendAddr(vm),
 		"--seed", fmt.Sprint(vm),
-		"--call-node", callNode, "--call-path", service.CallingPath, "--call-host", site.Host(service.Calls))...)
+		"--call-node", callNode, "--call-path", service.CallingPath, "--call-service", service.Calls, "--call-host", site.Host(service.Calls))...)
+}
+
+// ReplaceServer implements schedule.VMs.
+func (f *outageFleet) ReplaceServer(vm int, by schedule.Replacement) {
+	if f.stopped[vm] {
+		return
+	}
+	p := f.processes[serverName(vm)]
+	p.signal(syscall.SIGKILL)
+	p.awaitKilled(f.t)
+	f.startServer(vm, by)
 }
 
 // startLoads starts the traffic of each service at all nodes.
@@ -212,6 +240,9 @@
 		o.Targets, o.Service, o.Host, o.Origins = targets, service.Name, service.Host(), origins
 		o.Rate, o.Duration, o.Timeout = float64(ratePerVM*f.nodes/len(site.Services)), duration, 10*time.Second
 		o.UploadBytes, o.ChunkedPercent, o.NewConnectionPercent = 60_000, 100, 20
+		if f.mixed {
+			o.ChunkedPercent, o.HTTP2Percent = 50, 50
+		}
 		o.LargestSegmented, o.SegmentedPercent, o.CutPercent, o.Teams, o.Seed = 360_000, f.segmented, f.cut, 20, f.seed
 		loads = append(loads, f.runLoad(o))
 	}
@@ -246,6 +277,7 @@
 // StepClocks implements schedule.VMs.
 func (f *outageFleet) StepClocks(vms []int, ahead time.Duration) {
 	for _, vm := range vms {
+		f.ahead[vm] = ahead
 		if err := f.daemonClocks[vm].Set(ahead); err != nil {
 			f.t.Error(err)
 		}
@@ -276,7 +308,11 @@
 		f.stopped[vm] = false
 		if server {
 			f.processes[serverName(vm)].awaitKilled(f.t)
-			f.startServer(vm)
+			by := schedule.NewIdentity
+			if f.mixed {
+				by = schedule.RandomReplacement(f.rng)
+			}
+			f.startServer(vm, by)
 		}
 	})
 }
--- a/standin/backend/calls.go
+++ b/standin/backend/calls.go
@@ -19,8 +19,8 @@
 type Calls struct {
 	// Node is the address for callers of the node on the VM. No calls are made if it is empty.
 	Node string
-	// Host selects the service that is called.
-	Host string
+	// Service is the service that is called, and Host selects it.
+	Service, Host string
 	// PathPrefix begins the paths of the requests that make calls.
 	PathPrefix string
 }
@@ -47,7 +47,7 @@
 func (s *Server) makeCall(r *http.Request, run record.Run) bool {
 	n := s.calls.Add(1)
 	call := record.Run{
-		Backend: s.opts.ID, Service: s.opts.Service, Operation: fmt.Sprintf("%s_%s-%d", run.Operation, s.opts.ID, n),
+		Backend: s.opts.ID, Service: s.opts.Calls.Service, Operation: fmt.Sprintf("%s_%s-%d", run.Operation, s.opts.ID, n),
 		Method: http.MethodGet, Target: fmt.Sprintf("/items/call?n=%d", n), Origin: s.opts.Service,
 	}
 	req, err := http.NewRequestWithContext(r.Context(), call.Method, "http://"+s.opts.Calls.Node+call.Target, nil)
@@ -59,7 +59,8 @@
 	names := s.opts.Headers
 	header.Set(req.Header, names.Deadline, r.Header.Get(names.Deadline))
 	if names.UseCallerRequestID {
-		header.Set(req.Header, names.RequestID, call.Operation)
+		call.RequestID = call.Operation
+		header.Set(req.Header, names.RequestID, call.RequestID)
 	}
 	s.recordRun(call, record.Called)
 	resp, err := http.DefaultClient.Do(req)
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -61,6 +61,9 @@
 	// NewConnectionPercent is the share of the operations that are sent on connections which
 	// are not kept.
 	NewConnectionPercent int
+	// HTTP2Percent is the share of the operations, of those that are not segmented, that are sent
+	// by HTTP/2 without TLS.
+	HTTP2Percent int
 	// Origins, if set, holds the service on the VM of each target. Operations then have
 	// targets that a decoder changes, and name a false origin.
 	Origins map[string]string
@@ -103,6 +106,7 @@
 type Generator struct {
 	opts      Options
 	client    *http.Client
+	http2     *http.Client
 	idle      idleConnections
 	mu        sync.Mutex
 	latencies *hdrhistogram.Histogram
@@ -116,21 +120,26 @@
 	if opts.Headers == nil {
 		opts.Headers = header.DefaultDialect()
 	}
-	dialer := &net.Dialer{Timeout: time.Second}
+	var http2 http.Protocols
+	http2.SetUnencryptedHTTP2(true)
 	return &Generator{
-		opts: opts,
-		client: &http.Client{
-			Timeout: opts.Timeout,
-			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
-				MaxIdleConnsPerHost: 64,
-			},
-		},
+		opts:      opts,
+		client:    newClient(opts.Timeout, nil),
+		http2:     newClient(opts.Timeout, &http2),
 		latencies: hdrhistogram.New(int64(time.Microsecond), maxLatency, 3),
 		summary:   Summary{Outcomes: map[string]int64{}},
 	}
 }
 
+// newClient returns a client for the given protocols; nil selects HTTP/1.1.
+func newClient(timeout time.Duration, protocols *http.Protocols) *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Client{
+		Timeout:   timeout,
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, Protocols: protocols},
+	}
+}
+
 // Run sends operations until the duration has passed or ctx ends. Then it waits
 // for the responses and returns the summary.
 func (g *Generator) Run(ctx context.Context) Summary {
@@ -168,7 +177,7 @@
 	id, kind, method, path, target, team string
 	key                                  string
 	bodyBytes                            int64
-	chunked, newConnection               bool
+	chunked, newConnection, http2        bool
 	// segments is nil if the body is sent at once by net/http.
 	segments *segments
 }
@@ -184,6 +193,7 @@
 		// Spreads the choice over successive operations without a random number.
 		chunked:       i*37%100 < g.opts.ChunkedPercent,
 		newConnection: i*53%100 < g.opts.NewConnectionPercent,
+		http2:         i*71%100 < g.opts.HTTP2Percent,
 	}
 	share := rng.Float64() * 100
 	booked := g.opts.BookingPercent
@@ -246,14 +256,18 @@
 		header.Set(req.Header, g.opts.Headers.CallerService, "forged")
 	}
 	if g.opts.Headers.UseCallerRequestID {
+		res.RequestID = op.id
 		header.Set(req.Header, g.opts.Headers.RequestID, op.id)
 		header.Set(req.Header, g.opts.Headers.Deadline, header.FormatDeadline(g.opts.Timeout))
 	}
 	req.Close = op.newConnection
-	if op.segments != nil {
+	switch {
+	case op.segments != nil:
 		g.exchangeSegmented(op, req, &res)
-	} else {
-		g.exchange(req, &res)
+	case op.http2:
+		exchange(g.http2, req, &res)
+	default:
+		exchange(g.client, req, &res)
 	}
 	res.Time = time.Now()
 	res.Latency = time.Since(due)
@@ -265,7 +279,7 @@
 // request says nothing about the first one.
 var errRequestResent = errors.New("the HTTP client sent the request again on another connection")
 
-func (g *Generator) exchange(req *http.Request, res *record.Result) {
+func exchange(client *http.Client, req *http.Request, res *record.Result) {
 	attempts := 0
 	var sentAt atomic.Pointer[time.Time]
 	trace := &httptrace.ClientTrace{
@@ -276,7 +290,7 @@
 			}
 		},
 	}
-	resp, err := g.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if t := sentAt.Load(); t != nil && attempts == 1 {
 		res.SentAt = *t
 	}
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -40,7 +40,7 @@
 )
 
 // Called is the phase of a call that a run makes: a request of the backend server's own. The
-// line has the identity of the call.
+// line has the identity of the call, and the service that is called.
 const Called Phase = "called"
 
 // Phases of a backend server: it starts, and a node acknowledges that it leaves.
@@ -85,6 +85,8 @@
 	Method    string    `json:"method,omitempty"`
 	Target    string    `json:"target,omitempty"`
 	Key       string    `json:"key,omitempty"`
+	// RequestID is the identifier that the caller gave the request. It is empty if nodes do.
+	RequestID string `json:"request_id,omitempty"`
 	// Origin is the service on the VM of the node to which the operation was sent.
 	Origin string `json:"origin,omitempty"`
 	// Idempotent says that the operation may run more than once.
--- a/standin/schedule/outage.go
+++ b/standin/schedule/outage.go
@@ -20,13 +20,37 @@
 	KillNodes(vms []int, restartAfter []time.Duration)
 	// CutPower ends the node and the backend server of VMs. Their connections stay open at the
 	// other end. After the outage and the delay of the same index, the node starts again, with
-	// a new backend server at the address of the former one.
+	// another backend server at the address of the former one.
 	CutPower(vms []int, outage time.Duration, startAfter []time.Duration)
+	// ReplaceServer ends the backend server of a VM without notice. Another one starts at its
+	// address, while the node runs on. It has no effect on a VM whose node does not run.
+	ReplaceServer(vm int, by Replacement)
 	SignalVM(vm int, signal syscall.Signal)
 	SetBackendFaults(vm int, faults backend.Faults)
 	ChangePolicyThrough(vm int)
 }
 
+// Replacement is what starts at the address of a backend server that has ended.
+type Replacement int
+
+// Replacements of a backend server: one of the same service, the same under its identifier,
+// which knows nothing of before, or one of another service.
+const (
+	NewIdentity Replacement = iota
+	SameIdentity
+	OtherService
+	replacementKinds
+)
+
+func (r Replacement) String() string {
+	return [...]string{"a new one", "itself", "one of another service"}[r]
+}
+
+// RandomReplacement returns one of the replacements.
+func RandomReplacement(rng *rand.Rand) Replacement {
+	return Replacement(rng.IntN(int(replacementKinds)))
+}
+
 // The times of a round of Outages, from its beginning.
 const (
 	// OutageRound is the time between the beginnings of two rounds.
@@ -47,7 +71,11 @@
 	steppedShare, endedShare, grayShare = 30, 60, 30
 )
 
-const outageSource = 6
+// The sources of random numbers of a seed for outages.
+const (
+	outageSource      = 6
+	replacementSource = 7
+)
 
 // Outages selects rounds of overlapping faults: the clocks of some VMs are ahead, most nodes
 // are killed, and soon after their restart most VMs lose power. Beside it, backend servers
@@ -90,6 +118,20 @@
 	return append(steps, grayFailures(rng, vms, firstStep+time.Duration(rounds)*OutageRound, choose, f)...)
 }
 
+// replacementsPerRound is the number of backend servers that are replaced in a round of outages.
+const replacementsPerRound = 4
+
+// Replacements selects backend servers that end in rounds of outages, and what replaces them.
+func Replacements(seed uint64, vms, rounds int, f VMs) (steps []Step) {
+	rng := rand.New(rand.NewPCG(seed, replacementSource))
+	for range rounds * replacementsPerRound {
+		vm, at := 1+rng.IntN(vms), firstStep+randomMillis(rng, time.Duration(rounds)*OutageRound)
+		by := RandomReplacement(rng)
+		steps = append(steps, Step{at, fmt.Sprintf("backend server of VM %d is replaced by %v", vm, by), func() { f.ReplaceServer(vm, by) }})
+	}
+	return steps
+}
+
 // grayFailures lets changing backend servers reset most of their connections after the work,
 // and some respond before they have read the body.
 func grayFailures(rng *rand.Rand, vms int, until time.Duration, choose func(share int) []int, f VMs) (steps []Step) {
--- a/standin/verify/verify_test.go
+++ b/standin/verify/verify_test.go
@@ -49,8 +49,8 @@
 
 // Guards against a run that no caller asked for and that is not found, whatever differs.
 func TestUnaskedRuns(t *testing.T) {
-	sent := record.Result{Operation: "a", Method: "POST", Target: "/p?q=1", Key: "k", Origin: "shop"}
-	ran := record.Run{Operation: "a", Method: "POST", Target: "/p?q=1", Key: "k", Origin: "shop", RequestID: "1", Phase: record.Started}
+	sent := record.Result{Operation: "a", Service: "tin", Method: "POST", Target: "/p?q=1", Key: "k", Origin: "shop", RequestID: "1"}
+	ran := record.Run{Operation: "a", Service: "tin", Method: "POST", Target: "/p?q=1", Key: "k", Origin: "shop", RequestID: "1", Phase: record.Started}
 	call := record.Run{Operation: "a/1", Method: "GET", Target: "/c", Origin: "cart", RequestID: "2", Phase: record.Started}
 	called := call
 	called.Phase, called.RequestID = record.Called, ""
@@ -65,8 +65,10 @@
 		"path":         {func(run *record.Run) { run.Target = "/o?q=1" }, Unasked{OtherRequest: 1}},
 		"query":        {func(run *record.Run) { run.Target = "/p?q=%31" }, Unasked{OtherRequest: 1}},
 		"key":          {func(run *record.Run) { run.Key = "" }, Unasked{OtherRequest: 1}},
+		"service":      {func(run *record.Run) { run.Service = "pan" }, Unasked{OtherService: 1}},
 		"origin":       {func(run *record.Run) { run.Origin = "" }, Unasked{OtherOrigin: 1}},
-		"shared id":    {func(run *record.Run) { run.RequestID = "2" }, Unasked{SharedID: 1}},
+		"shared id":    {func(run *record.Run) { run.RequestID = "2" }, Unasked{OtherRequest: 1, SharedID: 1}},
+		"other id":     {func(run *record.Run) { run.RequestID = "3" }, Unasked{OtherRequest: 1}},
 		"repeated run": {func(run *record.Run) { run.Backend = "b2" }, Unasked{}},
 	}
 	for name, c := range cases {
