--- a/e2e/outage_test.go
+++ b/e2e/outage_test.go
@@ -73,9 +73,9 @@
 // after. Also guards against requests that run twice or ran although they were refused.
 func TestSoakOutages(t *testing.T) { runSoaks(t, runOutages, outageDefaultSeeds...) }
 
-// outageDefaultSeeds are two seeds that differ in the traffic and in the protocols. In the
-// second one, backend servers are replaced too while their nodes run.
-var outageDefaultSeeds = []uint64{2, 7}
+// outageDefaultSeeds differ in the traffic and in the protocols. In the last one, backend servers
+// are replaced too while their nodes run.
+var outageDefaultSeeds = []uint64{2, 3, 7}
 
 func runOutages(t *testing.T, seed uint64, basePort int) {
 	vms, rounds := intVariable(t, "WIGEONSPRING_VMS", defaultOutageVMs), intVariable(t, "WIGEONSPRING_ROUNDS", defaultOutageRounds)
--- a/internal/coordination/membership/incarnation.go
+++ b/internal/coordination/membership/incarnation.go
@@ -15,8 +15,8 @@
 const maxOwnIncarnations = 64
 
 // NewIncarnation returns the incarnation of a process that starts at now, the time in
-// milliseconds followed by random bits. It rises with the time of day, and two processes have
-// different ones even if they start at the same time of day.
+// milliseconds followed by random bits. It rises with the time of day. Two processes that start
+// in the same millisecond have the same one with a probability of 2^-22.
 func NewIncarnation(now time.Time, random uint64) uint64 {
 	return uint64(now.UnixMilli())<<incarnationRandomBits | random&(1<<incarnationRandomBits-1)
 }
--- a/standin/schedule/schedule.go
+++ b/standin/schedule/schedule.go
@@ -25,16 +25,16 @@
 // ended.
 const pollInterval = 5 * time.Millisecond
 
-// maxAdvance is how far the time of a run advances at once.
+// maxAdvance bounds by how much one call of advance moves the time of a run.
 const maxAdvance = 100 * time.Millisecond
 
-// Runner runs steps one after another. If a step takes long or the machine is busy, the time of
-// the run stands still, so that no step overtakes what follows from an earlier one. Its methods
-// may be called by steps only.
+// Runner runs steps one after another, on a clock of its own. That clock counts only maxAdvance of
+// a longer delay, such as that of a slow step, so that no step overtakes what follows from an
+// earlier one. The methods may be called by steps only.
 type Runner struct {
 	// Log logs the name of each step.
 	Log func(format string, args ...any)
-	// now is the time of the run. It was advanced at the time advanced.
+	// now is the time of the run, and advanced is when it was last updated.
 	now      time.Duration
 	advanced time.Time
 	steps    []Step
@@ -70,7 +70,7 @@
 	return nil
 }
 
-// advance advances the time of the run.
+// advance updates the time of the run.
 func (r *Runner) advance() {
 	passed := time.Since(r.advanced)
 	r.advanced = r.advanced.Add(passed)
