Authenticate the callers of teams by their keys

Change: a fleet document may have teams with the digests of their keys. A request on a route that is not public needs a key of one; the backend server gets the name of the team in its place. The rank of a team replaces that of the route. Interfaces for quotas and for revocations that a node may have missed, and the settings that the platform supplies for both; nothing uses them yet.

Result: go test of policy, settings, header, proxy and platform passes.

--- a/internal/protocol/header/dialect.go
+++ b/internal/protocol/header/dialect.go
@@ -30,6 +30,10 @@
 	// Signature is a header that a backend server adds to every response to a request that
 	// it ran successfully.
 	Signature string
+	// Credential is the key with which a caller proves its team, and Team the name of the
+	// team that backend servers get in its place.
+	Credential string
+	Team       string
 	// NotRun marks a response of a backend server that did not run the request.
 	NotRun string
 }
@@ -43,6 +47,8 @@
 		ExpectedInstance: ExpectedInstance,
 		Instance:         Instance,
 		NotRun:           BackendNotRun,
+		Credential:       Credential,
+		Team:             Team,
 	}
 }
 
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -61,6 +61,10 @@
 	Status = "Wigeonspring-Status"
 	// CallerService names the service on the VM where the request began.
 	CallerService = "Wigeonspring-Caller-Service"
+	// Credential is the key of a caller's team, and Team the name of the team that a backend
+	// server gets in its place.
+	Credential = "Wigeonspring-Credential"
+	Team       = "Wigeonspring-Team"
 	// ExpectedInstance and Instance identify backend servers; see Dialect.
 	ExpectedInstance = "Wigeonspring-Expected-Instance"
 	Instance         = "Wigeonspring-Instance"
--- a/internal/state/policy/fleet.go
+++ b/internal/state/policy/fleet.go
@@ -25,7 +25,9 @@
 type Fleet struct {
 	Routes   []FleetRoute   `json:"routes"`
 	Services []FleetService `json:"services"`
-	Limits   CallerLimits   `json:"limits"`
+	// Teams are the teams of callers; none means that requests need no key.
+	Teams  []FleetTeam  `json:"teams,omitempty"`
+	Limits CallerLimits `json:"limits"`
 }
 
 // FleetRoute sends the requests for a host below a path prefix to one service, or to
@@ -37,6 +39,8 @@
 	Prefix string `json:"prefix"`
 	// Idempotent requests may run more than once.
 	Idempotent bool `json:"idempotent"`
+	// Public requests need no key, also if the document has teams.
+	Public bool `json:"public,omitempty"`
 	// Timeout bounds a request regardless of the caller's deadline; 0 means no bound.
 	Timeout Duration `json:"timeout"`
 	// Objective is the time within which a response is fully useful to the caller.
@@ -142,6 +146,7 @@
 			add("route %q: %w", r.Name, err)
 		}
 	}
+	problems = append(problems, validateTeams(f.Teams)...)
 	if l := f.Limits; min(l.MaxBodyBytes, l.MaxHeaderBytes, int64(l.HeaderTimeout), int64(l.IdleTimeout)) < 0 {
 		add("limits: negative value")
 	}
@@ -188,6 +193,7 @@
 	// longestTimeout is the longest timeout of a route; 0 if a route has none.
 	longestTimeout time.Duration
 	services       map[string]*InForce
+	teams          *Teams
 	// hosts holds the routes of each host by prefix. The cost of a lookup depends on
 	// the number of segments of the path and not on the number of routes.
 	hosts map[string]map[string]*Match
@@ -200,6 +206,8 @@
 	Targets []MatchTarget
 	// Epoch is the epoch of the document that contains the route.
 	Epoch uint64
+	// Teams are those of the same document; nil if the request needs no key.
+	Teams *Teams
 }
 
 // MatchTarget is a service that may take a request.
@@ -209,7 +217,10 @@
 }
 
 func newFleetTable(f *Fleet, in *InForce, d ServiceDefaults) *fleetTable {
-	t := &fleetTable{limits: f.Limits, services: map[string]*InForce{}, hosts: map[string]map[string]*Match{}}
+	t := &fleetTable{
+		limits: f.Limits, teams: newTeams(f.Teams),
+		services: map[string]*InForce{}, hosts: map[string]map[string]*Match{},
+	}
 	for _, s := range f.Services {
 		limits := d.Limits
 		if f.Limits.MaxBodyBytes > 0 {
@@ -229,8 +240,8 @@
 		}
 		m := &Match{Route: &Route{
 			Name: r.Name, Path: r.Prefix + "*", Idempotent: r.Idempotent, Timeout: r.Timeout,
-			Objective: r.Objective, Rank: r.Rank, MaxAttempts: r.MaxAttempts,
-		}}
+			Objective: r.Objective, Rank: r.Rank, MaxAttempts: r.MaxAttempts, Public: r.Public,
+		}, Teams: t.teams}
 		for _, target := range r.Targets {
 			if target.Weight > 0 {
 				m.Targets = append(m.Targets, MatchTarget{Policy: t.services[target.Service], Weight: target.Weight})
--- a/internal/state/policy/policy.go
+++ b/internal/state/policy/policy.go
@@ -102,6 +102,8 @@
 	Objective   Duration `toml:"-"`
 	Rank        int      `toml:"-"`
 	MaxAttempts int      `toml:"-"`
+	// Public requests need no key of a team. Only a fleet document sets it.
+	Public bool `toml:"-"`
 }
 
 // EffectiveFloor returns the number of backend servers that must stay in service. known
--- a/internal/state/policy/table.go
+++ b/internal/state/policy/table.go
@@ -361,6 +361,14 @@
 	return 0
 }
 
+// Teams returns the teams of the fleet document in force, or nil if requests need no key.
+func (t *Table) Teams() *Teams {
+	if f := t.snapshot.Load().fleet(); f != nil {
+		return f.teams
+	}
+	return nil
+}
+
 // CallerLimits returns the limits of the fleet document in force. Without one, it
 // returns the zero value.
 func (t *Table) CallerLimits() CallerLimits {
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -110,6 +110,7 @@
 	RetryPercent int  `toml:"retry_percent" allowed:"0 to 100" doc:"Share of a service's requests that a node may repeat within 10 s."`
 	RetrySlack   int  `toml:"retry_slack" allowed:"0 to 100000" doc:"Repeats within 10 s that the whole fleet may make for a service beyond that share; each node takes an equal part. 0 allows each node 3."`
 	AskFirst     bool `toml:"ask_first" allowed:"true or false" doc:"Whether the body of a request that is not idempotent is sent to an owner on another node only after the owner has admitted the request and asked for the body. A request whose owner fails before that is tried elsewhere. This costs one round trip between the nodes."`
+	ExpectedCost bool `toml:"expected_cost" allowed:"true or false" doc:"Whether requests are placed by their expected cost and by the work that is left at each backend server, instead of by free slots alone."`
 	FreeRefusals int  `toml:"free_refusals" allowed:"0 to 100" doc:"Maximum number of refusals by owners, before anything has reached a backend server, that do not count as repeats when the request is tried elsewhere."`
 }
 
@@ -275,6 +276,12 @@
 	"supplied.retry_window":           func(any) bool { return true },
 	"supplied.floor_share":            func(any) bool { return true },
 	"supplied.first_start":            func(any) bool { return true },
+	"supplied.strict_revocation":      func(any) bool { return true },
+	"supplied.revoke_within":          func(any) bool { return true },
+	"supplied.quota_window":           func(any) bool { return true },
+	"supplied.quota_overage":          func(any) bool { return true },
+	"supplied.quota_slack":            func(any) bool { return true },
+	"fleet.expected_cost":             func(any) bool { return true },
 	"fleet.ask_first":                 func(any) bool { return true },
 	"fleet.free_refusals":             integerBetween(0, 100),
 	"listen.peer_advertise":           func(v any) bool { return v == "" || validSpecificAddress(v) },
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -75,7 +75,7 @@
 		Incarnation: target.Owner.Incarnation, TimeLeft: left, AnswerWithin: responseTimeout,
 		Attempt: len(c.tried), Caller: c.caller, Region: in.opt.Region, Baseline: baseline,
 		Origin: in.origin, Sequence: in.sequence.Add(1),
-		Rank: c.route.Rank, Repeat: c.arrived > 0, Idempotent: c.route.Idempotent, NoBetterBackend: c.noBetter,
+		Rank: c.rank, Repeat: c.arrived > 0, Idempotent: c.route.Idempotent, NoBetterBackend: c.noBetter,
 		// While too many requests of the service fail, a request that may run again or
 		// that has been tried elsewhere may test a suspect backend server even if no
 		// retry is available. A request that may run again risks no more by this than
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -47,6 +47,13 @@
 	service registry.ServiceID
 	route   *policy.Route
 	caller  string
+	// team is the team whose key the request bears, or nil.
+	team *policy.Team
+	rank int
+	// quotaTaken is set while the request counts against the quota of its team, and
+	// retryAfterQuota is the retry delay of a request beyond the quota.
+	quotaTaken      bool
+	retryAfterQuota time.Duration
 
 	// keepUntilEnd exempts the request from Ingress.EndRequests, once its response begins.
 	keepUntilEnd func() bool
@@ -360,9 +367,16 @@
 	header.Set(h, c.in.opt.Dialect.RequestID, c.id)
 	h[header.Outcome] = []string{outcome}
 	h[header.Reason] = []string{reason}
-	if outcome == header.NotRun && status == http.StatusServiceUnavailable {
+	switch {
+	case outcome != header.NotRun:
+	case status == http.StatusTooManyRequests:
+		h.Set("Retry-After", formatRetryAfter(c.retryAfterQuota))
+	case status == http.StatusServiceUnavailable:
 		h.Set("Retry-After", c.retryAfter())
 	}
+	if outcome == header.NotRun {
+		c.refundQuota()
+	}
 	text := outcome + ": " + reason + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	if c.body != nil && c.body.unread() {
@@ -391,7 +405,12 @@
 		median = in.opt.Balancer.Baseline(in.opt.Now(), c.service, "").Median
 	}
 	after := admission.RetryAfter(c.load, median, rng)
-	return strconv.FormatFloat(after.Seconds(), 'f', 2, 64)
+	return formatRetryAfter(after)
+}
+
+// formatRetryAfter formats a delay in seconds. Fractions are allowed.
+func formatRetryAfter(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 2, 64)
 }
 
 // requestLatencies are the times from the arrival of a request to the header of its
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -89,10 +89,15 @@
 	// run and is tried elsewhere. It costs one round trip between the nodes. Without
 	// it, small bodies are sent at once.
 	ExpectContinue bool
-	Events         event.Sink
-	Logger         *zap.Logger
-	Tracing        trace.TracerProvider
-	Now            func() time.Time
+	// Quotas bounds the requests of teams; nil means that they have no bound.
+	Quotas Quotas
+	// KeysCurrent reports whether this node knows which keys are valid now; nil means
+	// always. Requests that need a key are refused as not run while it is false.
+	KeysCurrent func() bool
+	Events      event.Sink
+	Logger      *zap.Logger
+	Tracing     trace.TracerProvider
+	Now         func() time.Time
 }
 
 // Ingress is the http.Handler for the requests of callers.
@@ -230,6 +235,10 @@
 	case err != nil:
 		return c.refuse(http.StatusNotFound, reasonNoRoute, policyEpoch(m.Epoch))
 	}
+	c.rank = m.Route.Rank
+	if m.Teams != nil && !c.authenticate(r, &m) {
+		return false
+	}
 	rng := in.rngs.Get().(*rand.Rand)
 	p := m.Targets[in.splitter.Choose(rng, m)].Policy
 	in.rngs.Put(rng)
