--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -126,6 +126,9 @@
 	// Objective is the time until which the response is fully useful; zero means that the
 	// request does not state one.
 	Objective time.Time
+	// ExpectedWork is the service time that the request is likely to need; zero means that
+	// only the service times of its route are known.
+	ExpectedWork time.Duration
 	// Repeatable marks a request that may run again if it is interrupted.
 	Repeatable bool
 	// Remote marks a request from another region.
