Test keys of teams and keep the team's name after the internal headers are removed

Cause: the name of the team was set before the headers between nodes are removed, which with the product's own headers removed it too. Found by the new test, which fails without the change.

--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -274,6 +274,9 @@
 	header.StripInternal(r.Header)
 	header.StripHopByHop(r.Header)
 	header.Set(r.Header, in.opt.Dialect.CallerService, in.opt.LocalService)
+	if c.team != nil {
+		header.Set(r.Header, in.opt.Dialect.Team, c.team.Name)
+	}
 	c.request = r
 	return c.prepareBody(r)
 }
--- a/internal/transport/proxy/team.go
+++ b/internal/transport/proxy/team.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 )
 
@@ -17,8 +16,7 @@
 	Refund(team *policy.Team)
 }
 
-// authenticate finds the team whose key the request bears, and replaces the key by the name
-// of the team. If the request needs a key and bears none that is valid now, it responds to
+// authenticate finds the team whose key the request bears, and removes the key. If the request needs a key and bears none that is valid now, it responds to
 // the caller and returns false.
 func (c *call) authenticate(r *http.Request, m *policy.Match) bool {
 	d := c.in.opt.Dialect
@@ -43,7 +41,6 @@
 	if team.Rank != nil {
 		c.rank = *team.Rank
 	}
-	header.Set(r.Header, d.Team, team.Name)
 	return c.admitByQuota()
 }
 
