Pass the name of the team through the owner

Cause: an owner on another node removes the headers between nodes, with the product's own names also that of the team. TestKeysOfTeams fails without the change and passes with it.

--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -38,12 +38,15 @@
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	// An ingress node that reads slowly must not hold a slot beyond the deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(ownerGrace))
-	// The ingress node has set the origin service. It is the only header of this package that
-	// goes on to the backend server as it is.
-	origin := r.Header.Get(o.opt.Dialect.CallerService)
+	// The ingress node has set the origin service and the team. They are the only headers of
+	// package header that go on to the backend server as they are.
+	origin, team := r.Header.Get(o.opt.Dialect.CallerService), r.Header.Get(o.opt.Dialect.Team)
 	header.StripInternal(r.Header)
 	header.StripHopByHop(r.Header)
 	header.Set(r.Header, o.opt.Dialect.CallerService, origin)
+	if team != "" {
+		header.Set(r.Header, o.opt.Dialect.Team, team)
+	}
 	a := &ownerAttempt{Hop: hop, Deadline: deadline, Request: r}
 	if hop.AnswerWithin > 0 {
 		a.ResponseDeadline = o.opt.Now().Add(hop.AnswerWithin)
--- a/internal/transport/proxy/team.go
+++ b/internal/transport/proxy/team.go
@@ -16,8 +16,8 @@
 	Refund(team *policy.Team)
 }
 
-// authenticate finds the team whose key the request bears, and removes the key. If the request needs a key and bears none that is valid now, it responds to
-// the caller and returns false.
+// authenticate finds the team whose key the request bears, and removes the key. If the request
+// needs a key and bears none that is valid now, it responds to the caller and returns false.
 func (c *call) authenticate(r *http.Request, m *policy.Match) bool {
 	d := c.in.opt.Dialect
 	keys := r.Header[d.Credential]
