Test a suspect backend server less often while its trials fail

Cause: a backend server that fails for seconds was tested five times a second.

Change: the interval grows by half after each failed trial, from 200 ms to 1 s, and a success restores it.

--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -21,9 +21,13 @@
 	successFactor = 0.6
 	// halfLife is the half-life of a score and of the weight of an ended request.
 	halfLife = 4 * time.Second
-	// trialInterval is the time between the starts of two trials. With a third of the
-	// backend servers suspect, failed trials are then below a tenth of all requests.
+	// trialInterval is the time between the starts of two trials.
 	trialInterval = 200 * time.Millisecond
+	// trialBackoff multiplies the interval after each failed trial, up to maxTrialInterval. A
+	// fault lasts for seconds, and each failed trial takes a retry from the requests that
+	// other faults hit.
+	trialBackoff     = 1.5
+	maxTrialInterval = time.Second
 	// explorationDelay is the time without a trial after which a request with Explore
 	// may be one. The recovery of a backend server is then detected even if there is
 	// no retry budget left for failed trials.
@@ -77,6 +81,8 @@
 	// trialsNeeded and trialsPassed count the trials of the current suspicion.
 	trialsNeeded, trialsPassed int
 	lastTrial                  time.Time
+	// interval is the current time between the starts of two trials.
+	interval time.Duration
 	// trialsRunning counts the trials that have not ended.
 	trialsRunning int
 }
@@ -139,7 +145,7 @@
 	if t.trialsPassed > 0 && t.trialsRunning <= t.trialsPassed {
 		return true
 	}
-	return t.trialsRunning < limit && now.Sub(t.lastTrial) >= trialInterval
+	return t.trialsRunning < limit && now.Sub(t.lastTrial) >= t.interval
 }
 
 // Observe records the end of an exchange that began at start. The success of an
@@ -169,6 +175,7 @@
 	}
 	t.trialsRunning = max(t.trialsRunning-1, 0)
 	t.trialsPassed++
+	t.interval = trialInterval
 	if t.trialsPassed < t.trialsNeeded {
 		return None
 	}
@@ -180,6 +187,7 @@
 	t.score = min(t.score+score, 2*threshold)
 	if t.suspect {
 		t.trialsRunning, t.trialsPassed = max(t.trialsRunning-1, 0), 0
+		t.interval = min(time.Duration(float64(t.interval)*trialBackoff), maxTrialInterval)
 		return None
 	}
 	if t.score < threshold {
@@ -191,7 +199,7 @@
 		t.trialsNeeded = minTrials
 	}
 	t.suspect, t.suspectSince, t.trialsPassed = true, now, 0
-	t.trialsRunning, t.lastTrial = 0, now
+	t.trialsRunning, t.lastTrial, t.interval = 0, now, trialInterval
 	return Suspected
 }
 
