Keep track of whether the keys of the policies in force are current

Cause: a node that is cut off, paused or slow accepted keys that were taken away for as long as it did not hear of it.

Change: internal/coordination/freshness holds the latest time at which the node is known to have had the newest policies. Reads of the platform and peers with the same policies confirm it (ConfirmCurrent); times count from before the request. Keys are checked before the policies of the request are read.

--- a/internal/coordination/distribution/core.go
+++ b/internal/coordination/distribution/core.go
@@ -229,6 +229,9 @@
 	if in.Members != nil {
 		c.setMembers(in.Members)
 	}
+	if in.ReadPlatform {
+		c.watch.listed, c.watch.readRequested = false, true
+	}
 	if in.PlatformProgress != 0 {
 		c.handlePlatformProgress(in.PlatformProgress)
 	}
--- a/internal/coordination/distribution/messages.go
+++ b/internal/coordination/distribution/messages.go
@@ -116,6 +116,8 @@
 	Watch bool
 	Since uint64
 	Wait  time.Duration
+
+	madeAt time.Time
 }
 
 // PlatformReply is the platform's reply to a request, or the error if there is none.
@@ -141,6 +143,8 @@
 	FailedProbes int
 	// TakeOvers holds the requests of peers to watch the platform for them.
 	TakeOvers []TakeOver
+	// ReadPlatform requests a listing of the platform also if the node does not watch it.
+	ReadPlatform bool
 }
 
 // Output holds the actions and state changes that result from a step.
@@ -153,8 +157,11 @@
 	CancelPlatformRequests bool
 	// InForce holds the policies that the step put in force.
 	InForce []*policy.InForce
-	Events  []event.Event
-	Status  Status
+	// CurrentAsOf is the ID of a request to the platform, or 0: when that request was sent,
+	// the platform had no newer fleet document than the one that is in force now.
+	CurrentAsOf uint64
+	Events      []event.Event
+	Status      Status
 	// Wake is the time at which Step must be called again if there is no input before.
 	Wake time.Time
 }
--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -23,6 +23,9 @@
 	// be in force, and by less with several watchers.
 	maxWatchPause       = 400 * time.Millisecond
 	rapidChangeInterval = time.Second
+	// restoreDelay is the time after a restore in which a read of the platform does not show
+	// that the policies are current, because operators write lost changes again.
+	restoreDelay = time.Second
 )
 
 // fromPlatform is the source recorded in events for a policy from the platform.
@@ -44,6 +47,13 @@
 	// revision.
 	listed   bool
 	revision uint64
+	// newest is the newest fleet document of the platform, as far as this node has read it;
+	// the zero Version if it is unknown or unreadable.
+	newest Version
+	// readRequested is set if a listing was requested that no reply has answered yet.
+	readRequested bool
+	// restored is the time at which the platform was found to have returned to older data.
+	restored time.Time
 	failures int
 	// lastError is the error of the latest failure.
 	lastError error
@@ -58,7 +68,7 @@
 	switch {
 	case w.request != nil:
 		return w.deadline
-	case c.isWatching():
+	case c.isWatching() || w.readRequested:
 		return w.retryAt
 	}
 	return time.Time{}
@@ -85,14 +95,14 @@
 	}
 	if !c.isWatching() {
 		w.listed = false
-		if c.confirmed.Load() || c.now.Before(c.startup.nextListing) {
+		if !w.readRequested && (c.confirmed.Load() || c.now.Before(c.startup.nextListing)) {
 			return
 		}
 		// If this listing does not complete the startup, the next one waits.
 		c.startup.nextListing = c.now.Add(c.opts.MaxBackoff/2 + c.jitter(c.opts.MaxBackoff/2))
 	}
 	w.lastID++
-	w.request = &PlatformRequest{ID: w.lastID}
+	w.request = &PlatformRequest{ID: w.lastID, madeAt: c.now}
 	w.requestedAt, w.deadline = c.now, c.now.Add(listTimeout)
 	if w.listed {
 		w.request.Watch, w.request.Since, w.request.Wait = true, w.revision, c.opts.WatchWait
@@ -132,6 +142,10 @@
 	request := w.request
 	w.request = nil
 	switch {
+	case errors.Is(r.Err, platform.ErrRestored):
+		w.listed, w.newest, w.restored, w.retryAt = false, Version{}, c.now, c.now
+		c.event(event.PlatformRestored, "", "the platform returned to older data; listing again",
+			event.Field{Key: "revision", Value: fmt.Sprint(w.revision)})
 	case errors.Is(r.Err, platform.ErrCompacted):
 		// The jitter avoids a tight loop if the platform rejects its own revisions.
 		w.listed, w.retryAt = false, c.now.Add(c.jitter(minBackoff))
@@ -163,7 +177,7 @@
 		c.requestTakeOver()
 	}
 	w.failures++
-	w.lastError = err
+	w.lastError, w.readRequested = err, false
 }
 
 // handlePlatformSuccess processes a reply without an error.
@@ -176,7 +190,13 @@
 		w.retryAt = c.now
 	}
 	w.failures, w.lastReply = 0, c.now
+	if !request.Watch {
+		w.newest, w.readRequested = Version{}, false
+	}
 	c.applyObjects(r.Objects)
+	if c.isCurrent(request) {
+		c.out.CurrentAsOf = request.ID
+	}
 	if request.Watch {
 		w.revision = max(w.revision, r.Revision)
 		if len(r.Objects) > 0 {
@@ -197,6 +217,25 @@
 	c.startup.listed = true
 }
 
+// isCurrent reports whether the fleet document in force is the newest one that the platform had
+// when a request was sent to which it has replied.
+func (c *Core) isCurrent(request *PlatformRequest) bool {
+	w := &c.watch
+	if !c.opts.Linearizable || (!w.restored.IsZero() && request.madeAt.Before(w.restored.Add(restoreDelay))) {
+		return false
+	}
+	p := c.table.Get(policy.FleetName)
+	return p != nil && w.newest == Version{p.Service, p.Epoch, p.Hash}
+}
+
+// recordNewest records the version of a fleet document that the platform has returned.
+func (c *Core) recordNewest(v Version) {
+	// A late reply may return an older version than later requests.
+	if w := &c.watch; v.Service == policy.FleetName && v.Epoch >= w.newest.Epoch {
+		w.newest = v
+	}
+}
+
 // applyObjects applies the policies that the platform returned.
 func (c *Core) applyObjects(objects []platform.Object) {
 	for _, obj := range objects {
@@ -204,15 +243,22 @@
 		if !ok {
 			continue
 		}
+		if service == policy.FleetName && obj.Deleted {
+			c.watch.newest = Version{}
+		}
 		if obj.Deleted {
 			c.reportRefusal(service, 0, obj.Version, "the platform deleted the policy; the last epoch stays in force", fromPlatform)
 			continue
 		}
 		env, err := policy.DecodeEnvelope(obj)
 		if err != nil {
+			if service == policy.FleetName {
+				c.watch.newest = Version{}
+			}
 			c.reportRefusal(service, 0, obj.Version, err.Error(), fromPlatform)
 			continue
 		}
+		c.recordNewest(Version{service, env.Epoch, policy.Hash([]byte(env.Text))})
 		c.applyIfNewer(policy.VersionedDocument{Service: service, Epoch: env.Epoch, Text: []byte(env.Text)}, fromPlatform)
 	}
 }
--- a/internal/coordination/distribution/takeover.go
+++ b/internal/coordination/distribution/takeover.go
@@ -54,7 +54,8 @@
 		return
 	}
 	if !c.isWatching() {
-		w.listed, w.revision, w.retryAt = t.Revision > 0, t.Revision, c.now
+		// The changes before that revision may be unknown to this node.
+		w.listed, w.revision, w.retryAt, w.newest = t.Revision > 0, t.Revision, c.now, Version{}
 	}
 	w.takeOverUntil = c.now.Add(takeOverDuration)
 }
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -40,6 +40,9 @@
 	PlatformDown       Kind = "platform_down"
 	PlatformUp         Kind = "platform_up"
 	PlatformCompacted  Kind = "platform_compacted"
+	PlatformRestored   Kind = "platform_restored"
+	KeysCurrent        Kind = "keys_current"
+	KeysOutdated       Kind = "keys_outdated"
 	InvariantViolation Kind = "invariant_violation"
 )
 
--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -28,6 +28,9 @@
 	// ErrCompacted means that the changes after the given revision are no longer
 	// stored. The watcher must list the objects again.
 	ErrCompacted = errors.New("revision compacted")
+	// ErrRestored is an ErrCompacted of a platform that has returned to an older copy of its
+	// data: revisions that it issued before may stand for other changes now.
+	ErrRestored = fmt.Errorf("%w: the platform was restored from an older copy", ErrCompacted)
 )
 
 // Object is a stored value with its version.
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
+	"wigeonspring.example/wigeonspring/internal/coordination/freshness"
 	"wigeonspring.example/wigeonspring/internal/coordination/membership"
 	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
 	"wigeonspring.example/wigeonspring/internal/coordination/routing"
@@ -42,6 +43,9 @@
 	Adapter *Adapter
 	// TraceWriter receives spans if the settings select "stdout".
 	TraceWriter io.Writer
+	// BootTime is the clock by which keys become outdated; nil means the time since the VM was
+	// started.
+	BootTime func() freshness.Instant
 }
 
 // eventRate, per second, and eventBurst bound the logged events of each kind. At 300 B a
@@ -79,6 +83,7 @@
 	bus        *events.Bus
 	gossip     *gossip.Transport
 	sync       *policysync.Runner
+	freshness  *keyFreshness
 	health     *health.Monitor
 	permits    *permits.Manager
 	nodeViews  nodeViews
@@ -201,6 +206,7 @@
 	}
 	n.platform = n.platformClient()
 	n.departures = n.newDepartures()
+	n.freshness = n.newKeyFreshness()
 	n.assemblePolicies()
 	n.assembleProxy()
 	if err := n.assembleGossip(); err != nil {
@@ -263,6 +269,7 @@
 		// An earlier process of this node may have used its slack in the same window.
 		RetrySlackStart: time.Now().Add(s.RetryWindow()),
 		RetryWindow:     s.RetryWindow(),
+		KeysCurrent:     n.freshness.keysCurrent(),
 		Events:          n.bus,
 		Logger:          n.log,
 		Tracing:         n.tracing,
@@ -292,6 +299,7 @@
 		OnInForce:        n.policyInForce,
 		Events:           n.bus,
 		PeerClient:       n.peerClient,
+		Freshness:        n.freshness.forPolicies(),
 	})
 }
 
--- a/internal/transport/policysync/rpc.go
+++ b/internal/transport/policysync/rpc.go
@@ -13,6 +13,7 @@
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
 	"wigeonspring.example/wigeonspring/internal/protocol/policypb"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
 // maxPullServices bounds the services in one PullRequest.
@@ -75,6 +76,31 @@
 	return &policypb.TakeOverResponse{}, nil
 }
 
+// ConfirmCurrent implements policypb.Policies.
+func (r *Runner) ConfirmCurrent(context.Context, *policypb.ConfirmCurrentRequest) (*policypb.ConfirmCurrentResponse, error) {
+	resp := &policypb.ConfirmCurrentResponse{}
+	if r.opts.Freshness != nil {
+		// The age must be read before the digest. The policies only become newer, so that
+		// those of the digest are at least as new as the age states.
+		age, known := r.opts.Freshness.Age()
+		resp.Known, resp.AgeMicros = known, uint64(age.Microseconds())
+	}
+	resp.Digest = r.core.Table().Digest()
+	return resp, nil
+}
+
+// AskCurrent asks a peer for the age of its confirmation.
+func (r *Runner) AskCurrent(ctx context.Context, to registry.NodeID) (*policypb.ConfirmCurrentResponse, error) {
+	addr, err := r.opts.PeerAddress(to)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := policypb.NewPoliciesProtobufClient("http://"+addr, r.opts.PeerClient)
+	return client.ConfirmCurrent(ctx, &policypb.ConfirmCurrentRequest{})
+}
+
 // call sends a call of the core to a peer and returns the reply.
 func (r *Runner) call(ctx context.Context, c distribution.Call) distribution.Reply {
 	reply := distribution.Reply{ID: c.ID}
--- a/internal/transport/policysync/runner.go
+++ b/internal/transport/policysync/runner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
+	"wigeonspring.example/wigeonspring/internal/coordination/freshness"
 	"wigeonspring.example/wigeonspring/internal/ring"
 	"wigeonspring.example/wigeonspring/internal/state/event"
 	"wigeonspring.example/wigeonspring/internal/state/platform"
@@ -46,6 +47,20 @@
 	OnInForce  func(*policy.InForce)
 	Events     event.Sink
 	PeerClient *http.Client
+	// Freshness is informed of reads of the platform and supplies the age of the confirmation
+	// for peers; nil if the node needs no confirmations.
+	Freshness Freshness
+}
+
+// Freshness holds the time at which this node last had the newest policies.
+type Freshness interface {
+	// Now returns the current time.
+	Now() freshness.Instant
+	// ConfirmFromPlatform records that a request to the platform that was sent at the given
+	// time has shown that the policies in force are the newest.
+	ConfirmFromPlatform(sentAt freshness.Instant)
+	// Age returns the age of the confirmation and whether there is one.
+	Age() (age time.Duration, known bool)
 }
 
 // Runner drives a distribution.Core.
@@ -54,6 +69,9 @@
 	core   *distribution.Core
 	inputs *ring.Ring[distribution.Input]
 	status atomic.Pointer[distribution.Status]
+	// sentAt holds the times of the requests to the platform without a reply; used by Run
+	// only.
+	sentAt map[uint64]freshness.Instant
 
 	calls sync.WaitGroup
 	// platformContext is the parent context of platform requests; cancelPlatform cancels it.
@@ -67,6 +85,7 @@
 		opts:   opts,
 		core:   opts.Core,
 		inputs: ring.New[distribution.Input](inputRingSize),
+		sentAt: map[uint64]freshness.Instant{},
 	}
 	r.status.Store(&distribution.Status{})
 	return r
@@ -92,6 +111,16 @@
 	r.inputs.Offer(distribution.Input{FailedProbes: probes})
 }
 
+// CompareWith makes the core compare the policies with those of a peer that has other ones. It
+// never blocks.
+func (r *Runner) CompareWith(peer registry.NodeID) {
+	r.HandleDigest(distribution.PeerDigest{From: peer, Digest: ^r.core.Table().Digest()})
+}
+
+// ReadPlatform makes the core read the platform also if this node does not watch it. It never
+// blocks.
+func (r *Runner) ReadPlatform() { r.inputs.Offer(distribution.Input{ReadPlatform: true}) }
+
 // Run drives the core until ctx is done.
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.calls.Wait()
@@ -128,6 +157,7 @@
 	for _, p := range out.InForce {
 		r.opts.OnInForce(p)
 	}
+	r.confirmCurrent(in.PlatformReply, out.CurrentAsOf)
 	for _, e := range out.Events {
 		r.opts.Events.Publish(e)
 	}
@@ -145,6 +175,17 @@
 	wake.Reset(max(time.Until(out.Wake), 0))
 }
 
+// confirmCurrent passes on what a reply of the platform shows about the policies in force.
+func (r *Runner) confirmCurrent(reply *distribution.PlatformReply, currentAsOf uint64) {
+	if reply == nil || r.opts.Freshness == nil {
+		return
+	}
+	if sentAt, ok := r.sentAt[reply.ID]; ok && currentAsOf == reply.ID {
+		r.opts.Freshness.ConfirmFromPlatform(sentAt)
+	}
+	delete(r.sentAt, reply.ID)
+}
+
 // sendNotifications groups the notifications by version and sends them to their peers.
 func (r *Runner) sendNotifications(notifications []distribution.Notification) {
 	peers := make(map[distribution.Version][]registry.NodeID)
@@ -189,6 +230,9 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
 		r.inputs.Offer(distribution.Input{PlatformProgress: req.ID})
 	}})
+	if r.opts.Freshness != nil {
+		r.sentAt[req.ID] = r.opts.Freshness.Now()
+	}
 	r.calls.Add(1)
 	go func() {
 		defer r.calls.Done()
@@ -217,6 +261,8 @@
 
 func outcome(r *distribution.PlatformReply) string {
 	switch {
+	case errors.Is(r.Err, platform.ErrRestored):
+		return "restored"
 	case errors.Is(r.Err, platform.ErrCompacted):
 		return "history_gone"
 	case r.Err != nil:
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -228,6 +228,9 @@
 	if !c.identify(r) {
 		return c.refuse(http.StatusBadRequest, reasonBadID)
 	}
+	// This is checked before the policies are read: a check after it could count policies that
+	// came into force in between.
+	keysCurrent := in.opt.KeysCurrent == nil || in.opt.KeysCurrent()
 	m, err := in.opt.Policies.Match(hostName(r.Host), r.Method, r.URL.EscapedPath())
 	switch {
 	case errors.Is(err, policy.ErrUnknownHost):
@@ -236,7 +239,7 @@
 		return c.refuse(http.StatusNotFound, reasonNoRoute, policyEpoch(m.Epoch))
 	}
 	c.rank = m.Route.Rank
-	if m.Teams != nil && !c.authenticate(r, &m) {
+	if m.Teams != nil && !c.authenticate(r, &m, keysCurrent) {
 		return false
 	}
 	rng := in.rngs.Get().(*rand.Rand)
--- a/internal/transport/proxy/team.go
+++ b/internal/transport/proxy/team.go
@@ -18,7 +18,7 @@
 
 // authenticate finds the team whose key the request bears, and removes the key. If the request
 // needs a key and bears none that is valid now, it responds to the caller and returns false.
-func (c *call) authenticate(r *http.Request, m *policy.Match) bool {
+func (c *call) authenticate(r *http.Request, m *policy.Match, keysCurrent bool) bool {
 	d := c.in.opt.Dialect
 	keys := r.Header[d.Credential]
 	delete(r.Header, d.Credential)
@@ -27,7 +27,7 @@
 		return true
 	}
 	// A node that may have missed a revocation cannot tell which keys are valid.
-	if known := c.in.opt.KeysCurrent; known != nil && !known() {
+	if !keysCurrent {
 		return c.refuse(http.StatusServiceUnavailable, reasonKeysOutdated)
 	}
 	if len(keys) != 1 {
