--- a/internal/coordination/freshness/core.go
+++ b/internal/coordination/freshness/core.go
@@ -16,7 +16,8 @@
 	minAskInterval = 700 * time.Millisecond
 	maxAskInterval = time.Second
 	// minAskGap bounds the rate of requests after failures, and urgentAskInterval is the time
-	// between two requests while the confirmation is old. Then the replies are not waited for.
+	// between two requests after a failure or while the confirmation is old. Then the replies
+	// are not waited for.
 	minAskGap         = 50 * time.Millisecond
 	urgentAskInterval = 150 * time.Millisecond
 	// replyTimeout is the time after which another peer is asked. A later reply still counts.
@@ -143,6 +144,8 @@
 	avoid   map[registry.NodeID]avoidance
 	nextAsk Instant
 	lastAsk Instant
+	// failing is set from a request without a useful reply until the next one with one.
+	failing bool
 
 	reading      bool
 	nextRead     Instant
@@ -246,6 +249,7 @@
 		if r.Age > c.oldAge() {
 			c.avoidPeer(asked.to)
 		} else {
+			c.failing = false
 			delete(c.avoid, asked.to)
 			c.nextAsk = max(c.nextAsk, asked.sentAt.Add(c.askInterval()))
 		}
@@ -261,6 +265,7 @@
 	a.duration = min(max(2*a.duration, minAvoidDuration), maxAvoidDuration)
 	a.until = c.now.Add(a.duration)
 	c.avoid[id] = a
+	c.failing = true
 	c.nextAsk = min(c.nextAsk, c.now)
 }
 
@@ -293,7 +298,7 @@
 	c.lastID++
 	c.calls[c.lastID] = call{to: to, sentAt: c.now}
 	c.lastAsk, c.nextAsk = c.now, c.now.Add(c.askInterval())
-	if age >= c.oldAge() || !known {
+	if c.failing || age >= c.oldAge() || !known {
 		c.nextAsk = c.now.Add(urgentAskInterval)
 	}
 	c.out.Calls = append(c.out.Calls, Call{ID: c.lastID, To: to})
