Notice a platform that came back from an older copy

Cause: a watch went on from a revision that meant another change by then, and a reply from the older data would have counted as the newest policies.

Change: the client of the users' store reads the era of each response; the first listing or watch of a kind in a new era fails with ErrRestored, and responses of an earlier era are refused. Nodes write recent departures and their seed entry again, spread over 10 s. The stand-ins learn RestoreFrom and the era.

--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -144,6 +144,8 @@
 	switch {
 	case errors.Is(r.Err, platform.ErrRestored):
 		w.listed, w.newest, w.restored, w.retryAt = false, Version{}, c.now, c.now
+		// Their revisions belong to the data that is gone.
+		clear(w.overdue)
 		c.event(event.PlatformRestored, "", "the platform returned to older data; listing again",
 			event.Field{Key: "revision", Value: fmt.Sprint(w.revision)})
 	case errors.Is(r.Err, platform.ErrCompacted):
--- a/internal/state/platform/call.go
+++ b/internal/state/platform/call.go
@@ -25,6 +25,9 @@
 	MaxResponseBytes int64
 	// Decode decodes a response; nil means json.Unmarshal.
 	Decode func(response []byte, into any) error
+	// CheckHeader returns an error for a response that must not be used; nil accepts all
+	// responses. It is called for every response, those with an error status included.
+	CheckHeader func(r Request, header http.Header) error
 }
 
 // IdleConnTimeout is how long a connection may be idle before it is closed instead of
@@ -47,6 +50,9 @@
 	Path    string
 	Body    []byte
 	Timeout time.Duration
+	// Sequence names the sequence of revisions to which a listing or a watch belongs; empty
+	// for other calls.
+	Sequence string
 }
 
 // Do sends a request and decodes the response unless into is nil. Every failure after
@@ -77,6 +83,11 @@
 		return noResponse(err)
 	}
 	defer resp.Body.Close()
+	if c.CheckHeader != nil {
+		if err := c.CheckHeader(r, resp.Header); err != nil {
+			return fault.New(r.Step, c.BaseURL, err)
+		}
+	}
 	body := io.Reader(resp.Body)
 	if c.MaxResponseBytes > 0 {
 		body = io.LimitReader(body, c.MaxResponseBytes+1)
--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -45,6 +45,15 @@
 	Deleted bool `json:"deleted,omitempty"`
 }
 
+// Generations is implemented by a Client of a platform that tells when it has returned to an older
+// copy of its data. After that, List and Watch return ErrRestored once for each prefix that was
+// listed before.
+type Generations interface {
+	// Generation returns the highest generation of the platform's data that the client has
+	// seen in a response; 0 before the first one. It rises with each return to an older copy.
+	Generation() uint64
+}
+
 // Client is the interface to the platform that the daemon and the command-line tool use.
 type Client interface {
 	// Get returns an object or ErrNotFound.
--- a/internal/transport/node/departures.go
+++ b/internal/transport/node/departures.go
@@ -57,6 +57,7 @@
 	mu      sync.Mutex
 	waiters []chan struct{} // each is closed when the change was written
 	version uint64          // of the object on the platform; used by run only
+	written time.Time       // when the object was last written
 }
 
 // storedDepartures is the value of the object on the platform.
@@ -147,6 +148,22 @@
 	}
 }
 
+// writeAgain writes the departures again if they were written so recently that they still bind.
+func (d *departures) writeAgain() {
+	d.mu.Lock()
+	recent := !d.written.IsZero() && time.Since(d.written) < keepDepartures
+	if recent {
+		d.waiters = append(d.waiters, make(chan struct{}))
+	}
+	d.mu.Unlock()
+	if recent {
+		select {
+		case d.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // await waits for a channel to be closed, and reports whether it was.
 func (d *departures) await(ch <-chan struct{}) bool {
 	select {
@@ -263,6 +280,9 @@
 	observeDepartureCall("write", start, err)
 	if err == nil {
 		d.version = object.Version
+		d.mu.Lock()
+		d.written = start
+		d.mu.Unlock()
 		return nil
 	}
 	if errors.Is(err, platform.ErrConflict) {
--- a/internal/transport/node/freshness.go
+++ b/internal/transport/node/freshness.go
@@ -173,6 +173,7 @@
 		reply.Err = err
 	} else {
 		reply.Known, reply.Age = resp.Known, time.Duration(resp.AgeMicros)*time.Microsecond
+		f.node.observeGeneration(resp.PlatformGeneration)
 		reply.SamePolicies = resp.Digest == f.node.policies.Digest()
 	}
 	// The core needs a reply to each call.
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -95,6 +95,10 @@
 	peerClient *http.Client
 	// domainSeeds are the seeds of this node's failure domain when last read.
 	domainSeeds atomic.Pointer[[]seed]
+	// registeredSeed is set once this node is one of the seeds of its failure domain.
+	registeredSeed atomic.Bool
+	// peerGeneration is the highest generation of the platform's data that a peer has seen.
+	peerGeneration atomic.Uint64
 
 	// leaseMu makes the change of a lease and its effects atomic, so that the effects
 	// of a lapse are not applied after those of a later grant.
--- /dev/null
+++ b/internal/transport/node/restore.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"go.uber.org/zap"
+
+	"wigeonspring.example/wigeonspring/internal/state/platform"
+)
+
+const (
+	// restoreCheckInterval is the interval at which the generation of the platform is compared.
+	restoreCheckInterval = 500 * time.Millisecond
+	// maxRewriteDelay spreads the calls of 2,100 nodes after a restore.
+	maxRewriteDelay = 10 * time.Second
+)
+
+// watchRestores writes the objects of this node again after the platform has returned to an
+// older copy of its data, until ctx is done. The node learns of that from its own calls and from
+// the peers that confirm its policies.
+func (n *Node) watchRestores(ctx context.Context) error {
+	client, ok := n.platform.(platform.Generations)
+	if !ok {
+		return nil
+	}
+	var group errgroup.Group
+	defer func() { _ = group.Wait() }() // The tasks return no error.
+	for last := uint64(0); sleep(ctx, restoreCheckInterval); {
+		generation := max(client.Generation(), n.peerGeneration.Load())
+		if last > 0 && generation > last {
+			n.log.Warn("the platform returned to older data; this node checks its objects",
+				zap.Uint64("generation", generation))
+			group.Go(func() error { return n.rewriteObjects(ctx) })
+		}
+		last = max(last, generation)
+	}
+	return nil
+}
+
+// rewriteObjects writes the objects that this node may have written shortly before a restore.
+func (n *Node) rewriteObjects(ctx context.Context) error {
+	if !sleep(ctx, rand.N(maxRewriteDelay)) {
+		return nil
+	}
+	n.departures.writeAgain()
+	if n.registeredSeed.Load() {
+		return n.registerSeed(ctx)
+	}
+	return nil
+}
+
+// observeGeneration records the generation of the platform that a peer has seen.
+func (n *Node) observeGeneration(generation uint64) {
+	for {
+		old := n.peerGeneration.Load()
+		if generation <= old || n.peerGeneration.CompareAndSwap(old, generation) {
+			return
+		}
+	}
+}
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -58,7 +58,7 @@
 	n.gossip.Start(taskCtx)
 	for _, task := range []func(context.Context) error{
 		n.bus.Run, n.sync.Run, n.health.Run, n.permits.Run, n.publishRecords, n.watchLeases, n.departures.run, n.discoverSeeds, n.registerSeed,
-		n.freshness.run,
+		n.freshness.run, n.watchRestores,
 	} {
 		group.Go(func() error { return task(taskCtx) })
 	}
--- a/internal/transport/node/seeds.go
+++ b/internal/transport/node/seeds.go
@@ -165,7 +165,7 @@
 	if !sleep(ctx, rand.N(timing.delay)) {
 		return nil
 	}
-	if list := n.domainSeeds.Load(); list != nil && n.enoughSeeds(*list) {
+	if list := n.domainSeeds.Load(); !n.registeredSeed.Load() && list != nil && n.enoughSeeds(*list) {
 		return nil
 	}
 	key := seedPrefix + n.opts.Settings.Node.FailureDomain
@@ -204,7 +204,9 @@
 	if err != nil {
 		return fault.New("encode seeds", key, err)
 	}
-	_, err = n.platform.Put(ctx, key, value, object.Version)
+	if _, err = n.platform.Put(ctx, key, value, object.Version); err == nil {
+		n.registeredSeed.Store(true)
+	}
 	return err
 }
 
--- a/internal/transport/policysync/rpc.go
+++ b/internal/transport/policysync/rpc.go
@@ -12,6 +12,7 @@
 
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
 	"wigeonspring.example/wigeonspring/internal/protocol/policypb"
+	"wigeonspring.example/wigeonspring/internal/state/platform"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
@@ -86,6 +87,9 @@
 		resp.Known, resp.AgeMicros = known, uint64(age.Microseconds())
 	}
 	resp.Digest = r.core.Table().Digest()
+	if g, ok := r.opts.Platform.(platform.Generations); ok {
+		resp.PlatformGeneration = g.Generation()
+	}
 	return resp, nil
 }
 
--- a/standin/platform/memory.go
+++ b/standin/platform/memory.go
@@ -25,6 +25,13 @@
 // that are still to be lost.
 func (m *Memory) Faults() Faults { return m.store.getFaults() }
 
+// RestoreFrom replaces the data by a copy of the given age. What was written since is lost, and
+// its revisions are issued again.
+func (m *Memory) RestoreFrom(age time.Duration) { m.store.restoreFrom(age) }
+
+// Era returns the number of the copy that is served; each restore raises it by one.
+func (m *Memory) Era() uint64 { return m.store.getEra() }
+
 // Calls returns the number of calls of each kind.
 func (m *Memory) Calls() Calls { return m.store.getCalls() }
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -63,6 +63,8 @@
 	changes []change
 	faults  Faults
 	calls   Calls
+	// era is the number of restores from an older copy, counted from 1.
+	era uint64
 	// changed is closed and replaced after a write or a change of the faults, so
 	// that waiting watches check again.
 	changed chan struct{}
@@ -71,13 +73,14 @@
 type change struct {
 	key      string
 	revision uint64
+	at       time.Time
 }
 
 func newStore(history int) *store {
 	if history <= 0 {
 		history = defaultHistory
 	}
-	return &store{history: uint64(history), versions: map[string][]api.Object{}, changed: make(chan struct{})}
+	return &store{era: 1, history: uint64(history), versions: map[string][]api.Object{}, changed: make(chan struct{})}
 }
 
 func (s *store) wakeWatchers() {
@@ -104,6 +107,36 @@
 	return s.calls
 }
 
+// restoreFrom replaces the data by a copy of the given age, or by the oldest one that the
+// history allows. The revisions after it are issued again.
+func (s *store) restoreFrom(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := time.Now().Add(-age)
+	kept := len(s.changes)
+	for kept > 0 && s.changes[kept-1].at.After(taken) {
+		kept--
+		c := s.changes[kept]
+		s.versions[c.key] = slices.DeleteFunc(s.versions[c.key], func(o api.Object) bool { return o.Revision == c.revision })
+		if len(s.versions[c.key]) == 0 {
+			delete(s.versions, c.key)
+		}
+	}
+	s.changes = s.changes[:kept:kept]
+	s.revision = s.compactedRevision
+	if kept > 0 {
+		s.revision = s.changes[kept-1].revision
+	}
+	s.era++
+	s.wakeWatchers()
+}
+
+func (s *store) getEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // beginCall counts a call and waits for the injected delay. It returns with the
 // lock held. If ctx ends during the delay, or in an outage, it returns an error and
 // does not hold the lock.
@@ -218,7 +251,7 @@
 	// of the deleted object cannot overwrite the one created after it.
 	obj.Version, obj.Revision = old.Version+1, s.revision
 	s.versions[obj.Key] = append(s.versions[obj.Key], obj)
-	s.changes = append(s.changes, change{obj.Key, s.revision})
+	s.changes = append(s.changes, change{obj.Key, s.revision, time.Now()})
 	s.compact()
 	s.wakeWatchers()
 	if s.faults.LoseAnswers > 0 {
@@ -257,7 +290,11 @@
 	if err := s.beginCall(ctx, &s.calls.Watch); err != nil {
 		return nil, 0, err
 	}
-	for expired := false; ; {
+	for era, expired := s.era, false; ; {
+		if s.era != era {
+			s.mu.Unlock()
+			return nil, 0, api.ErrCompacted
+		}
 		objects, revision, err := s.changesSince(prefix, since)
 		if err != nil || len(objects) > 0 || expired {
 			s.mu.Unlock()
