--- a/internal/transport/node/freshness_test.go
+++ b/internal/transport/node/freshness_test.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Guards against a clock that stops while the VM is suspended or that follows the time of day.
+// Guards against a clock that follows the time of day. Whether it counts a suspension cannot be seen
+// on a VM that was never suspended.
 func TestBootTimeCountsFromStartOfVM(t *testing.T) {
 	text, err := os.ReadFile("/proc/uptime")
 	if err != nil {
