--- a/internal/transport/node/freshness.go
+++ b/internal/transport/node/freshness.go
@@ -105,6 +105,13 @@
 	f.inputs.Offer(freshness.Input{})
 }
 
+// policiesChanged makes the core check at once whether the policies in force have keys.
+func (f *keyFreshness) policiesChanged() {
+	if f != nil {
+		f.inputs.Offer(freshness.Input{})
+	}
+}
+
 // run keeps the keys current until ctx is done.
 func (f *keyFreshness) run(ctx context.Context) error {
 	if f == nil {
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -410,6 +410,7 @@
 	for _, s := range p.Services() {
 		n.servicePolicyInForce(s)
 	}
+	n.freshness.policiesChanged()
 }
 
 func (n *Node) servicePolicyInForce(p *policy.InForce) {
