Confirm keys more often where the bound is short

Cause: with a bound below 3 s, watches of 1 s and requests each second let keys become outdated in a healthy fleet.

--- a/internal/coordination/freshness/core.go
+++ b/internal/coordination/freshness/core.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// minAskInterval and maxAskInterval bound the time between two requests to peers while
-	// the replies are young.
-	minAskInterval = 700 * time.Millisecond
+	// maxAskInterval is the longest time between two requests to peers while the replies are
+	// young, unless askShare of the bound is less. The shortest is 0.7 of it.
 	maxAskInterval = time.Second
+	askShare       = 0.2
 	// minAskGap bounds the rate of requests after failures, and urgentAskInterval is the time
 	// between two requests after a failure or while the confirmation is old. Then the replies
 	// are not waited for.
@@ -42,6 +42,9 @@
 	// platform itself, unless readShare of the bound is less.
 	readLeft  = 1500 * time.Millisecond
 	readShare = 0.3
+	// watchShare is the share of the bound that a watch may wait. The age of a confirmation by
+	// watches reaches twice that time.
+	watchShare = 0.2
 	// oldShare is the share of the bound above which a confirmation is old: a watcher asks
 	// peers, and a peer with that age is avoided.
 	oldShare = 0.62
@@ -305,9 +308,16 @@
 }
 
 func (c *Core) askInterval() time.Duration {
-	return minAskInterval + c.jitter(maxAskInterval-minAskInterval)
+	low := c.minAskInterval()
+	return low + c.jitter(c.maxAskInterval()-low)
 }
 
+func (c *Core) maxAskInterval() time.Duration {
+	return min(maxAskInterval, time.Duration(askShare*float64(c.opts.Bound)))
+}
+
+func (c *Core) minAskInterval() time.Duration { return c.maxAskInterval() * 7 / 10 }
+
 // choosePeer returns a random peer of the first tier with one that need not be avoided. If
 // there is none in any tier, it returns any peer, but not as often.
 func (c *Core) choosePeer() (registry.NodeID, bool) {
@@ -331,7 +341,7 @@
 			return candidates[c.opts.Rand.IntN(len(candidates))], true
 		}
 	}
-	if len(avoided) == 0 || c.now < c.lastAsk.Add(minAskInterval) {
+	if len(avoided) == 0 || c.now < c.lastAsk.Add(c.minAskInterval()) {
 		return "", false
 	}
 	return avoided[c.opts.Rand.IntN(len(avoided))], true
@@ -389,6 +399,10 @@
 	return max(wake, c.now.Add(time.Millisecond))
 }
 
+// WatchWait returns the longest waiting time of a watch on the platform with which the replies
+// keep the keys of the watchers and of the nodes that ask them current.
+func WatchWait(bound time.Duration) time.Duration { return time.Duration(watchShare * float64(bound)) }
+
 func (c *Core) readLeft() time.Duration {
 	return min(readLeft, time.Duration(readShare*float64(c.opts.Bound)))
 }
--- a/internal/coordination/freshness/freshness_test.go
+++ b/internal/coordination/freshness/freshness_test.go
@@ -209,6 +209,19 @@
 	}
 }
 
+// Guards against keys that become outdated in a healthy fleet whose bound is short.
+func TestShortBound(t *testing.T) {
+	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Minute} {
+		core := newTestCore(6)
+		core.opts.Bound, core.confirmation = bound, NewConfirmation(bound)
+		n := &network{core: core, now: 100 * sec, answer: current(2 * WatchWait(bound)), delay: func(registry.NodeID) Instant { return 10 * ms }}
+		n.run(130*sec, false)
+		if len(n.changes) != 1 || len(n.reads) > 0 {
+			t.Errorf("bound %v: changes %+v, %d reads of the platform", bound, n.changes, len(n.reads))
+		}
+	}
+}
+
 // Guards against a node that loses its keys although some node that it reaches, or the platform,
 // can confirm them.
 func TestNodeFindsAnotherSource(t *testing.T) {
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -292,6 +292,9 @@
 	if n.opts.Adapter != nil {
 		options.Linearizable, options.WatchWait, options.MaxBackoff = true, distribution.ShortWatchWait, distribution.ShortMaxBackoff
 	}
+	if bound, strict := s.RevokeWithin(); strict && options.WatchWait > 0 {
+		options.WatchWait = min(options.WatchWait, freshness.WatchWait(bound))
+	}
 	core := distribution.New(options)
 	n.policies = core.Table()
 	n.sync = policysync.New(policysync.Options{
