--- a/internal/transport/node/freshness.go
+++ b/internal/transport/node/freshness.go
@@ -6,9 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/freshness"
 	"wigeonspring.example/wigeonspring/internal/ring"
--- a/internal/transport/node/restore.go
+++ b/internal/transport/node/restore.go
@@ -5,9 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"wigeonspring.example/wigeonspring/internal/state/platform"
 )
