--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
+	"wigeonspring.example/wigeonspring/internal/coordination/freshness"
 	"wigeonspring.example/wigeonspring/internal/coordination/membership"
 	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
 	"wigeonspring.example/wigeonspring/internal/coordination/routing"
@@ -42,6 +43,9 @@
 	Adapter *Adapter
 	// TraceWriter receives spans if the settings select "stdout".
 	TraceWriter io.Writer
+	// BootTime is the clock by which keys become outdated; nil means the time since the VM was
+	// started.
+	BootTime func() freshness.Instant
 }
 
 // eventRate, per second, and eventBurst bound the logged events of each kind. At 300 B a
@@ -79,6 +83,7 @@
 	bus        *events.Bus
 	gossip     *gossip.Transport
 	sync       *policysync.Runner
+	freshness  *keyFreshness
 	health     *health.Monitor
 	permits    *permits.Manager
 	nodeViews  nodeViews
@@ -90,6 +95,10 @@
 	peerClient *http.Client
 	// domainSeeds are the seeds of this node's failure domain when last read.
 	domainSeeds atomic.Pointer[[]seed]
+	// registeredSeed is set once this node is one of the seeds of its failure domain.
+	registeredSeed atomic.Bool
+	// peerGeneration is the highest generation of the platform's data that a peer has seen.
+	peerGeneration atomic.Uint64
 
 	// leaseMu makes the change of a lease and its effects atomic, so that the effects
 	// of a lapse are not applied after those of a later grant.
@@ -201,6 +210,7 @@
 	}
 	n.platform = n.platformClient()
 	n.departures = n.newDepartures()
+	n.freshness = n.newKeyFreshness()
 	n.assemblePolicies()
 	n.assembleProxy()
 	if err := n.assembleGossip(); err != nil {
@@ -263,6 +273,7 @@
 		// An earlier process of this node may have used its slack in the same window.
 		RetrySlackStart: time.Now().Add(s.RetryWindow()),
 		RetryWindow:     s.RetryWindow(),
+		KeysCurrent:     n.freshness.keysCurrent(),
 		Events:          n.bus,
 		Logger:          n.log,
 		Tracing:         n.tracing,
@@ -281,6 +292,9 @@
 	if n.opts.Adapter != nil {
 		options.Linearizable, options.WatchWait, options.MaxBackoff = true, distribution.ShortWatchWait, distribution.ShortMaxBackoff
 	}
+	if bound, strict := s.RevokeWithin(); strict && options.WatchWait > 0 {
+		options.WatchWait = min(options.WatchWait, freshness.WatchWait(bound))
+	}
 	core := distribution.New(options)
 	n.policies = core.Table()
 	n.sync = policysync.New(policysync.Options{
@@ -292,6 +306,7 @@
 		OnInForce:        n.policyInForce,
 		Events:           n.bus,
 		PeerClient:       n.peerClient,
+		Freshness:        n.freshness.forPolicies(),
 	})
 }
 
@@ -398,6 +413,7 @@
 	for _, s := range p.Services() {
 		n.servicePolicyInForce(s)
 	}
+	n.freshness.policiesChanged()
 }
 
 func (n *Node) servicePolicyInForce(p *policy.InForce) {
