Take a reset that a write of the upload got for the end of the response

The kernel reports the error of a socket once. If a backend server answers an upload early without a length, sends a part of its body and resets the connection, the blocked write of the upload can get the error; the read of the response then sees an ordinary end, and the part went to the caller as a whole response. A connection keeps the error of a write that is not EPIPE, which follows an orderly end, and a read that finds the end of the data returns it.

TestResetThatWriteReportsIsNoEndOfData shows the fault with the protection disabled.

--- a/internal/transport/backend/conn.go
+++ b/internal/transport/backend/conn.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // Errors of a conn. A write that returns one of them has written no byte.
@@ -41,6 +44,11 @@
 	idle bool
 	// closed is set when the connection was closed.
 	closed bool
+
+	// writing is held during a write to the socket. It guards failure, the error of the socket
+	// that a write has reported.
+	writing sync.Mutex
+	failure error
 }
 
 // checkOut prepares an idle connection for an exchange. It reports false if the connection
@@ -98,7 +106,7 @@
 	first := !c.written
 	c.written, c.used = true, true
 	c.mu.Unlock()
-	n, err := c.Conn.Write(p)
+	n, err := c.writeSocket(p)
 	if first && n == 0 && err != nil {
 		c.mu.Lock()
 		c.written = false
@@ -107,6 +115,32 @@
 	return n, err
 }
 
+// writeSocket writes to the socket and keeps its error for the reader.
+func (c *conn) writeSocket(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if errno := syscall.Errno(0); c.failure == nil && errors.As(err, &errno) && errno != syscall.EPIPE {
+		c.failure = err
+	}
+	return n, err
+}
+
+// endOfData returns the error of a read that found the end of the data: io.EOF only if the
+// backend server has ended the connection in order. The kernel reports the error of a socket
+// once. If it is reported to a write, a read sees the end of the data, and a truncated response
+// without a length would look complete. A write after an orderly end fails with EPIPE.
+func (c *conn) endOfData() error {
+	// net/http writes nothing more after this read. A write that is blocked returns.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.failure != nil && !c.pool.disabled.socketFailure {
+		return c.failure
+	}
+	return io.EOF
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -117,6 +151,9 @@
 		c.pool.put(c)
 	}
 	n, err := c.Conn.Read(p)
+	if n == 0 && err == io.EOF {
+		err = c.endOfData()
+	}
 	c.mu.Lock()
 	c.reading = false
 	unsolicited := n > 0 && !c.written
--- a/internal/transport/backend/pool.go
+++ b/internal/transport/backend/pool.go
@@ -82,7 +82,7 @@
 
 // disabledMechanisms disables mechanisms in tests, to show that the tests detect
 // their absence.
-type disabledMechanisms struct{ requestID, unsolicited bool }
+type disabledMechanisms struct{ requestID, unsolicited, socketFailure bool }
 
 type idleConn struct {
 	*conn
