Reject statuses outside 200 to 599 from backend servers

The check of a response had a lower bound only, so 600 and 999 went to the caller as an answer. Such a status now has the outcome unknown (502) and the reason answer_status_invalid, and counts as a failed attempt; 000 and 099 had the reason answer_without_length.

--- a/internal/transport/backend/exchange.go
+++ b/internal/transport/backend/exchange.go
@@ -24,9 +24,16 @@
 	ReasonMismatch  = "request_id_mismatch"
 	ReasonNoLength  = "answer_without_length"
 	ReasonTruncated = "answer_truncated"
+	ReasonStatus    = "answer_status_invalid"
 	ReasonWithdrawn = "dispatch_withdrawn"
 )
 
+// minStatus and MaxStatus bound the status of a response that ends an exchange.
+const (
+	minStatus = http.StatusOK
+	MaxStatus = 599
+)
+
 // Error is the error of a failed exchange.
 type Error struct {
 	// Kind is the evidence about the backend server that the failure provides.
@@ -84,7 +91,11 @@
 		p.recordUnmatched()
 		return nil, x.fail(evidence.Reset, ReasonMismatch, errors.New("the response belongs to another request"))
 	}
-	if resp.StatusCode < 200 || !p.opt.CloseDelimited && closeDelimited(req, resp) {
+	if resp.StatusCode < minStatus || resp.StatusCode > MaxStatus {
+		x.abandon()
+		return nil, x.fail(evidence.Truncated, ReasonStatus, fmt.Errorf("the response has the status %03d", resp.StatusCode))
+	}
+	if !p.opt.CloseDelimited && closeDelimited(req, resp) {
 		x.abandon()
 		return nil, x.fail(evidence.Truncated, ReasonNoLength, errors.New("the end of the response cannot be recognized"))
 	}
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -18,6 +18,7 @@
 	"wigeonspring.example/wigeonspring/internal/fault"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/event"
+	"wigeonspring.example/wigeonspring/internal/transport/backend"
 	"wigeonspring.example/wigeonspring/internal/transport/peer"
 )
 
@@ -229,7 +230,7 @@
 	case header.Answered:
 		if s := resp.Header.Get(header.Status); s != "" {
 			var err error
-			if resp.StatusCode, err = strconv.Atoi(s); err != nil || resp.StatusCode < http.StatusMultipleChoices || resp.StatusCode > maxStatus {
+			if resp.StatusCode, err = strconv.Atoi(s); err != nil || resp.StatusCode < http.StatusMultipleChoices || resp.StatusCode > backend.MaxStatus {
 				t.outcome = routing.PeerFailed
 				return unknown(reasonNoOutcome)
 			}
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -77,9 +77,6 @@
 	Response *http.Response
 }
 
-// maxStatus is the highest status of an HTTP response.
-const maxStatus = 599
-
 // withResponseDeadline cancels the context with context.DeadlineExceeded as its cause
 // at the given time, unless began is called before. A zero time sets no limit. The
 // context is also used for the body of the response, which the limit does not cover.
