--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -5,6 +5,7 @@
 package backend
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -239,6 +240,9 @@
 	case faults.bodyReset && r.ContentLength != 0:
 		s.resetDuringBody(w, r, run)
 		return
+	case faults.earlyCut && r.ContentLength != 0:
+		s.cutEarlyResponse(w, run)
+		return
 	case faults.early && r.ContentLength != 0:
 		s.respondBeforeBody(w, r, run, faults)
 		return
@@ -298,12 +302,48 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	resetConn(conn)
+}
+
+func resetConn(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
 }
 
+// cutPause is the time between a part of a response and the reset of its connection.
+const cutPause = 5 * time.Millisecond
+
+// cutEarlyResponse sends a part of a response without a length before it has read the body, and
+// resets the connection.
+func (s *Server) cutEarlyResponse(w http.ResponseWriter, run record.Run) {
+	s.recordRun(run, record.Aborted)
+	header.Set(w.Header(), s.opts.Headers.Signature, "signed")
+	conn, _, err := hijackWith(w, "200 OK", []byte(run.Operation+" part"))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(cutPause)
+	resetConn(conn)
+}
+
+// hijackWith takes over the connection and sends a response with the given status line and
+// body. Only the header can state a length. The reader gets what the client sends next.
+func hijackWith(w http.ResponseWriter, status string, body []byte) (net.Conn, *bufio.Reader, error) {
+	head := w.Header().Clone()
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, nil, err
+	}
+	_, _ = buf.WriteString("HTTP/1.1 " + status + "\r\n")
+	_ = head.Write(buf)
+	_, _ = buf.WriteString("\r\n")
+	_, _ = buf.Write(body)
+	_ = buf.Flush()
+	return conn, buf.Reader, nil
+}
+
 func (s *Server) recordRun(run record.Run, phase record.Phase) {
 	if s.opts.Records == nil {
 		return
@@ -353,6 +393,12 @@
 	w.Header().Set(record.OperationHeader, operation)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(w.Header(), s.opts.Headers.Signature, "signed")
+	if faults.status != "" {
+		if conn, _, err := hijackWith(w, faults.status+" Invalid", body); err == nil {
+			_ = conn.Close()
+		}
+		return
+	}
 	if faults.extra && sendExtraBytes(w, body) {
 		return
 	}
@@ -392,24 +438,14 @@
 // sendExtraBytes sends a response and, after the next request has arrived on the connection,
 // bytes that look like a response to it. It reports false if nothing was sent.
 func sendExtraBytes(w http.ResponseWriter, body []byte) bool {
-	head := w.Header().Clone()
-	hijacker, ok := w.(http.Hijacker)
-	if !ok {
-		return false
-	}
-	conn, buf, err := hijacker.Hijack()
+	conn, received, err := hijackWith(w, "200 OK", body)
 	if err != nil {
 		return false
 	}
-	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\n")
-	_ = head.Write(buf)
-	_, _ = buf.WriteString("\r\n")
-	_, _ = buf.Write(body)
-	_ = buf.Flush()
 	go func() {
 		defer conn.Close()
 		_ = conn.SetDeadline(time.Now().Add(extraBytesWait))
-		if _, err := buf.ReadByte(); err == nil {
+		if _, err := received.ReadByte(); err == nil {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nextra\n")
 		}
 	}()
--- a/standin/backend/faults.go
+++ b/standin/backend/faults.go
@@ -33,6 +33,12 @@
 	// BodyResetPercent is the share of requests with a body whose connection is reset
 	// while the body arrives.
 	BodyResetPercent float64 `json:"body_reset_percent"`
+	// EarlyCutPercent is the share of requests with a body that are answered before the body
+	// has been read, without a length, and whose connection is reset after a part of the
+	// response.
+	EarlyCutPercent float64 `json:"early_cut_percent"`
+	// InvalidStatusPercent is the share of responses whose status is not one of HTTP.
+	InvalidStatusPercent float64 `json:"invalid_status_percent"`
 	// FlapMillis switches the faults off after this time, on again after the same
 	// time, and so on; 0 keeps them on. LoadReport stays in effect throughout.
 	FlapMillis int64 `json:"flap_ms"`
@@ -73,17 +79,22 @@
 type requestFaults struct {
 	// faulty says that the faults in effect can affect the request. A fault with a
 	// percentage may still leave it out.
-	faulty     bool
-	hang       bool
-	fail       bool
-	truncate   bool
-	reset      bool
-	extra      bool
-	early      bool
-	bodyReset  bool
+	faulty    bool
+	hang      bool
+	fail      bool
+	truncate  bool
+	reset     bool
+	extra     bool
+	early     bool
+	bodyReset bool
+	earlyCut  bool
+	// status replaces that of the response, unless it is empty.
+	status     string
 	slowFactor float64
 }
 
+var invalidStatuses = [...]string{"000", "099", "600", "999", "20"}
+
 func (i *faultInjector) forRequest(path string, now time.Time) requestFaults {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -108,7 +119,13 @@
 	if f.BodyResetPercent > 0 {
 		rf.bodyReset = i.rng.Float64()*100 < f.BodyResetPercent
 	}
+	if f.EarlyCutPercent > 0 {
+		rf.earlyCut = i.rng.Float64()*100 < f.EarlyCutPercent
+	}
+	if f.InvalidStatusPercent > 0 && i.rng.Float64()*100 < f.InvalidStatusPercent {
+		rf.status = invalidStatuses[i.rng.IntN(len(invalidStatuses))]
+	}
 	rf.faulty = rf.hang || f.FailPercent > 0 || rf.slowFactor > 1 || f.TruncatePercent > 0 || f.ResetPercent > 0 || f.ExtraPercent > 0 ||
-		f.EarlyPercent > 0 || f.BodyResetPercent > 0
+		f.EarlyPercent > 0 || f.BodyResetPercent > 0 || f.EarlyCutPercent > 0 || f.InvalidStatusPercent > 0
 	return rf
 }
--- a/standin/schedule/outage.go
+++ b/standin/schedule/outage.go
@@ -133,7 +133,7 @@
 }
 
 // grayFailures lets changing backend servers reset most of their connections after the work,
-// and some respond before they have read the body.
+// and some respond before they have read the body, cut such responses or send invalid statuses.
 func grayFailures(rng *rand.Rand, vms int, until time.Duration, choose func(share int) []int, f VMs) (steps []Step) {
 	for at := time.Duration(0); at < until; at += grayInterval {
 		gray := map[int]bool{}
@@ -148,7 +148,7 @@
 					faults.ResetPercent = 75
 				}
 				if vm == early {
-					faults.EarlyPercent = 30
+					faults.EarlyPercent, faults.EarlyCutPercent, faults.InvalidStatusPercent = 30, 10, 10
 				}
 				f.SetBackendFaults(vm, faults)
 			}
--- a/standin/schedule/select.go
+++ b/standin/schedule/select.go
@@ -119,10 +119,10 @@
 	return steps
 }
 
-const earlyServers, bodyResets = 4, 3
+const earlyServers, bodyResets, invalidResponses = 4, 3, 2
 
-// UploadFaults lets some backend servers respond before they have read the body, and some
-// reset connections while a body arrives.
+// UploadFaults lets some backend servers respond before they have read the body, some reset
+// connections while a body arrives, and some cut early responses and send invalid statuses.
 func UploadFaults(seed uint64, servers int, until time.Duration, f Fleet) (steps []Step) {
 	rng := rand.New(rand.NewPCG(seed, uploadSource))
 	add := func(server int, name string, faults backend.Faults, at, end time.Duration) {
@@ -139,5 +139,10 @@
 		at := randomTime(rng, until)
 		add(k+1, "resets bodies", backend.Faults{BodyResetPercent: 30}, at, at+time.Second+randomMillis(rng, 3*time.Second))
 	}
+	for _, k := range order[earlyServers+bodyResets:][:invalidResponses] {
+		at := randomTime(rng, until)
+		add(k+1, "cuts early responses and sends invalid statuses", backend.Faults{EarlyCutPercent: 30, InvalidStatusPercent: 20},
+			at, at+time.Second+randomMillis(rng, 3*time.Second))
+	}
 	return steps
 }
