Notice callers that leave and keep closing responses behind pipelined requests

net/http stops to watch a connection once a byte of a further request has arrived: a caller that pipelined requests and left kept the slot of its backend server, and its next request ran for nobody. The connection is now checked every 500 ms while a request runs, and closed after one whose caller has left.

A connection that net/http closes after a response is reset if the kernel holds unread requests, and the caller can lose the response. Connections of callers with unread data now close their sending direction and discard the rest for a moment.

TestCallerThatLeavesWithPipelinedRequestsIsNoticed failed before (not noticed in 750 ms, the next request ran); TestRequestsBehindClosingResponseAreNotRead failed before with ECONNRESET and shows it with the protection disabled. TestPipelinedRequestsAreAnsweredInOrder passed before.

--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -101,7 +101,7 @@
 	}
 	peers := peer.NewServer(n.peerHandler())
 	servers := []*http.Server{caller, peers, operator}
-	bound := []net.Listener{n.listeners.caller, n.listeners.peer, n.listeners.operator}
+	bound := []net.Listener{proxy.ListenCallers(n.listeners.caller), n.listeners.peer, n.listeners.operator}
 	for _, optional := range n.optionalServers() {
 		servers, bound = append(servers, optional.server), append(bound, optional.listener)
 	}
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -382,6 +382,9 @@
 	if c.body != nil && c.body.unread() {
 		c.keepBodyUnread()
 	}
+	if c.left.Load() {
+		h.Set("Connection", "close") // The requests behind this one must not run.
+	}
 	c.w.WriteHeader(status)
 	_, _ = io.WriteString(c.w, text)
 	c.responded = true
--- a/internal/transport/proxy/fleet_test.go
+++ b/internal/transport/proxy/fleet_test.go
@@ -97,6 +97,7 @@
 		n.callerServer.Config.Protocols = new(http.Protocols)
 		n.callerServer.Config.Protocols.SetHTTP1(true)
 		n.callerServer.Config.Protocols.SetUnencryptedHTTP2(true)
+		n.callerServer.Listener = ListenCallers(n.callerServer.Listener)
 		n.callerServer.Start()
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
