Bound the memory of unread responses and repeat those cut before their body

A caller that reads slowly holds up to one window of a response (256 KB) at its node until its deadline, and nothing bounded the sum. Responses whose write is blocked now share 16 MB; beyond it, the one that has been blocked longest, for 500 ms at least, is aborted. New event response_unread with the reasons unread_responses_full and response_unread_at_deadline, new counter unread_responses.

A backend server that cuts off a response which its caller left unread for 1 s was suspected for it; that counts as canceled now. An abandoned response whose header came in time no longer counts as overdue.

A response to a request without a body is passed on together with its first bytes. If there are none, the outcome is unknown (502) with the reason of the backend server instead of a broken connection, and a request that may run again is tried elsewhere.

--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -36,6 +36,7 @@
 	RequestFailed      Kind = "request_failed"
 	RequestSpilled     Kind = "request_spilled"
 	ResponseEarly      Kind = "response_early"
+	ResponseUnread     Kind = "response_unread"
 	RetryBudgetSpent   Kind = "retry_budget_spent"
 	PlatformDown       Kind = "platform_down"
 	PlatformUp         Kind = "platform_up"
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -167,7 +167,7 @@
 			DisableCompression:    true,
 			ExpectContinueTimeout: continueTimeout,
 			HTTP2: &http.HTTP2Config{
-				MaxReceiveBufferPerStream:     streamWindow,
+				MaxReceiveBufferPerStream:     StreamWindow,
 				MaxReceiveBufferPerConnection: connWindow,
 				SendPingTimeout:               o.PingAfter,
 				PingTimeout:                   o.PingTimeout,
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -12,11 +12,11 @@
 const (
 	// MaxStreams bounds the requests in flight on one connection.
 	MaxStreams = 250
-	// streamWindow bounds the bytes of one body that a node buffers in memory.
-	streamWindow = 256 << 10
+	// StreamWindow bounds the bytes of one body that a node buffers in memory.
+	StreamWindow = 256 << 10
 	// connWindow is the sum of the windows of all streams, so that a body that is read
 	// slowly does not block the others on the connection.
-	connWindow = MaxStreams * streamWindow
+	connWindow = MaxStreams * StreamWindow
 	// writeTimeout is the time without a written byte after which a connection that has
 	// data to write is closed.
 	writeTimeout = 5 * time.Second
@@ -38,7 +38,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams:          MaxStreams,
-			MaxReceiveBufferPerStream:     streamWindow,
+			MaxReceiveBufferPerStream:     StreamWindow,
 			MaxReceiveBufferPerConnection: connWindow,
 			WriteByteTimeout:              writeTimeout,
 		},
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -273,10 +273,12 @@
 		c.keepBodyUnread()
 	}
 	c.w.WriteHeader(resp.StatusCode)
-	n, readErr, writeErr := copyBody(c.w, resp)
+	w := c.in.unread.track(c.w, resp, t.target.Owner.ID != c.in.opt.Self)
+	n, readErr, writeErr := copyBody(w, resp)
 	if readErr != nil || writeErr != nil {
 		if writeErr != nil {
 			t.outcome = routing.Abandoned
+			c.reportUnread(w.reason(writeErr))
 		} else {
 			t.failed = true
 			c.publish(event.RequestFailed, reasonResponseTruncated)
@@ -296,6 +298,16 @@
 	t.done(n)
 }
 
+// reportUnread reports a response that was aborted because the caller did not read it. An empty
+// reason means that it was not.
+func (c *call) reportUnread(reason string) {
+	if reason == "" {
+		return
+	}
+	unreadWrites.Add(reason, 1)
+	c.publish(event.ResponseUnread, reason)
+}
+
 // endUpload bounds the wait for the caller's next bytes: the end of the attempt waits for a read
 // of the body, and net/http reads from it before it closes an aborted connection, then without a
 // limit. A whole response is sent first.
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -83,6 +83,10 @@
 	// BodyBufferBytes bounds the memory of all such bodies; beyond it they are
 	// streamed. 0 selects defaultBodyBufferBytes.
 	BodyBufferBytes int64
+	// UnreadResponseBytes bounds the memory of the responses that callers do not read. If it
+	// is full, the one that has been unread for the longest time is aborted. 0 selects
+	// defaultUnreadResponseBytes.
+	UnreadResponseBytes int64
 	// ExpectContinue sends the body of a request that is not idempotent to an owner on
 	// another node only after the owner has admitted the request and asked for the
 	// body with 100 Continue. A request whose owner fails before that has provably not
@@ -109,6 +113,7 @@
 	splitter      routing.Splitter
 	rngs          sync.Pool
 	bodyBuffer    *byteBudget
+	unread        unreadResponses
 	// origin identifies this process to owners, and sequence numbers its attempts.
 	origin   string
 	sequence atomic.Uint64
@@ -148,6 +153,7 @@
 		o.Now = time.Now
 	}
 	in := &Ingress{opt: o, tracer: o.Tracing.Tracer(tracerName), bodyBuffer: newByteBudget(cmp.Or(o.BodyBufferBytes, defaultBodyBufferBytes))}
+	in.unread.limit = cmp.Or(o.UnreadResponseBytes, defaultUnreadResponseBytes)
 	in.origin = string(o.Self) + "." + header.NewRequestID()[:8]
 	in.attemptCtx, in.cancelAttempts = context.WithCancel(context.Background())
 	in.requestCtx, in.endRequests = context.WithCancel(context.Background())
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -288,6 +289,10 @@
 		return x.rejectUnproved(resp, load)
 	}
 	x.wrapResponse(resp)
+	if err := awaitBody(a.Request, resp.Response); err != nil {
+		_ = resp.Body.Close() // Ends the exchange.
+		return x.failedReply(err, load)
+	}
 	return &reply{Outcome: header.Answered, Load: load, Response: resp.Response}
 }
 
@@ -361,7 +366,7 @@
 
 // updateTracker passes the evidence to the tracker and publishes a change of its state.
 func (x *exchange) updateTracker(t *suspicion.Tracker, kind evidence.Kind, now time.Time) {
-	if a := x.attempt; kind == evidence.Canceled && a.Idempotent && a.Objective > 0 && now.Sub(x.start) >= a.Objective {
+	if a := x.attempt; kind == evidence.Canceled && a.Idempotent && a.Objective > 0 && cmp.Or(x.latency, now.Sub(x.start)) >= a.Objective {
 		// Another attempt brought the response first, or the caller abandoned a
 		// request that took longer than its objective.
 		kind = evidence.Overdue
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -42,6 +42,12 @@
 	reasonLastResort          = "only_suspects_left"
 	reasonSuspect             = "backend_suspect"
 	reasonUploadUnfinished    = "upload_unfinished"
+	// reasonUnreadLate means that a caller had not read its response by the deadline, and
+	// reasonUnreadMemory that the memory of such responses was full.
+	reasonUnreadLate   = "response_unread_at_deadline"
+	reasonUnreadMemory = "unread_responses_full"
+	// reasonUnread means that the caller did not read while a response was cut.
+	reasonUnread = "response_unread"
 	// reasonWithdrawn means that the connection to the owner failed before the owner sent
 	// the request to the backend server, and that the owner refuses it from then on.
 	reasonWithdrawn = "withdrawn_before_dispatch"
@@ -102,7 +108,7 @@
 }
 
 // copyBuffers holds the buffers through which bodies are copied.
-var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBufferBytes); return &b }}
 
 // copyBody sends the body of a response and returns its size. A body without a
 // declared length is flushed after every read, because it may be a stream of events.
