--- a/internal/transport/proxy/caller_conn.go
+++ b/internal/transport/proxy/caller_conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -37,6 +38,43 @@
 	// resets is set if Close is to reset the connection.
 	resets atomic.Bool
 	closed atomic.Bool
+
+	mu sync.Mutex
+	// ahead is set when the first byte of a further request was read while a request runs.
+	// net/http reads this byte by itself, and does not notice the end of the connection then.
+	ahead   bool
+	onAhead func()
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	c.ahead = len(p) == 1
+	notify := c.onAhead
+	if !c.ahead {
+		notify = nil
+	}
+	c.mu.Unlock()
+	if notify != nil {
+		notify()
+	}
+	return n, err
+}
+
+// notifyAhead calls f when the first byte of a further request is read, or now if it has been.
+// Nil ends this.
+func (c *callerConn) notifyAhead(f func()) {
+	c.mu.Lock()
+	c.onAhead = f
+	ahead := c.ahead
+	c.mu.Unlock()
+	if ahead && f != nil {
+		f()
+	}
 }
 
 // SetLinger sets what Close does with data that has not been sent; see net.TCPConn.
--- a/internal/transport/proxy/caller_watch.go
+++ b/internal/transport/proxy/caller_watch.go
@@ -11,8 +11,7 @@
 	// callerCheckInterval is how often the connection of a caller is checked while its body
 	// is not read.
 	callerCheckInterval = 100 * time.Millisecond
-	// pipelinedCheckInterval is how often it is checked afterwards. net/http notices the end of
-	// the connection itself, unless a byte of a further request has arrived before.
+	// pipelinedCheckInterval is how often it is checked while a further request waits on it.
 	pipelinedCheckInterval = 500 * time.Millisecond
 )
 
@@ -36,36 +35,66 @@
 	if !ok || c.request.ProtoMajor != 1 {
 		return func() {}
 	}
-	var mu sync.Mutex // guards timer and stopped
-	var timer *time.Timer
-	stopped := false
-	check := func() {
-		if closedByPeer(conn) {
-			c.left.Store(true)
-			leave()
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		if !stopped {
-			timer.Reset(c.checkInterval())
-		}
+	w := &callerWatch{call: c, conn: conn, leave: leave}
+	if c.body.unread() {
+		w.start()
+	}
+	pipelined, ok := conn.(*callerConn)
+	if !ok {
+		return w.stop
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	timer = time.AfterFunc(c.checkInterval(), check)
+	pipelined.notifyAhead(w.start)
 	return func() {
-		mu.Lock()
-		defer mu.Unlock()
-		stopped = true
-		timer.Stop()
+		pipelined.notifyAhead(nil)
+		w.stop()
 	}
 }
 
-// checkInterval returns the time until the next check of the caller's connection.
-func (c *call) checkInterval() time.Duration {
-	if c.body.unread() {
+// callerWatch checks the connection of a caller from time to time.
+type callerWatch struct {
+	call  *call
+	conn  net.Conn
+	leave func()
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+// start starts the checks unless they have been started.
+func (w *callerWatch) start() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil && !w.stopped {
+		w.timer = time.AfterFunc(w.interval(), w.check)
+	}
+}
+
+func (w *callerWatch) check() {
+	if closedByPeer(w.conn) {
+		w.call.left.Store(true)
+		w.leave()
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(w.interval())
+	}
+}
+
+func (w *callerWatch) interval() time.Duration {
+	if w.call.body.unread() {
 		return callerCheckInterval
 	}
 	return pipelinedCheckInterval
 }
+
+func (w *callerWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
