--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -42,6 +42,12 @@
 	reasonLastResort          = "only_suspects_left"
 	reasonSuspect             = "backend_suspect"
 	reasonUploadUnfinished    = "upload_unfinished"
+	// reasonUnreadLate means that a caller had not read its response by the deadline, and
+	// reasonUnreadMemory that the memory of such responses was full.
+	reasonUnreadLate   = "response_unread_at_deadline"
+	reasonUnreadMemory = "unread_responses_full"
+	// reasonUnread means that the caller did not read while a response was cut.
+	reasonUnread = "response_unread"
 	// reasonWithdrawn means that the connection to the owner failed before the owner sent
 	// the request to the backend server, and that the owner refuses it from then on.
 	reasonWithdrawn = "withdrawn_before_dispatch"
@@ -77,9 +83,6 @@
 	Response *http.Response
 }
 
-// maxStatus is the highest status of an HTTP response.
-const maxStatus = 599
-
 // withResponseDeadline cancels the context with context.DeadlineExceeded as its cause
 // at the given time, unless began is called before. A zero time sets no limit. The
 // context is also used for the body of the response, which the limit does not cover.
@@ -105,7 +108,7 @@
 }
 
 // copyBuffers holds the buffers through which bodies are copied.
-var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBufferBytes); return &b }}
 
 // copyBody sends the body of a response and returns its size. A body without a
 // declared length is flushed after every read, because it may be a stream of events.
