Add the decision core and the messages of quotas over all nodes

Cause: a quota of a team binds the sum of the requests at all nodes, and no node counts them. Aggregators, chosen by rendezvous hash, keep a token bucket for each team from the reports of the ingress nodes.

Not wired yet.

--- /dev/null
+++ b/internal/coordination/quota/aggregator.go
@@ -0,0 +1,305 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// demandDecay is the time constant of the average of a team's demand.
+	demandDecay = 400 * time.Millisecond
+	// repayTime is the time in which a debt is paid back, and unused tokens are used.
+	repayTime = time.Second
+	// reactionTime is the time between the arrival of requests and the effect of a directive
+	// because of them.
+	reactionTime = 400 * time.Millisecond
+	// toleratedShare is the share of the permitted excess that a bucket may owe, less the
+	// demand in the reaction time, before its team is limited below its rate.
+	toleratedShare = 0.75
+	// silentAfter is the time without a report after which a session counts as silent.
+	silentAfter = 2500 * time.Millisecond
+	// takeoverGap is the time without any report after which an aggregator starts anew.
+	takeoverGap = 5 * time.Second
+	// bucketLifetime is how long a full bucket without requests is kept.
+	bucketLifetime = 10 * time.Second
+	tidyInterval   = 500 * time.Millisecond
+	// maxDirectives bounds the directives of a reply about teams that its report does not
+	// contain.
+	maxDirectives = 16
+	// pushFactor is the change of a fraction that is sent without waiting for a report.
+	pushFactor = 0.8
+	// minDemand, in requests per second, avoids fractions of a demand that is about 0.
+	minDemand = 0.01
+)
+
+// Bound is how far requests may exceed a quota within a window; see settings.QuotaBound.
+type Bound struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// excess returns the requests by which a team may exceed its quota within a window.
+func (b Bound) excess(l Limit) float64 {
+	return b.Overage*(l.RatePerSecond*b.Window.Seconds()+l.Burst) + b.Slack
+}
+
+// AggregatorOptions configures an Aggregator.
+type AggregatorOptions struct {
+	Partition Partition
+	Bound     Bound
+	// Limit returns the quota of a team in force, or false if it has none.
+	Limit func(TeamKey) (Limit, bool)
+	// Disabled switches protections off, for tests that show their effect.
+	Disabled Protection
+}
+
+// Aggregator keeps the token buckets of the teams of one partition.
+type Aggregator struct {
+	opts     AggregatorOptions
+	members  memberCount
+	since    time.Time
+	lastAny  time.Time
+	sessions map[uint64]*session
+	buckets  map[TeamKey]*bucket
+	limited  []*bucket
+	changes  []Change
+	nextTidy time.Time
+}
+
+// session is the state of one reporting process.
+type session struct {
+	id        uint64
+	from      string
+	seq, base uint64
+	usages    []Usage
+	heard     time.Time
+}
+
+// bucket is the token bucket of a team.
+type bucket struct {
+	key    TeamKey
+	limit  Limit
+	level  float64
+	demand float64
+	at     time.Time
+	used   time.Time
+	// limited is set while the team's requests are admitted in part.
+	limited  bool
+	fraction float64
+	// pushed is the fraction when it was last sent to all sessions.
+	pushed float64
+}
+
+// Change reports that a team begins or ceases to be limited.
+type Change struct {
+	Limit   Limit
+	Limited bool
+	// Demand is in requests per second, Fraction is the share that is admitted.
+	Demand, Fraction float64
+}
+
+// Push is a reply that no report has asked for.
+type Push struct {
+	To    string
+	Reply Reply
+}
+
+// NewAggregator returns an aggregator without reports.
+func NewAggregator(opts AggregatorOptions) *Aggregator {
+	return &Aggregator{opts: opts, sessions: make(map[uint64]*session), buckets: make(map[TeamKey]*bucket)}
+}
+
+// SetMembers sets the number of live members of the fleet.
+func (a *Aggregator) SetMembers(now time.Time, live int) { a.members.observe(now, live) }
+
+// HandleReport applies a report and returns the reply. from is the address of the session.
+func (a *Aggregator) HandleReport(now time.Time, from string, r Report) Reply {
+	if now.Sub(a.lastAny) > takeoverGap {
+		a.since = now
+		clear(a.buckets)
+		clear(a.sessions)
+	}
+	a.lastAny = now
+	s := a.sessions[r.Session]
+	if s == nil {
+		s = &session{id: r.Session}
+		a.sessions[r.Session] = s
+	}
+	s.heard, s.from = now, from
+	if r.Seq > s.seq || a.opts.Disabled&Deduplication != 0 {
+		a.apply(now, s, r)
+		s.seq, s.base, s.usages = r.Seq, r.Base, r.Usages
+	}
+	return Reply{Session: r.Session, Seq: s.seq, Partition: r.Partition, Directives: a.directives(now, r.Usages)}
+}
+
+// apply adds the usages of a report to the buckets. A report with the same base as the
+// previous one contains the usages of that one.
+func (a *Aggregator) apply(now time.Time, s *session, r Report) {
+	repeated := r.Base == s.base && s.seq != 0 && a.opts.Disabled&Deduplication == 0
+	for _, u := range r.Usages {
+		b := a.bucket(now, u.Team)
+		if b == nil {
+			continue
+		}
+		if repeated {
+			if i := slices.IndexFunc(s.usages, func(v Usage) bool { return v.Team == u.Team }); i >= 0 {
+				u.Admitted -= s.usages[i].Admitted
+				u.Refused -= min(s.usages[i].Refused, u.Refused)
+			}
+		}
+		b.level -= float64(u.Admitted)
+		b.demand += float64(max(u.Admitted, 0)+int64(u.Refused)) / demandDecay.Seconds()
+		b.used = now
+	}
+}
+
+// bucket returns the bucket of a team up to date, or nil if the team has no quota.
+func (a *Aggregator) bucket(now time.Time, key TeamKey) *bucket {
+	b := a.buckets[key]
+	if b == nil {
+		limit, ok := a.opts.Limit(key)
+		if !ok {
+			return nil
+		}
+		b = &bucket{key: key, limit: limit, level: limit.Burst, at: now, used: now, fraction: 1, pushed: 1}
+		if a.opts.Disabled&EmptyStart == 0 {
+			// An earlier aggregator may have given out the tokens of the time before.
+			b.level = min(limit.Burst, limit.RatePerSecond*now.Sub(a.since).Seconds())
+		}
+		a.buckets[key] = b
+	}
+	a.refill(now, b)
+	return b
+}
+
+func (a *Aggregator) refill(now time.Time, b *bucket) {
+	elapsed := now.Sub(b.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	b.level = min(b.limit.Burst, b.level+a.rate(b)*elapsed)
+	b.demand *= math.Exp(-elapsed / demandDecay.Seconds())
+}
+
+// rate returns the rate of a team without the parts of the silent members.
+func (a *Aggregator) rate(b *bucket) float64 {
+	if a.opts.Disabled&Reserve != 0 {
+		return b.limit.RatePerSecond
+	}
+	return b.limit.RatePerSecond * min(1, float64(len(a.sessions))/a.members.count())
+}
+
+// evaluate brings all buckets up to date and lists the limited ones by their demand.
+func (a *Aggregator) evaluate(now time.Time) {
+	if !now.Before(a.nextTidy) {
+		a.nextTidy = now.Add(tidyInterval)
+		a.tidy(now)
+	}
+	a.limited = a.limited[:0]
+	for _, b := range a.buckets {
+		a.decide(now, b)
+		if b.limited {
+			a.limited = append(a.limited, b)
+		}
+	}
+	slices.SortFunc(a.limited, func(x, y *bucket) int {
+		return cmp.Or(cmp.Compare(y.demand, x.demand), cmp.Compare(x.key, y.key))
+	})
+}
+
+// decide sets the fraction of a team.
+func (a *Aggregator) decide(now time.Time, b *bucket) {
+	a.refill(now, b)
+	tolerated := max(0, toleratedShare*a.opts.Bound.excess(b.limit)-b.demand*reactionTime.Seconds())
+	allowed := max(0, a.rate(b)+(b.level+tolerated)/repayTime.Seconds())
+	b.fraction = min(1, allowed/max(b.demand, minDemand))
+	if limited := b.fraction < 1; limited != b.limited {
+		b.limited = limited
+		a.changes = append(a.changes, Change{Limit: b.limit, Limited: limited, Demand: b.demand, Fraction: b.fraction})
+	}
+	if !b.limited {
+		b.pushed = 1
+	}
+}
+
+func (a *Aggregator) tidy(now time.Time) {
+	for id, s := range a.sessions {
+		if now.Sub(s.heard) > silentAfter {
+			delete(a.sessions, id)
+		}
+	}
+	for key, b := range a.buckets {
+		limit, ok := a.opts.Limit(key)
+		full := b.level >= b.limit.Burst && now.Sub(b.used) > bucketLifetime
+		if !ok || full {
+			delete(a.buckets, key)
+			continue
+		}
+		if a.opts.Disabled&CurrentLimits == 0 {
+			b.limit = limit
+			b.level = min(b.level, limit.Burst)
+		}
+	}
+}
+
+// directives returns the directives of the limited teams with the highest demand, and of those
+// in a report.
+func (a *Aggregator) directives(now time.Time, reported []Usage) []Directive {
+	var out []Directive
+	add := func(b *bucket) {
+		a.decide(now, b)
+		if b.limited {
+			out = append(out, b.directive())
+		}
+	}
+	most := a.limited[:min(len(a.limited), maxDirectives)]
+	for _, b := range most {
+		add(b)
+	}
+	for _, u := range reported {
+		if b := a.buckets[u.Team]; b != nil && !slices.Contains(most, b) {
+			add(b)
+		}
+	}
+	return out
+}
+
+func (b *bucket) directive() Directive {
+	wait := time.Duration(max(0, -b.level) / max(b.limit.RatePerSecond, minDemand) * float64(time.Second))
+	return Directive{Team: b.key, Fraction: b.fraction, RetryAfter: min(wait, maxRetryAfter)}
+}
+
+// Tick returns the directives to be sent at once: those of teams whose fraction has fallen.
+func (a *Aggregator) Tick(now time.Time) []Push {
+	if len(a.buckets) == 0 {
+		return nil
+	}
+	a.evaluate(now)
+	var urgent []Directive
+	for i, b := range a.limited {
+		if i < maxDirectives && b.fraction < pushFactor*b.pushed {
+			b.pushed = b.fraction
+			urgent = append(urgent, b.directive())
+		}
+	}
+	if urgent == nil {
+		return nil
+	}
+	var out []Push
+	for _, s := range a.sessions {
+		out = append(out, Push{To: s.from, Reply: Reply{Session: s.id, Partition: a.opts.Partition, Directives: urgent}})
+	}
+	return out
+}
+
+// TakeChanges returns the changes since the previous call.
+func (a *Aggregator) TakeChanges() []Change {
+	changes := a.changes
+	a.changes = nil
+	return changes
+}
--- /dev/null
+++ b/internal/coordination/quota/limiter.go
@@ -0,0 +1,396 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+// TickInterval is the longest time between two calls of Tick.
+const TickInterval = fastReportInterval
+
+const (
+	// reportInterval is the time between two reports while requests arrive, and
+	// fastReportInterval that while a team sends many.
+	reportInterval     = 400 * time.Millisecond
+	fastReportInterval = 100 * time.Millisecond
+	// keepAliveInterval is the time between two reports without requests.
+	keepAliveInterval = time.Second
+	// fastShare is the share of a quota, in seconds of its rate divided by the number of
+	// members, from which the requests of a team are reported fast.
+	fastShare = 0.1
+	// replyTimeout is the time after which a report that is not acknowledged is sent again.
+	replyTimeout = 300 * time.Millisecond
+	// switchTimeout is the time without an acknowledgement after which a limiter reports to
+	// the next aggregator. It does not return to the old one for unresponsiveTime.
+	switchTimeout    = 600 * time.Millisecond
+	unresponsiveTime = 3 * time.Second
+	// contactTimeout is the time without an acknowledgement after which a limiter admits by
+	// local buckets.
+	contactTimeout = 700 * time.Millisecond
+	// directiveLifetime is how long a directive applies that is not repeated.
+	directiveLifetime = 1500 * time.Millisecond
+	// entryLifetime is how long a limiter keeps the state of a team without requests.
+	entryLifetime = 10 * time.Second
+	// maxEntries bounds the teams of which a limiter keeps the state.
+	maxEntries = 1 << 14
+	// memberMemory is how long a member that is no longer live counts as one that may still
+	// admit requests.
+	memberMemory = 15 * time.Second
+	// minRetryAfter is the shortest retry delay of a request beyond a quota.
+	minRetryAfter = time.Second
+	// maxRetryAfter is the longest one.
+	maxRetryAfter = 5 * time.Second
+)
+
+// LimiterOptions configures a Limiter.
+type LimiterOptions struct {
+	// Session identifies the process. It must be random.
+	Session uint64
+	Rand    *rand.Rand
+	// Disabled switches protections off, for tests that show their effect.
+	Disabled Protection
+}
+
+// Protection is a set of protections.
+type Protection uint
+
+// Protections.
+const (
+	// Directives limits teams at all.
+	Directives Protection = 1 << iota
+	// LocalBuckets bounds what nodes without contact to an aggregator admit.
+	LocalBuckets
+	// Reserve leaves the parts of silent members unused.
+	Reserve
+	// EmptyStart starts the buckets of a new aggregator without tokens.
+	EmptyStart
+	// Deduplication recognizes the usages that were in an earlier report.
+	Deduplication
+	// Failover replaces an aggregator that does not respond.
+	Failover
+	// CurrentLimits makes aggregators follow changes of the quotas.
+	CurrentLimits
+)
+
+// Limiter admits the requests of teams at one ingress node.
+type Limiter struct {
+	opts     LimiterOptions
+	live     []registry.NodeID
+	members  memberCount
+	uplinks  map[Partition]*uplink
+	count    int
+	entries  map[TeamKey]*entry
+	nextTidy time.Time
+}
+
+// entry is the state of a team with recent requests.
+type entry struct {
+	lastUsed time.Time
+	// admitted and refused count since the last acknowledged report.
+	admitted int64
+	refused  uint64
+	// fraction and retryAfter are the directive in force until the given time.
+	fraction   float64
+	retryAfter time.Duration
+	until      time.Time
+	// carry is the part of the next admitted request that earlier requests left over.
+	carry float64
+	// tokens is the level of the local bucket, which is valid while localSince is set.
+	tokens     float64
+	localSince time.Time
+	refilled   time.Time
+}
+
+// uplink is the connection to the aggregator of a partition.
+type uplink struct {
+	partition    Partition
+	aggregator   registry.NodeID
+	unresponsive map[registry.NodeID]time.Time // until when
+	seq, base    uint64
+	// sent is the content of the last report that is not acknowledged yet.
+	sent []Usage
+	// unanswered is when the first report was sent since the last acknowledgement, or zero.
+	unanswered time.Time
+	// switchAt is when the aggregator counts as unresponsive.
+	switchAt time.Time
+	lastSent time.Time
+	// acknowledged is set once an aggregator has acknowledged a report.
+	acknowledged bool
+	pending      bool
+	fast         bool
+}
+
+// NewLimiter returns a limiter that knows no members yet.
+func NewLimiter(opts LimiterOptions) *Limiter {
+	return &Limiter{opts: opts, uplinks: make(map[Partition]*uplink), entries: make(map[TeamKey]*entry), count: 1}
+}
+
+// SetMembers sets the live members of the fleet, the local node included.
+func (l *Limiter) SetMembers(now time.Time, live []registry.NodeID) {
+	l.live = live
+	l.members.observe(now, len(live))
+	if count := partitionCount(len(live)); count != l.count {
+		l.count = count
+		clear(l.uplinks)
+	}
+	for i := range l.count {
+		p := Partition(l.count + i)
+		if l.uplinks[p] == nil {
+			l.uplinks[p] = &uplink{partition: p, unresponsive: make(map[registry.NodeID]time.Time)}
+		}
+	}
+}
+
+// Admit decides about a request of a team. For a refused one, it returns the retry delay.
+func (l *Limiter) Admit(now time.Time, limit Limit) (bool, time.Duration) {
+	key := KeyOf(limit.Team)
+	e := l.entry(now, key)
+	if e == nil {
+		return false, minRetryAfter
+	}
+	u := l.uplinks[partitionOf(key, l.count)]
+	e.lastUsed = now
+	admitted, counted, retryAfter := l.decide(now, e, u, limit)
+	if counted && u != nil {
+		if admitted {
+			e.admitted++
+		} else {
+			e.refused++
+		}
+		u.pending = true
+		u.fast = u.fast || float64(e.admitted)+float64(e.refused) >= max(2, fastShare*limit.RatePerSecond/l.members.count())
+	}
+	if admitted {
+		return true, 0
+	}
+	retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter)
+	return false, retryAfter + time.Duration(l.opts.Rand.Float64()*float64(retryAfter))
+}
+
+// decide applies the directive of the team, the contact to the aggregator or the local bucket,
+// in this order. The requests that a local bucket admits are not counted, because the
+// aggregator leaves room for them.
+func (l *Limiter) decide(now time.Time, e *entry, u *uplink, limit Limit) (admitted, counted bool, retryAfter time.Duration) {
+	switch {
+	case now.Before(e.until) && l.opts.Disabled&Directives == 0:
+		e.localSince = time.Time{}
+		e.carry += e.fraction
+		if e.carry < 1 {
+			return false, true, e.retryAfter
+		}
+		e.carry--
+		return true, true, 0
+	case u.inContact(now) || l.opts.Disabled&LocalBuckets != 0:
+		e.localSince = time.Time{}
+		return true, true, 0
+	}
+	return l.takeLocal(now, e, limit), false, 0
+}
+
+// takeLocal takes a request from the local bucket of a team.
+func (l *Limiter) takeLocal(now time.Time, e *entry, limit Limit) bool {
+	part := 1 / l.members.count()
+	if e.localSince.IsZero() {
+		e.localSince, e.refilled, e.tokens = now, now, 1
+		if !e.until.IsZero() {
+			// The quota of a team that was limited is used up.
+			e.tokens = 0
+		}
+	}
+	e.tokens += now.Sub(e.refilled).Seconds() * limit.RatePerSecond * part
+	e.tokens = min(e.tokens, max(1, limit.Burst*part))
+	e.refilled = now
+	if e.tokens < 1 {
+		return false
+	}
+	e.tokens--
+	return true
+}
+
+// Refund returns an admitted request that has not run and will not run.
+func (l *Limiter) Refund(now time.Time, team string) {
+	key := KeyOf(team)
+	e := l.entry(now, key)
+	if e == nil {
+		return
+	}
+	if !e.localSince.IsZero() {
+		e.tokens++
+		return
+	}
+	e.admitted--
+	if u := l.uplinks[partitionOf(key, l.count)]; u != nil {
+		u.pending = true
+	}
+}
+
+// entry returns the state of a team, or nil if there are too many.
+func (l *Limiter) entry(now time.Time, key TeamKey) *entry {
+	e := l.entries[key]
+	if e == nil {
+		if len(l.entries) >= maxEntries {
+			return nil
+		}
+		// A random start keeps nodes with few requests each from admitting the same ones.
+		e = &entry{carry: l.opts.Rand.Float64(), lastUsed: now}
+		l.entries[key] = e
+	}
+	return e
+}
+
+// Tick returns the reports that are due. It must be called at least once in each
+// TickInterval.
+func (l *Limiter) Tick(now time.Time) []OutgoingReport {
+	l.tidy(now)
+	var out []OutgoingReport
+	var due map[Partition]*uplink
+	for p, u := range l.uplinks {
+		l.chooseAggregator(now, u)
+		if u.aggregator == "" || !u.due(now) {
+			continue
+		}
+		if due == nil {
+			due = make(map[Partition]*uplink)
+		}
+		due[p] = u
+		u.sent = nil
+	}
+	if len(due) == 0 {
+		return nil
+	}
+	for key, e := range l.entries {
+		u := due[partitionOf(key, l.count)]
+		if u != nil && (e.admitted != 0 || e.refused != 0) {
+			u.sent = append(u.sent, Usage{Team: key, Admitted: e.admitted, Refused: e.refused})
+		}
+	}
+	for _, u := range due {
+		out = append(out, u.report(now, l.opts.Session))
+	}
+	return out
+}
+
+// chooseAggregator moves the uplink to the preferred aggregator.
+func (l *Limiter) chooseAggregator(now time.Time, u *uplink) {
+	if !u.switchAt.IsZero() && !now.Before(u.switchAt) && l.opts.Disabled&Failover == 0 {
+		u.unresponsive[u.aggregator] = now.Add(unresponsiveTime)
+		u.switchAt = time.Time{}
+	}
+	best := aggregatorOf(u.partition, l.live, func(id registry.NodeID) bool { return now.Before(u.unresponsive[id]) })
+	if best == "" {
+		clear(u.unresponsive)
+	}
+	if best != "" && best != u.aggregator {
+		u.aggregator, u.switchAt, u.lastSent = best, time.Time{}, time.Time{}
+	}
+}
+
+// tidy removes what is no longer used.
+func (l *Limiter) tidy(now time.Time) {
+	if now.Before(l.nextTidy) {
+		return
+	}
+	l.nextTidy = now.Add(time.Second)
+	for key, e := range l.entries {
+		unused := now.Sub(e.lastUsed)
+		if unused > entryLifetime && !now.Before(e.until) {
+			delete(l.entries, key)
+		}
+	}
+	for _, u := range l.uplinks {
+		for id, until := range u.unresponsive {
+			if !now.Before(until) {
+				delete(u.unresponsive, id)
+			}
+		}
+	}
+}
+
+// due reports whether a report is to be sent.
+func (u *uplink) due(now time.Time) bool {
+	since := now.Sub(u.lastSent)
+	switch {
+	case !u.unanswered.IsZero():
+		return since >= replyTimeout || u.fast && since >= fastReportInterval
+	case u.fast:
+		return since >= fastReportInterval
+	case u.pending:
+		return since >= reportInterval
+	}
+	return since >= keepAliveInterval
+}
+
+func (u *uplink) report(now time.Time, session uint64) OutgoingReport {
+	u.seq++
+	u.lastSent, u.pending, u.fast = now, false, false
+	if u.unanswered.IsZero() {
+		u.unanswered = now
+	}
+	if u.switchAt.IsZero() {
+		u.switchAt = now.Add(switchTimeout)
+	}
+	return OutgoingReport{To: u.aggregator, Report: Report{
+		Session: session, Partition: u.partition, Seq: u.seq, Base: u.base, Usages: u.sent,
+	}}
+}
+
+// inContact reports whether an aggregator has acknowledged the latest reports.
+func (u *uplink) inContact(now time.Time) bool {
+	return u != nil && u.acknowledged && (u.unanswered.IsZero() || now.Sub(u.unanswered) < contactTimeout)
+}
+
+// HandleReply applies a reply of an aggregator.
+func (l *Limiter) HandleReply(now time.Time, r Reply) {
+	u := l.uplinks[r.Partition]
+	if u == nil || r.Session != l.opts.Session {
+		return
+	}
+	if r.Seq != 0 {
+		if r.Seq <= u.base || r.Seq > u.seq {
+			return
+		}
+		u.acknowledged, u.unanswered, u.switchAt = true, time.Time{}, time.Time{}
+		if r.Seq == u.seq {
+			l.acknowledge(u)
+		}
+		for key, e := range l.entries {
+			if partitionOf(key, l.count) == r.Partition {
+				e.until = time.Time{}
+			}
+		}
+	}
+	for _, d := range r.Directives {
+		if e := l.entry(now, d.Team); e != nil && partitionOf(d.Team, l.count) == r.Partition {
+			e.fraction, e.retryAfter, e.until = d.Fraction, d.RetryAfter, now.Add(directiveLifetime)
+		}
+	}
+}
+
+// acknowledge takes the usages of the last report off the counts.
+func (l *Limiter) acknowledge(u *uplink) {
+	u.base = u.seq
+	for _, usage := range u.sent {
+		if e := l.entries[usage.Team]; e != nil {
+			e.admitted -= usage.Admitted
+			e.refused -= usage.Refused
+		}
+	}
+	u.sent = nil
+}
+
+// memberCount is the highest number of live members within memberMemory.
+type memberCount struct {
+	current, previous int
+	since             time.Time
+}
+
+func (m *memberCount) observe(now time.Time, live int) {
+	if now.Sub(m.since) >= memberMemory {
+		m.previous, m.current, m.since = m.current, 0, now
+	}
+	m.current = max(m.current, live)
+}
+
+func (m *memberCount) count() float64 { return float64(max(m.current, m.previous, 1)) }
--- /dev/null
+++ b/internal/coordination/quota/sim_test.go
@@ -0,0 +1,309 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+var testBound = Bound{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+const simTick = 100 * time.Millisecond
+
+// simulation replays the requests of teams at the ingress nodes of a fleet.
+type simulation struct {
+	rng      *rand.Rand
+	start    time.Time
+	now      time.Time
+	queue    eventQueue
+	order    int
+	nodes    []*simNode
+	teams    []*simTeam
+	disabled Protection
+	// loss and duplicates are the shares of the datagrams that are lost or doubled.
+	loss, duplicates float64
+	// retryAtOnce is the share of the refused requests that callers repeat without delay.
+	retryAtOnce float64
+	// at returns the node of a request, by a random number between 0 and 1.
+	at   func(r float64) *simNode
+	load []func()
+}
+
+type simNode struct {
+	id         registry.NodeID
+	limiter    *Limiter
+	aggregator map[Partition]*Aggregator
+	cut, down  bool
+	process    int
+}
+
+type simTeam struct {
+	limit    Limit
+	usual    float64
+	factor   func(since time.Duration) float64
+	offered  []time.Duration
+	admitted []time.Duration
+	refused  int
+	// owed counts the requests that a token bucket of the quota admits.
+	owed     int
+	tokens   float64
+	refilled time.Duration
+	// refusedOwed counts refused requests within the quota.
+	refusedOwed int
+}
+
+type simEvent struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type eventQueue []simEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// newSimulation returns a fleet of 86 nodes and 78 teams. The demand of the teams is Zipf
+// distributed with exponent 1.2 and sums up to 290 requests a second; each quota is 1.6 times
+// the usual demand, with a burst of one second.
+func newSimulation(seed uint64, disabled Protection) *simulation {
+	s := &simulation{
+		rng: rand.New(rand.NewPCG(seed, 1)), disabled: disabled,
+		start: time.Unix(1_700_000_000, 0), now: time.Unix(1_700_000_000, 0),
+	}
+	for i := range 86 {
+		n := &simNode{id: registry.NodeID(fmt.Sprintf("n%02d", i))}
+		s.nodes = append(s.nodes, n)
+		s.boot(n)
+	}
+	s.at = func(r float64) *simNode { return s.nodes[int(r*float64(len(s.nodes)))] }
+	weights := 0.0
+	for i := range 78 {
+		weights += math.Pow(float64(i+1), -1.2)
+	}
+	for i := range 78 {
+		usual := 290 * math.Pow(float64(i+1), -1.2) / weights
+		rate := 1.6 * usual
+		s.teams = append(s.teams, &simTeam{
+			limit:  Limit{Team: fmt.Sprintf("team-%02d", i), RatePerSecond: rate, Burst: max(1, rate)},
+			usual:  usual,
+			factor: func(time.Duration) float64 { return 1 },
+			tokens: max(1, rate),
+		})
+	}
+	for _, n := range s.nodes {
+		s.after(time.Duration(s.rng.Int64N(int64(simTick))), func() { s.tick(n) })
+	}
+	for _, team := range s.teams {
+		s.arrive(team)
+	}
+	return s
+}
+
+// boot starts the process of a node.
+func (s *simulation) boot(n *simNode) {
+	n.process++
+	n.down = false
+	n.limiter = NewLimiter(LimiterOptions{Session: s.rng.Uint64(), Rand: s.rng, Disabled: s.disabled})
+	n.aggregator = make(map[Partition]*Aggregator)
+}
+
+func (s *simulation) after(d time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.queue, simEvent{at: s.now.Add(d), order: s.order, run: run})
+}
+
+// run plays the events until the given time since the start.
+func (s *simulation) run(until time.Duration) {
+	end := s.start.Add(until)
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+func (s *simulation) since() time.Duration { return s.now.Sub(s.start) }
+
+// tick runs the timers of a node.
+func (s *simulation) tick(n *simNode) {
+	s.after(simTick, func() { s.tick(n) })
+	if n.down {
+		return
+	}
+	var live []registry.NodeID
+	for _, m := range s.nodes {
+		if m == n || s.connected(n, m) {
+			live = append(live, m.id)
+		}
+	}
+	n.limiter.SetMembers(s.now, live)
+	for _, o := range n.limiter.Tick(s.now) {
+		to := s.nodes[slices.IndexFunc(s.nodes, func(m *simNode) bool { return m.id == o.To })]
+		s.send(n, to, func() { s.report(to, n, o.Report) })
+	}
+	for _, a := range n.aggregator {
+		a.SetMembers(s.now, len(live))
+		for _, p := range a.Tick(s.now) {
+			to := s.nodes[slices.IndexFunc(s.nodes, func(m *simNode) bool { return string(m.id) == p.To })]
+			s.send(n, to, func() { to.limiter.HandleReply(s.now, p.Reply) })
+		}
+	}
+}
+
+// connected reports whether a node takes another one for live. All nodes notice a change at
+// once except for killed ones, which they notice after the tests' time.
+func (s *simulation) connected(n, m *simNode) bool { return n.cut == m.cut && (!n.cut || n == m) }
+
+func (s *simulation) report(to, from *simNode, r Report) {
+	a := to.aggregator[r.Partition]
+	if a == nil {
+		a = NewAggregator(AggregatorOptions{Partition: r.Partition, Bound: testBound, Limit: s.limit, Disabled: s.disabled})
+		a.SetMembers(s.now, len(s.nodes))
+		to.aggregator[r.Partition] = a
+	}
+	reply := a.HandleReport(s.now, string(from.id), r)
+	s.send(to, from, func() { from.limiter.HandleReply(s.now, reply) })
+}
+
+func (s *simulation) limit(key TeamKey) (Limit, bool) {
+	for _, t := range s.teams {
+		if KeyOf(t.limit.Team) == key {
+			return t.limit, true
+		}
+	}
+	return Limit{}, false
+}
+
+// send delivers a datagram after 1 to 9 ms.
+func (s *simulation) send(from, to *simNode, deliver func()) {
+	copies := 1
+	if s.rng.Float64() < s.duplicates {
+		copies = 2
+	}
+	for range copies {
+		if from != to && (s.rng.Float64() < s.loss || from.cut || to.cut) {
+			continue
+		}
+		process := to.process
+		s.after(time.Millisecond+time.Duration(s.rng.Int64N(int64(8*time.Millisecond))), func() {
+			if !to.down && to.process == process {
+				deliver()
+			}
+		})
+	}
+}
+
+// arrive sends a request of a team and plans the next one.
+func (s *simulation) arrive(t *simTeam) {
+	rate := t.usual * t.factor(s.since())
+	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		s.request(t, true)
+		s.arrive(t)
+	})
+}
+
+func (s *simulation) request(t *simTeam, first bool) {
+	n := s.at(s.rng.Float64())
+	if n.down {
+		return
+	}
+	since := s.since()
+	t.offered = append(t.offered, since)
+	owed := false
+	t.tokens = min(t.limit.Burst, t.tokens+(since-t.refilled).Seconds()*t.limit.RatePerSecond)
+	t.refilled = since
+	if t.tokens >= 1 {
+		t.tokens--
+		t.owed++
+		owed = true
+	}
+	if ok, _ := n.limiter.Admit(s.now, t.limit); ok {
+		t.admitted = append(t.admitted, since)
+		return
+	}
+	t.refused++
+	if owed {
+		t.refusedOwed++
+	}
+	if s.rng.Float64() < s.retryAtOnce {
+		s.after(20*time.Millisecond, func() { s.request(t, false) })
+	}
+}
+
+// worstExcess returns the most requests that were admitted in a window beyond the bound, for
+// a quota in force from the given time on.
+func (t *simTeam) worstExcess(limit Limit, from time.Duration) float64 {
+	allowed := (limit.RatePerSecond*testBound.Window.Seconds()+limit.Burst)*(1+testBound.Overage) + testBound.Slack
+	worst := math.Inf(-1)
+	first := 0
+	for i, at := range t.admitted {
+		for at-t.admitted[first] > testBound.Window {
+			first++
+		}
+		if at-testBound.Window >= from {
+			worst = max(worst, float64(i-first+1)-allowed)
+		}
+	}
+	return worst
+}
+
+// within counts the times in a range.
+func within(times []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+// hot returns a factor that is x from one time to another.
+func hot(from, to time.Duration, x float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return x
+		}
+		return 1
+	}
+}
+
+// seeds returns the seeds of a test.
+func seeds() []uint64 { return []uint64{1, 2, 3, 4, 5} }
+
+// checkBound fails the test if a team exceeds its bound.
+func (s *simulation) checkBound(t *testing.T) {
+	t.Helper()
+	if team, excess := s.worst(); excess > 0 {
+		t.Errorf("%s exceeds its bound by %.0f requests", team.limit.Team, excess)
+	}
+}
+
+// worst returns the team that comes nearest to its bound or exceeds it by most.
+func (s *simulation) worst() (team *simTeam, excess float64) {
+	excess = math.Inf(-1)
+	for _, c := range s.teams {
+		if e := c.worstExcess(c.limit, 0); e > excess {
+			team, excess = c, e
+		}
+	}
+	return team, excess
+}
