Run quotas of teams on the nodes

Reports and replies share the UDP socket of the membership protocol: a call over the connections between nodes has about 400 B of headers each way, a report about 60 B with the headers of IP and UDP.

--- a/internal/coordination/quota/aggregator.go
+++ b/internal/coordination/quota/aggregator.go
@@ -25,11 +25,13 @@
 	// bucketLifetime is how long a full bucket without requests is kept.
 	bucketLifetime = 10 * time.Second
 	tidyInterval   = 500 * time.Millisecond
-	// maxDirectives bounds the directives of a reply about teams that its report does not
+	// maxUnrequested bounds the directives of a reply about teams that its report does not
 	// contain.
-	maxDirectives = 16
+	maxUnrequested = 16
 	// pushFactor is the change of a fraction that is sent without waiting for a report.
 	pushFactor = 0.8
+	// changeDelay is the time after which a team that is no longer limited is reported.
+	changeDelay = 2 * time.Second
 	// minDemand, in requests per second, avoids fractions of a demand that is about 0.
 	minDemand = 0.01
 )
@@ -89,6 +91,9 @@
 	// limited is set while the team's requests are admitted in part.
 	limited  bool
 	fraction float64
+	// reported is set while the team was last reported as limited.
+	reported    bool
+	lastLimited time.Time
 	// pushed is the fraction when it was last sent to all sessions.
 	pushed float64
 }
@@ -218,13 +223,23 @@
 	tolerated := max(0, toleratedShare*a.opts.Bound.excess(b.limit)-b.demand*reactionTime.Seconds())
 	allowed := max(0, a.rate(b)+(b.level+tolerated)/repayTime.Seconds())
 	b.fraction = min(1, allowed/max(b.demand, minDemand))
-	if limited := b.fraction < 1; limited != b.limited {
-		b.limited = limited
-		a.changes = append(a.changes, Change{Limit: b.limit, Limited: limited, Demand: b.demand, Fraction: b.fraction})
-	}
+	b.limited = b.fraction < 1
 	if !b.limited {
 		b.pushed = 1
 	}
+	a.reportChange(now, b)
+}
+
+// reportChange reports that a team is limited, or has not been for changeDelay.
+func (a *Aggregator) reportChange(now time.Time, b *bucket) {
+	if b.limited {
+		b.lastLimited = now
+	}
+	if b.reported == b.limited || b.reported && now.Sub(b.lastLimited) < changeDelay {
+		return
+	}
+	b.reported = b.limited
+	a.changes = append(a.changes, Change{Limit: b.limit, Limited: b.limited, Demand: b.demand, Fraction: b.fraction})
 }
 
 func (a *Aggregator) tidy(now time.Time) {
@@ -257,7 +272,7 @@
 			out = append(out, b.directive())
 		}
 	}
-	most := a.limited[:min(len(a.limited), maxDirectives)]
+	most := a.limited[:min(len(a.limited), maxUnrequested)]
 	for _, b := range most {
 		add(b)
 	}
@@ -282,7 +297,7 @@
 	a.evaluate(now)
 	var urgent []Directive
 	for i, b := range a.limited {
-		if i < maxDirectives && b.fraction < pushFactor*b.pushed {
+		if i < maxUnrequested && b.fraction < pushFactor*b.pushed {
 			b.pushed = b.fraction
 			urgent = append(urgent, b.directive())
 		}
--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"wigeonspring.example/wigeonspring/internal/state/registry"
@@ -33,6 +34,8 @@
 	directiveLifetime = 1500 * time.Millisecond
 	// entryLifetime is how long a limiter keeps the state of a team without requests.
 	entryLifetime = 10 * time.Second
+	// usageLifetime is how long a limiter tries to report a usage.
+	usageLifetime = 5 * time.Second
 	// maxEntries bounds the teams of which a limiter keeps the state.
 	maxEntries = 1 << 14
 	// memberMemory is how long a member that is no longer live counts as one that may still
@@ -118,8 +121,9 @@
 	lastSent time.Time
 	// acknowledged is set once an aggregator has acknowledged a report.
 	acknowledged bool
-	pending      bool
-	fast         bool
+	// pending is set if there are requests that no report contains yet, and fast if there are
+	// many of one team. deferred is set if the next report has no room for all teams.
+	pending, fast, deferred bool
 }
 
 // NewLimiter returns a limiter that knows no members yet.
@@ -255,15 +259,20 @@
 			due = make(map[Partition]*uplink)
 		}
 		due[p] = u
-		u.sent = nil
+		l.repeat(u)
 	}
 	if len(due) == 0 {
 		return nil
 	}
 	for key, e := range l.entries {
 		u := due[partitionOf(key, l.count)]
-		if u != nil && (e.admitted != 0 || e.refused != 0) {
+		if u == nil || e.admitted == 0 && e.refused == 0 || u.contains(key) {
+			continue
+		}
+		if len(u.sent) < MaxUsages {
 			u.sent = append(u.sent, Usage{Team: key, Admitted: e.admitted, Refused: e.refused})
+		} else {
+			u.deferred = true
 		}
 	}
 	for _, u := range due {
@@ -272,6 +281,19 @@
 	return out
 }
 
+// repeat brings the usages of the last report up to date if it was not acknowledged. A report
+// contains all usages of the one that it repeats.
+func (l *Limiter) repeat(u *uplink) {
+	sent := make([]Usage, 0, len(u.sent))
+	for _, usage := range u.sent {
+		if e := l.entries[usage.Team]; e != nil {
+			usage.Admitted, usage.Refused = e.admitted, e.refused
+		}
+		sent = append(sent, usage)
+	}
+	u.sent = sent
+}
+
 // chooseAggregator moves the uplink to the preferred aggregator.
 func (l *Limiter) chooseAggregator(now time.Time, u *uplink) {
 	if !u.switchAt.IsZero() && !now.Before(u.switchAt) && l.opts.Disabled&Failover == 0 {
@@ -300,6 +322,9 @@
 		}
 	}
 	for _, u := range l.uplinks {
+		if !u.unanswered.IsZero() && now.Sub(u.unanswered) > usageLifetime {
+			l.forget(u)
+		}
 		for id, until := range u.unresponsive {
 			if !now.Before(until) {
 				delete(u.unresponsive, id)
@@ -308,6 +333,21 @@
 	}
 }
 
+// forget drops the usages of a partition that could not be reported in time.
+func (l *Limiter) forget(u *uplink) {
+	u.base, u.sent = u.seq, nil
+	for key, e := range l.entries {
+		if partitionOf(key, l.count) == u.partition {
+			e.admitted, e.refused = 0, 0
+		}
+	}
+}
+
+// contains reports whether the last report has a usage of a team.
+func (u *uplink) contains(key TeamKey) bool {
+	return slices.ContainsFunc(u.sent, func(v Usage) bool { return v.Team == key })
+}
+
 // due reports whether a report is to be sent.
 func (u *uplink) due(now time.Time) bool {
 	since := now.Sub(u.lastSent)
@@ -324,7 +364,7 @@
 
 func (u *uplink) report(now time.Time, session uint64) OutgoingReport {
 	u.seq++
-	u.lastSent, u.pending, u.fast = now, false, false
+	u.lastSent, u.pending, u.fast, u.deferred = now, u.deferred, u.deferred, false
 	if u.unanswered.IsZero() {
 		u.unanswered = now
 	}
--- a/internal/coordination/quota/messages.go
+++ b/internal/coordination/quota/messages.go
@@ -21,6 +21,12 @@
 	Burst         float64
 }
 
+// MaxUsages and MaxDirectives bound a report and a reply, so that each fits into a packet.
+const (
+	MaxUsages     = 80
+	MaxDirectives = MaxUsages + maxUnrequested
+)
+
 // Usage is the number of requests of one team at one node.
 type Usage struct {
 	Team TeamKey
--- a/internal/protocol/quota/codec.go
+++ b/internal/protocol/quota/codec.go
@@ -28,12 +28,6 @@
 	fractionUnit = math.MaxUint16
 	// retryUnit is the resolution of a retry delay, which has one byte.
 	retryUnit = 100 * time.Millisecond
-	// MaxDatagram is the size of the largest datagram that fits into the MTU.
-	MaxDatagram = 1400
-	// MaxUsages is the number of usages that fit into a datagram.
-	MaxUsages = 80
-	// MaxDirectives is the number of directives that fit into a datagram.
-	MaxDirectives = 100
 )
 
 // Errors of the decoders.
@@ -43,14 +37,14 @@
 	errRange     = errors.New("quota datagram has a value out of range")
 )
 
-// AppendReport appends an encoded report to b. It has at most MaxUsages usages.
+// AppendReport appends an encoded report to b.
 func AppendReport(b []byte, r quota.Report) []byte {
 	b = append(b, Marker, kindReport)
 	b = binary.LittleEndian.AppendUint64(b, r.Session)
 	b = binary.AppendUvarint(b, uint64(r.Partition))
 	b = binary.AppendUvarint(b, r.Seq)
 	b = binary.AppendUvarint(b, r.Seq-r.Base)
-	for _, u := range r.Usages[:min(len(r.Usages), MaxUsages)] {
+	for _, u := range r.Usages {
 		b = binary.LittleEndian.AppendUint64(b, uint64(u.Team))
 		b = binary.AppendVarint(b, u.Admitted)
 		b = binary.AppendUvarint(b, u.Refused)
@@ -58,13 +52,13 @@
 	return b
 }
 
-// AppendReply appends an encoded reply to b. It has at most MaxDirectives directives.
+// AppendReply appends an encoded reply to b.
 func AppendReply(b []byte, r quota.Reply) []byte {
 	b = append(b, Marker, kindReply)
 	b = binary.LittleEndian.AppendUint64(b, r.Session)
 	b = binary.AppendUvarint(b, uint64(r.Partition))
 	b = binary.AppendUvarint(b, r.Seq)
-	for _, d := range r.Directives[:min(len(r.Directives), MaxDirectives)] {
+	for _, d := range r.Directives {
 		b = binary.LittleEndian.AppendUint64(b, uint64(d.Team))
 		b = binary.LittleEndian.AppendUint16(b, uint16(d.Fraction*fractionUnit))
 		b = append(b, byte(min(d.RetryAfter/retryUnit, math.MaxUint8)))
--- a/internal/protocol/quota/codec_test.go
+++ b/internal/protocol/quota/codec_test.go
@@ -8,6 +8,9 @@
 	"wigeonspring.example/wigeonspring/internal/coordination/quota"
 )
 
+// maxDatagram is the size of the largest datagram that fits into the MTU.
+const maxDatagram = 1400
+
 func TestRoundTrip(t *testing.T) {
 	report := quota.Report{Session: 1 << 63, Partition: 17, Seq: 300, Base: 299, Usages: []quota.Usage{
 		{Team: quota.KeyOf("a"), Admitted: -2, Refused: 0}, {Team: quota.KeyOf("b"), Admitted: 300, Refused: 9},
@@ -31,14 +34,16 @@
 func TestLargestDatagrams(t *testing.T) {
 	report := quota.Report{Session: 1 << 63, Partition: 1 << 30, Seq: 1 << 40}
 	reply := quota.Reply{Session: 1 << 63, Partition: 1 << 30, Seq: 1 << 40}
-	for range 200 {
+	for range quota.MaxUsages {
 		report.Usages = append(report.Usages, quota.Usage{Team: 1 << 63, Admitted: 1 << 20, Refused: 1 << 20})
+	}
+	for range quota.MaxDirectives {
 		reply.Directives = append(reply.Directives, quota.Directive{Team: 1 << 63})
 	}
-	if n := len(AppendReport(nil, report)); n > MaxDatagram {
+	if n := len(AppendReport(nil, report)); n > maxDatagram {
 		t.Errorf("report has %d bytes", n)
 	}
-	if n := len(AppendReply(nil, reply)); n > MaxDatagram {
+	if n := len(AppendReply(nil, reply)); n > maxDatagram {
 		t.Errorf("reply has %d bytes", n)
 	}
 }
--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -40,6 +40,8 @@
 	PlatformDown       Kind = "platform_down"
 	PlatformUp         Kind = "platform_up"
 	PlatformCompacted  Kind = "platform_compacted"
+	TeamLimited        Kind = "team_limited"
+	TeamWithinQuota    Kind = "team_within_quota"
 	InvariantViolation Kind = "invariant_violation"
 )
 
--- a/internal/transport/gossip/gossip.go
+++ b/internal/transport/gossip/gossip.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,10 @@
 // ErrStopped is returned by calls to a transport that is stopped.
 var ErrStopped = errors.New("gossip transport is stopped")
 
+// AppMarker is the first byte of datagrams that other protocols of a node exchange through the
+// socket. No message of the membership protocol begins with it.
+const AppMarker = 0
+
 // inbound is a received datagram.
 type inbound struct {
 	from    string
@@ -36,6 +41,7 @@
 	received *ring.Ring[inbound]
 	calls    *ring.Ring[func()]
 	syncs    *ring.Ring[membership.Sync]
+	joined   atomic.Bool
 
 	// serveMu guards serveDecoder, which decodes the sync requests of other nodes.
 	serveMu      sync.Mutex
@@ -161,6 +167,9 @@
 	return joined, err
 }
 
+// HasJoined returns what Joined does, as of the latest input of the core.
+func (t *Transport) HasJoined() bool { return t.joined.Load() }
+
 // do runs f on the loop goroutine and waits for it.
 func (t *Transport) do(ctx context.Context, f func()) error {
 	finished := make(chan struct{})
@@ -219,6 +228,10 @@
 		}
 		failures = 0
 		counters.Add("bytes_received", int64(n+headerBytes))
+		if n > 0 && buf[0] == AppMarker {
+			t.opts.OnDatagram(from.String(), buf[:n])
+			continue
+		}
 		msg, err := decoder.Decode(buf[:n])
 		if err != nil {
 			counters.Add("drops_malformed", 1)
@@ -249,6 +262,7 @@
 			t.core.SetPolicyDigest(t.opts.PolicyDigest())
 			t.core.Tick(time.Now())
 		}
+		t.joined.Store(t.core.Joined())
 		t.handle(t.core.Ready())
 	}
 }
@@ -288,6 +302,21 @@
 	}
 }
 
+// Send sends a datagram that begins with AppMarker to the socket of another node.
+func (t *Transport) Send(addr string, data []byte) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		counters.Add("drops_bad_address", 1)
+		return
+	}
+	if _, err := t.conn.WriteTo(data, net.UDPAddrFromAddrPort(to)); err != nil {
+		counters.Add("drops_send", 1)
+		return
+	}
+	counters.Add("bytes_sent", int64(len(data)+headerBytes))
+	counters.Add("datagrams_sent_app", 1)
+}
+
 func (t *Transport) sendDatagram(d *membership.Datagram) {
 	addr, err := netip.ParseAddrPort(d.To.Addr)
 	if err != nil {
--- a/internal/transport/gossip/options.go
+++ b/internal/transport/gossip/options.go
@@ -51,6 +51,9 @@
 	// OnPolicyDigest is called with the policy digest of every ping and ack of a peer,
 	// also if it equals the local one, which shows that no policy is missing.
 	OnPolicyDigest func(peer membership.Peer, digest uint64)
+	// OnDatagram is called with each datagram that begins with AppMarker. data is only valid
+	// during the call.
+	OnDatagram func(from string, data []byte)
 	// OnUnansweredProbes is called with the number of probes that got no ack in time.
 	OnUnansweredProbes func(probes int)
 	// OnSuperseded is called when a newer process uses the ID of this node.
@@ -92,6 +95,9 @@
 	if o.OnPolicyDigest == nil {
 		o.OnPolicyDigest = func(membership.Peer, uint64) {}
 	}
+	if o.OnDatagram == nil {
+		o.OnDatagram = func(string, []byte) {}
+	}
 	if o.OnUnansweredProbes == nil {
 		o.OnUnansweredProbes = func(int) {}
 	}
--- a/internal/transport/node/cluster.go
+++ b/internal/transport/node/cluster.go
@@ -41,6 +41,7 @@
 		OnPolicyDigest: func(p membership.Peer, digest uint64) {
 			n.sync.HandleDigest(distribution.PeerDigest{From: p.ID, Digest: digest})
 		},
+		OnDatagram:         n.quotas.Receive,
 		OnUnansweredProbes: n.sync.ReportFailedProbes,
 		PeerClient:         n.peerClient,
 		Events:             n.bus,
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -31,6 +31,7 @@
 	"wigeonspring.example/wigeonspring/internal/transport/permits"
 	"wigeonspring.example/wigeonspring/internal/transport/policysync"
 	"wigeonspring.example/wigeonspring/internal/transport/proxy"
+	quotas "wigeonspring.example/wigeonspring/internal/transport/quota"
 	"wigeonspring.example/wigeonspring/internal/transport/trace"
 )
 
@@ -81,6 +82,7 @@
 	sync       *policysync.Runner
 	health     *health.Monitor
 	permits    *permits.Manager
+	quotas     *quotas.Manager
 	nodeViews  nodeViews
 	backends   *proxy.Backends
 	owner      *proxy.Owner
@@ -202,6 +204,7 @@
 	n.platform = n.platformClient()
 	n.departures = n.newDepartures()
 	n.assemblePolicies()
+	n.quotas = n.newQuotas()
 	n.assembleProxy()
 	if err := n.assembleGossip(); err != nil {
 		return err
@@ -259,6 +262,7 @@
 		LocalService:         s.Node.LocalService,
 		FreeRefusals:         s.Fleet.FreeRefusals,
 		Stopping:             n.stopping.Load,
+		Quotas:               n.quotas,
 		RetrySlack:           n.retrySlack(),
 		// An earlier process of this node may have used its slack in the same window.
 		RetrySlackStart: time.Now().Add(s.RetryWindow()),
