--- a/internal/coordination/quota/aggregator.go
+++ b/internal/coordination/quota/aggregator.go
@@ -19,7 +19,7 @@
 	// demand in the reaction time, before its team is limited below its rate.
 	toleratedShare = 0.75
 	// silentAfter is the time without a report after which a session counts as silent.
-	silentAfter = 2500 * time.Millisecond
+	silentAfter = 2 * time.Second
 	// takeoverGap is the time without any report after which an aggregator starts anew.
 	takeoverGap = 5 * time.Second
 	// bucketLifetime is how long a full bucket without requests is kept.
@@ -173,7 +173,7 @@
 		b = &bucket{key: key, limit: limit, level: limit.Burst, at: now, used: now, fraction: 1, pushed: 1}
 		if a.opts.Disabled&EmptyStart == 0 {
 			// An earlier aggregator may have given out the tokens of the time before.
-			b.level = min(limit.Burst, limit.RatePerSecond*now.Sub(a.since).Seconds())
+			b.level = min(limit.Burst, limit.RatePerSecond*now.Sub(a.since).Seconds()) * a.share()
 		}
 		a.buckets[key] = b
 	}
@@ -187,16 +187,18 @@
 		return
 	}
 	b.at = now
-	b.level = min(b.limit.Burst, b.level+a.rate(b)*elapsed)
+	share := a.share()
+	b.level = min(b.limit.Burst*share, b.level+b.limit.RatePerSecond*share*elapsed)
 	b.demand *= math.Exp(-elapsed / demandDecay.Seconds())
 }
 
-// rate returns the rate of a team without the parts of the silent members.
-func (a *Aggregator) rate(b *bucket) float64 {
+// share returns the share of a quota that the members that report may use. The others may use
+// their parts without a report.
+func (a *Aggregator) share() float64 {
 	if a.opts.Disabled&Reserve != 0 {
-		return b.limit.RatePerSecond
+		return 1
 	}
-	return b.limit.RatePerSecond * min(1, float64(len(a.sessions))/a.members.count())
+	return min(1, float64(len(a.sessions))/a.members.count())
 }
 
 // evaluate brings all buckets up to date and lists the limited ones by their demand.
@@ -220,8 +222,9 @@
 // decide sets the fraction of a team.
 func (a *Aggregator) decide(now time.Time, b *bucket) {
 	a.refill(now, b)
-	tolerated := max(0, toleratedShare*a.opts.Bound.excess(b.limit)-b.demand*reactionTime.Seconds())
-	allowed := max(0, a.rate(b)+(b.level+tolerated)/repayTime.Seconds())
+	share := a.share()
+	tolerated := max(0, toleratedShare*a.opts.Bound.excess(b.limit)*share-b.demand*reactionTime.Seconds())
+	allowed := max(0, b.limit.RatePerSecond*share+(b.level+tolerated)/repayTime.Seconds())
 	b.fraction = min(1, allowed/max(b.demand, minDemand))
 	b.limited = b.fraction < 1
 	if !b.limited {
@@ -250,7 +253,7 @@
 	}
 	for key, b := range a.buckets {
 		limit, ok := a.opts.Limit(key)
-		full := b.level >= b.limit.Burst && now.Sub(b.used) > bucketLifetime
+		full := b.level >= b.limit.Burst*a.share() && now.Sub(b.used) > bucketLifetime
 		if !ok || full {
 			delete(a.buckets, key)
 			continue
--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -12,26 +12,24 @@
 const TickInterval = fastReportInterval
 
 const (
-	// reportInterval is the time between two reports while requests arrive, and
-	// fastReportInterval that while a team sends many.
-	reportInterval     = 400 * time.Millisecond
+	// reportInterval is the time between two reports, also without requests, and
+	// fastReportInterval that while a team sends many requests.
+	reportInterval     = time.Second
 	fastReportInterval = 100 * time.Millisecond
-	// keepAliveInterval is the time between two reports without requests.
-	keepAliveInterval = time.Second
 	// fastShare is the share of a quota, in seconds of its rate divided by the number of
 	// members, from which the requests of a team are reported fast.
 	fastShare = 0.1
 	// replyTimeout is the time after which a report that is not acknowledged is sent again.
-	replyTimeout = 300 * time.Millisecond
+	replyTimeout = 200 * time.Millisecond
 	// switchTimeout is the time without an acknowledgement after which a limiter reports to
 	// the next aggregator. It does not return to the old one for unresponsiveTime.
-	switchTimeout    = 600 * time.Millisecond
+	switchTimeout    = 500 * time.Millisecond
 	unresponsiveTime = 3 * time.Second
 	// contactTimeout is the time without an acknowledgement after which a limiter admits by
 	// local buckets.
-	contactTimeout = 700 * time.Millisecond
+	contactTimeout = 600 * time.Millisecond
 	// directiveLifetime is how long a directive applies that is not repeated.
-	directiveLifetime = 1500 * time.Millisecond
+	directiveLifetime = 2500 * time.Millisecond
 	// entryLifetime is how long a limiter keeps the state of a team without requests.
 	entryLifetime = 10 * time.Second
 	// usageLifetime is how long a limiter tries to report a usage.
@@ -121,9 +119,9 @@
 	lastSent time.Time
 	// acknowledged is set once an aggregator has acknowledged a report.
 	acknowledged bool
-	// pending is set if there are requests that no report contains yet, and fast if there are
-	// many of one team. deferred is set if the next report has no room for all teams.
-	pending, fast, deferred bool
+	// fast is set if there are many requests of one team that no report contains yet, and
+	// deferred if the next report has no room for all teams.
+	fast, deferred bool
 }
 
 // NewLimiter returns a limiter that knows no members yet.
@@ -163,7 +161,6 @@
 		} else {
 			e.refused++
 		}
-		u.pending = true
 		u.fast = u.fast || float64(e.admitted)+float64(e.refused) >= max(2, fastShare*limit.RatePerSecond/l.members.count())
 	}
 	if admitted {
@@ -225,9 +222,6 @@
 		return
 	}
 	e.admitted--
-	if u := l.uplinks[partitionOf(key, l.count)]; u != nil {
-		u.pending = true
-	}
 }
 
 // entry returns the state of a team, or nil if there are too many.
@@ -356,15 +350,13 @@
 		return since >= replyTimeout || u.fast && since >= fastReportInterval
 	case u.fast:
 		return since >= fastReportInterval
-	case u.pending:
-		return since >= reportInterval
 	}
-	return since >= keepAliveInterval
+	return since >= reportInterval
 }
 
 func (u *uplink) report(now time.Time, session uint64) OutgoingReport {
 	u.seq++
-	u.lastSent, u.pending, u.fast, u.deferred = now, u.deferred, u.deferred, false
+	u.lastSent, u.fast, u.deferred = now, u.deferred, false
 	if u.unanswered.IsZero() {
 		u.unanswered = now
 	}
--- a/internal/coordination/quota/sim_test.go
+++ b/internal/coordination/quota/sim_test.go
@@ -16,6 +16,9 @@
 
 const simTick = 100 * time.Millisecond
 
+// detectionTime is the time in which the membership protocol notices a lost node.
+const detectionTime = 4 * time.Second
+
 // simulation replays the requests of teams at the ingress nodes of a fleet.
 type simulation struct {
 	rng      *rand.Rand
@@ -31,16 +34,19 @@
 	// retryAtOnce is the share of the refused requests that callers repeat without delay.
 	retryAtOnce float64
 	// at returns the node of a request, by a random number between 0 and 1.
-	at   func(r float64) *simNode
-	load []func()
+	at func(r float64) *simNode
 }
 
 type simNode struct {
 	id         registry.NodeID
 	limiter    *Limiter
 	aggregator map[Partition]*Aggregator
-	cut, down  bool
-	process    int
+	// group holds the nodes that reach each other. changed is when a node was last killed or
+	// moved to another group.
+	group   int
+	down    bool
+	changed time.Time
+	process int
 }
 
 type simTeam struct {
@@ -150,7 +156,7 @@
 	}
 	var live []registry.NodeID
 	for _, m := range s.nodes {
-		if m == n || s.connected(n, m) {
+		if m == n || s.seemsLive(n, m) {
 			live = append(live, m.id)
 		}
 	}
@@ -168,9 +174,27 @@
 	}
 }
 
-// connected reports whether a node takes another one for live. All nodes notice a change at
-// once except for killed ones, which they notice after the tests' time.
-func (s *simulation) connected(n, m *simNode) bool { return n.cut == m.cut && (!n.cut || n == m) }
+// seemsLive reports whether a node takes another one for live. The loss of a node is noticed
+// after detectionTime.
+func (s *simulation) seemsLive(n, m *simNode) bool {
+	if !m.down && n.group == m.group {
+		return true
+	}
+	return s.now.Sub(later(n.changed, m.changed)) < detectionTime
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// kill ends the process of a node.
+func (s *simulation) kill(n *simNode) { n.down, n.changed = true, s.now }
+
+// isolate cuts the node off from all others.
+func (s *simulation) isolate(n *simNode, group int) { n.group, n.changed = group, s.now }
 
 func (s *simulation) report(to, from *simNode, r Report) {
 	a := to.aggregator[r.Partition]
@@ -199,7 +223,7 @@
 		copies = 2
 	}
 	for range copies {
-		if from != to && (s.rng.Float64() < s.loss || from.cut || to.cut) {
+		if from != to && (s.rng.Float64() < s.loss || from.group != to.group) {
 			continue
 		}
 		process := to.process
@@ -215,12 +239,12 @@
 func (s *simulation) arrive(t *simTeam) {
 	rate := t.usual * t.factor(s.since())
 	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
-		s.request(t, true)
+		s.request(t)
 		s.arrive(t)
 	})
 }
 
-func (s *simulation) request(t *simTeam, first bool) {
+func (s *simulation) request(t *simTeam) {
 	n := s.at(s.rng.Float64())
 	if n.down {
 		return
@@ -244,7 +268,7 @@
 		t.refusedOwed++
 	}
 	if s.rng.Float64() < s.retryAtOnce {
-		s.after(20*time.Millisecond, func() { s.request(t, false) })
+		s.after(20*time.Millisecond, func() { s.request(t) })
 	}
 }
 
@@ -265,17 +289,6 @@
 	return worst
 }
 
-// within counts the times in a range.
-func within(times []time.Duration, from, to time.Duration) int {
-	n := 0
-	for _, at := range times {
-		if at >= from && at < to {
-			n++
-		}
-	}
-	return n
-}
-
 // hot returns a factor that is x from one time to another.
 func hot(from, to time.Duration, x float64) func(time.Duration) float64 {
 	return func(at time.Duration) float64 {
