--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -195,9 +195,9 @@
 	part := 1 / l.members.count()
 	if e.localSince.IsZero() {
 		e.localSince, e.refilled, e.tokens = now, now, 0
-		// The nodes that lose contact admit a burst at most, which has fewer requests than
-		// they may be. The quota of a team that was limited is used up.
-		if e.until.IsZero() && l.opts.Rand.Float64() < limit.Burst*part {
+		// The nodes that lose contact admit a burst together, which may have fewer requests
+		// than they are. The quota of a team that was limited is used up.
+		if l.members.unknown() || e.until.IsZero() && l.opts.Rand.Float64() < limit.Burst*part {
 			e.tokens = 1
 		}
 	}
@@ -426,4 +426,13 @@
 	m.current = max(m.current, live)
 }
 
-func (m *memberCount) count() float64 { return float64(max(m.current, m.previous, 1)) }
+// unknown reports whether no members have been observed yet.
+func (m *memberCount) unknown() bool { return m.since.IsZero() }
+
+// count returns the number of members, or a high one if it is unknown.
+func (m *memberCount) count() float64 {
+	if m.unknown() {
+		return nodesPerPartition
+	}
+	return float64(max(m.current, m.previous, 1))
+}
--- a/internal/protocol/quota/codec.go
+++ b/internal/protocol/quota/codec.go
@@ -15,7 +15,7 @@
 )
 
 // Marker is the first byte of a datagram.
-const Marker = 0
+const Marker = 0 // gossip.AppMarker
 
 // Kinds of datagrams, in the second byte.
 const (
--- a/internal/transport/gossip/receive_test.go
+++ b/internal/transport/gossip/receive_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -32,3 +33,25 @@
 		t.Errorf("%d reads in 0.5 s", n)
 	}
 }
+
+// Guards against datagrams of other protocols that are lost or counted as malformed.
+func TestAppDatagrams(t *testing.T) {
+	type received struct {
+		from string
+		data []byte
+	}
+	got := make(chan received, 1)
+	a := start(t, 0, nil)
+	b := start(t, 1, func(o *Options) {
+		o.OnDatagram = func(from string, data []byte) { got <- received{from, bytes.Clone(data)} }
+	})
+	a.Send(b.Addr(), []byte{AppMarker, 7, 8})
+	select {
+	case r := <-got:
+		if r.from != a.Addr() || !bytes.Equal(r.data, []byte{AppMarker, 7, 8}) {
+			t.Errorf("got %v from %s, sent by %s", r.data, r.from, a.Addr())
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("datagram has not arrived")
+	}
+}
