--- a/internal/state/event/event.go
+++ b/internal/state/event/event.go
@@ -44,6 +44,8 @@
 	PlatformRestored   Kind = "platform_restored"
 	KeysCurrent        Kind = "keys_current"
 	KeysOutdated       Kind = "keys_outdated"
+	TeamLimited        Kind = "team_limited"
+	TeamWithinQuota    Kind = "team_within_quota"
 	InvariantViolation Kind = "invariant_violation"
 )
 
