Give scarce retries to urgent requests that have not run

Cause: while the backend servers of a service refuse half of their arrivals, retries within the budget are the scarce good, and hedges, repeats of idempotent requests and requests that may run only once took them in the order of their failures.

Change: retries have a priority, from the rank and from whether the request may be repeated; hedges come last. What earlier priorities ask for is kept for them, and each priority keeps an eighth of the limit. An attempt after which no other may follow takes nothing.

--- a/internal/coordination/retry/budget.go
+++ b/internal/coordination/retry/budget.go
@@ -60,7 +60,9 @@
 }
 
 type bucket struct {
-	requests, retries int32
+	requests int32
+	// retries are those taken and wanted those asked for, by priority.
+	retries, wanted [priorities]int16
 	// upstreamRetries counts requests that are probably repeated because the request
 	// that caused them was retried; see AddUpstreamRetry.
 	upstreamRetries float32
@@ -96,13 +98,25 @@
 	b.maxSlack = max(b.maxSlack, slack)
 }
 
-// Available reports whether Take would allow a retry now.
-func (b *Budget) Available(now time.Time) bool {
+// Available reports whether Take would allow a retry of the priority now.
+func (b *Budget) Available(now time.Time, p Priority) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	requests, used := b.window()
-	return used+1 <= b.limit(now, requests)
+	w := b.window()
+	return w.allows(b.limit(now, w.requests), p)
+}
+
+// allows reports whether the window has room for another retry of a priority.
+func (w *window) allows(limit float64, p Priority) bool {
+	if w.used()+1 > limit {
+		return false
+	}
+	var later float64
+	for _, n := range w.retries[p:] {
+		later += float64(n)
+	}
+	return later+1 <= w.shareOf(limit-w.upstreamRetries, p)
 }
 
 // limit returns the number of retries allowed in a window with this number of requests.
@@ -137,23 +151,25 @@
 	b.counts[b.newest%int64(len(b.counts))].upstreamRetries += float32(probability)
 }
 
-// Take reserves one retry and reports whether the budget allows it.
-func (b *Budget) Take(now time.Time) bool {
+// Take takes one retry of the priority and reports whether the budget allows it.
+func (b *Budget) Take(now time.Time, p Priority) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	requests, used := b.window()
-	limit := b.limit(now, requests)
-	if used+1 > limit && !b.limitDisabled {
+	w := b.window()
+	limit := b.limit(now, w.requests)
+	newest := &b.counts[b.newest%int64(len(b.counts))]
+	newest.wanted[p]++
+	if !w.allows(limit, p) && !b.limitDisabled {
 		return false
 	}
-	b.counts[b.newest%int64(len(b.counts))].retries++
+	newest.retries[p]++
 	b.retries++
 	windows := b.newest/buckets + 1
 	invariant.Check(float64(b.requests+b.retries) <= b.maxAttempts(windows), "retry_attempts_bound",
 		"%d requests led to %d retries in %d windows", b.requests, b.retries, windows)
-	invariant.Check(used+1 <= limit, "retry_budget_window",
-		"%.1f retries for %d requests in the window", used+1, requests)
+	invariant.Check(w.used()+1 <= limit, "retry_budget_window",
+		"%.1f retries for %d requests in the window", w.used()+1, w.requests)
 	return true
 }
 
@@ -193,17 +209,43 @@
 	}
 }
 
-// window returns the number of requests in the window, and the sum of retries and
-// upstream retries. The oldest bucket lies only partly inside the window. Its retries
-// count and its requests do not, so that the limit is never too high.
-func (b *Budget) window() (requests int64, used float64) {
+// window holds the counts of a window.
+type window struct {
+	requests        int64
+	retries, wanted [priorities]int64
+	// recentlyWanted is the part of wanted in the last recentBuckets buckets.
+	recentlyWanted  [priorities]int64
+	upstreamRetries float64
+}
+
+// used returns the number of retries of all priorities and of upstream retries.
+func (w *window) used() float64 {
+	used := w.upstreamRetries
+	for _, n := range w.retries {
+		used += float64(n)
+	}
+	return used
+}
+
+// window returns the counts of the window that ends now. The oldest bucket lies only partly
+// inside the window. Its retries count and its requests do not, so that the limit is never
+// too high.
+func (b *Budget) window() window {
+	var w window
 	oldest := b.newest - buckets
 	for i := max(oldest, 0); i <= b.newest; i++ {
-		c := b.counts[i%int64(len(b.counts))]
-		used += float64(c.retries) + float64(c.upstreamRetries)
+		c := &b.counts[i%int64(len(b.counts))]
+		for p := range priorities {
+			w.retries[p] += int64(c.retries[p])
+			w.wanted[p] += int64(c.wanted[p])
+			if i > b.newest-recentBuckets {
+				w.recentlyWanted[p] += int64(c.wanted[p])
+			}
+		}
+		w.upstreamRetries += float64(c.upstreamRetries)
 		if i > oldest {
-			requests += int64(c.requests)
+			w.requests += int64(c.requests)
 		}
 	}
-	return requests, used
+	return w
 }
--- a/internal/coordination/retry/fleet_test.go
+++ b/internal/coordination/retry/fleet_test.go
@@ -49,8 +49,8 @@
 				now = now.Add(100 * time.Millisecond)
 				b.AddRequest(now)
 			}
-			for b.Available(now) {
-				if !b.Take(now) {
+			for b.Available(now, 0) {
+				if !b.Take(now, 0) {
 					t.Fatal("an available retry is refused")
 				}
 				sum++
@@ -75,7 +75,7 @@
 		for range requests {
 			b.AddRequest(now)
 		}
-		for b.Take(now.Add(DefaultWindow / buckets)) {
+		for b.Take(now.Add(DefaultWindow/buckets), 0) {
 			sum++
 		}
 	}
@@ -101,10 +101,10 @@
 		p := NewPlan(Options{MaxAttempts: 2, UpstreamRetryProbability: 0.6})
 		p.Next(t0, b, AttemptResult{State: Answered})
 	}
-	if b.Available(t0) || b.Take(t0) {
+	if b.Available(t0, 0) || b.Take(t0, 0) {
 		t.Error("a retry beyond a limit of 2.2 after 1.2 upstream retries")
 	}
-	if later := t0.Add(2 * DefaultWindow); !b.Take(later) {
+	if later := t0.Add(2 * DefaultWindow); !b.Take(later, 0) {
 		t.Error("upstream retries count beyond the window")
 	}
 }
@@ -180,10 +180,10 @@
 // Guards against nodes that allow themselves a minimum of retries although the slack that they
 // share is 0.
 func TestSharedSlackOfZeroAllowsNoMinimum(t *testing.T) {
-	if NewBudget(BudgetOptions{Shared: true}).Take(t0) {
+	if NewBudget(BudgetOptions{Shared: true}).Take(t0, 0) {
 		t.Error("a retry without requests is allowed")
 	}
-	if !NewBudget(BudgetOptions{}).Take(t0) {
+	if !NewBudget(BudgetOptions{}).Take(t0, 0) {
 		t.Error("no minimum without a shared slack")
 	}
 }
--- a/internal/coordination/retry/plan.go
+++ b/internal/coordination/retry/plan.go
@@ -47,6 +47,9 @@
 	// budget limits what failures add to an overload, and such an attempt is no failure of
 	// a backend server: another one takes a retry from the budget only if there is one.
 	Interrupted bool
+	// NoRetry states that no other attempt follows, for example because the caller has left.
+	// Nothing is taken from the budget then.
+	NoRetry Reason
 }
 
 // Action is what the ingress node does next.
@@ -119,6 +122,8 @@
 type Options struct {
 	// Idempotent allows the request to run more than once.
 	Idempotent bool
+	// Rank orders the retries of requests that compete for the budget; see Priority.
+	Rank int
 	// MaxAttempts bounds the attempts including the first; 0 selects the default.
 	MaxAttempts int
 	// Deadline is the caller's deadline; zero means none.
@@ -146,6 +151,8 @@
 	// mayHaveRun is set once an attempt may have reached a backend server.
 	mayHaveRun bool
 	final      *Decision
+	// noRetry is AttemptResult.NoRetry of the latest attempt.
+	noRetry Reason
 
 	idempotencyCheckDisabled bool // allows retries of requests that are not idempotent, in tests
 }
@@ -161,9 +168,11 @@
 // AllowsRetry reports whether the attempt that starts now could be followed by another
 // one if its response is lost.
 func (p *Plan) AllowsRetry(now time.Time, b *Budget) bool {
-	return p.opt.Idempotent && p.attempts+1 < p.opt.MaxAttempts && b.Available(now)
+	return p.opt.Idempotent && p.attempts+1 < p.opt.MaxAttempts && b.Available(now, p.priority())
 }
 
+func (p *Plan) priority() Priority { return PriorityOf(p.opt.Rank, p.opt.Idempotent) }
+
 // Renew returns a new plan for the same request with the full number of attempts. The
 // ingress node uses it to try suspect backend servers before it reports that the request
 // was not run. It may be called only if no attempt can have run.
@@ -222,7 +231,7 @@
 // Hedge decides whether a hedging attempt starts in parallel to the running one. If so,
 // it takes one retry from the budget.
 func (p *Plan) Hedge(now time.Time, b *Budget) bool {
-	if !p.AllowsRetry(now, b) || !b.Take(now) {
+	if !p.AllowsRetry(now, b) || !b.Take(now, HedgePriority) {
 		return false
 	}
 	// One of the two attempts is counted here, the other one by Next.
@@ -265,6 +274,7 @@
 	if p.final != nil {
 		return *p.final
 	}
+	p.noRetry = r.NoRetry
 	if !p.requestCounted {
 		p.requestCounted = true
 		b.AddRequest(now)
@@ -293,7 +303,7 @@
 	case NotSent:
 		return p.retry(now, b, AttemptNotSent)
 	default:
-		if r.Interrupted && !b.Available(now) {
+		if r.Interrupted && !b.Available(now, p.priority()) {
 			b = nil
 		}
 		return p.retry(now, b, AttemptLost)
@@ -315,11 +325,13 @@
 	switch {
 	case p.mayHaveRun && !p.opt.Idempotent && !p.idempotencyCheckDisabled:
 		return p.report(MayHaveRun)
+	case p.noRetry != "":
+		return p.report(p.noRetry)
 	case p.attempts >= p.opt.MaxAttempts:
 		return p.report(AttemptsSpent)
 	case !p.opt.Deadline.IsZero() && !now.Before(p.opt.Deadline):
 		return p.report(DeadlinePassed)
-	case b != nil && !b.Take(now):
+	case b != nil && !b.Take(now, p.priority()):
 		return p.report(BudgetSpent)
 	}
 	invariant.Check(!p.mayHaveRun || p.opt.Idempotent, "retry_at_most_once",
@@ -331,6 +343,9 @@
 // server and takes no retry from the budget.
 func (p *Plan) retryWithoutBudget(now time.Time, s State) Decision {
 	p.freeRefusals++
+	if p.noRetry != "" {
+		return p.report(p.noRetry)
+	}
 	reason := AttemptRefused
 	if s == NotSent {
 		reason = AttemptNotSent
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -36,7 +36,7 @@
 			}
 			continue
 		}
-		allowed := b.Take(now)
+		allowed := b.Take(now, 0)
 		n, k := inWindow(requests), inWindow(retries)
 		if allowed {
 			retries = append(retries, now)
@@ -124,7 +124,7 @@
 	}
 	for _, c := range cases {
 		b := NewBudget(BudgetOptions{})
-		for c.spent && b.Take(t0) {
+		for c.spent && b.Take(t0, 0) {
 		}
 		d := NewPlan(Options{Idempotent: c.idempotent, Deadline: t0.Add(time.Second)}).Next(t0.Add(c.after), b, c.result)
 		if got := fmt.Sprint(d.Action, " ", d.Reason); got != c.want {
@@ -138,7 +138,7 @@
 	takeAll := func(b *Budget, now time.Time) {
 		b.limitDisabled = true
 		for range DefaultMinimum + 1 {
-			b.Take(now)
+			b.Take(now, 0)
 		}
 	}
 	proptest.ExpectViolation(t, "retry_attempts_bound", func() { takeAll(NewBudget(BudgetOptions{}), t0) })
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -93,7 +93,7 @@
 	limits := c.policy.Document.Service.Limits
 	c.budget = in.budget(c.service, limits.RetryPercent)
 	plan := retry.NewPlan(retry.Options{
-		Idempotent: c.route.Idempotent, MaxAttempts: cmp.Or(c.route.MaxAttempts, limits.MaxAttempts),
+		Idempotent: c.route.Idempotent, Rank: c.rank, MaxAttempts: cmp.Or(c.route.MaxAttempts, limits.MaxAttempts),
 		LatencyObjective: time.Duration(c.route.Objective), FreeRefusals: in.opt.FreeRefusals,
 		UpstreamRetryProbability: c.repeatProbability(),
 		// An attempt that starts within the margin cannot bring a response in time.
@@ -120,16 +120,11 @@
 		}
 		d := plan.Next(in.opt.Now(), c.budget, retry.AttemptResult{
 			State: state, Shed: t.shed(), RefusedByBackend: t.reply.RefusedByBackend, Interrupted: t.interrupted(),
+			NoRetry: c.noRetry(ctx),
 		})
 		if d.Action == retry.Retry && !t.releaseBody() {
 			d = plan.GiveUp(reasonBodyConsumed)
 		}
-		if d.Action == retry.Retry && ctx.Err() != nil {
-			d = plan.GiveUp(retry.DeadlinePassed)
-		}
-		if d.Action == retry.Retry && in.attemptCtx.Err() != nil {
-			d = plan.GiveUp(reasonStopping)
-		}
 		if d.Action == retry.Answer {
 			c.forwardResponse(t)
 			return
@@ -150,7 +145,7 @@
 			continue
 		}
 		if d.Reason == retry.BudgetSpent {
-			c.publish(event.RetryBudgetSpent, c.reason)
+			c.publish(event.RetryBudgetSpent, c.reason, event.Field{Key: "rank", Value: strconv.Itoa(c.rank)})
 		}
 		if d.Final() {
 			c.reportOutcome(d)
@@ -159,6 +154,18 @@
 	}
 }
 
+// noRetry returns why no attempt may follow, or "". A retry that the caller does not wait for
+// would be lost to other requests.
+func (c *call) noRetry(ctx context.Context) retry.Reason {
+	switch {
+	case ctx.Err() != nil:
+		return retry.DeadlinePassed
+	case c.in.attemptCtx.Err() != nil:
+		return reasonStopping
+	}
+	return ""
+}
+
 // repeatProbability returns the probability that the request is a call made by a repeat
 // that runs on this VM.
 func (c *call) repeatProbability() float64 {
@@ -230,7 +237,7 @@
 
 func (c *call) pick() (routing.Target, error) {
 	request := c.routingRequest()
-	request.AvoidSuspects = !c.lastResort && !(c.route.Idempotent && c.budget.Available(c.in.opt.Now()))
+	request.AvoidSuspects = !c.lastResort && !(c.route.Idempotent && c.budget.Available(c.in.opt.Now(), retry.PriorityOf(c.rank, true)))
 	return c.pickFor(request)
 }
 
--- a/internal/transport/proxy/stop_test.go
+++ b/internal/transport/proxy/stop_test.go
@@ -79,7 +79,7 @@
 		_, _ = io.WriteString(w, "whole")
 	})
 	budget := f.nodes[0].ingress.budget("booking", 0)
-	for budget.Take(time.Now()) {
+	for budget.Take(time.Now(), 0) {
 	}
 	if got := f.send(0, "GET", "/", nil); got.body != "whole" {
 		t.Errorf("%+v", got)
@@ -114,7 +114,7 @@
 		time.Sleep(300 * time.Millisecond) // A trial is due.
 	}
 	budget, _ := f.nodes[0].ingress.budgets.Load(registry.ServiceID("booking"))
-	for budget.(*retry.Budget).Take(time.Now()) {
+	for budget.(*retry.Budget).Take(time.Now(), 0) {
 	}
 	f.nodes[1].owner.EndRequests()
 	stop, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/internal/transport/proxy/suspect_test.go
+++ b/internal/transport/proxy/suspect_test.go
@@ -63,7 +63,7 @@
 	long := now.Add(-10 * time.Second)
 	f.nodes[0].backends.get("suspect").tracker.Observe(long, long, evidence.Reset)
 	in := f.nodes[0].ingress
-	for in.budget("booking", 10).Take(now) {
+	for in.budget("booking", 10).Take(now, 0) {
 	}
 	for range 9 {
 		in.unservedRate("booking").Add(now, true)
