Withdraw requests from owners that do not acknowledge them

Change: without an interim response within a second, the attempt is withdrawn before its body is sent, and the request is tried elsewhere as not run.

--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -32,6 +34,10 @@
 	minFailureLimit = 10 * maxResponseMargin
 )
 
+// ownerAckTimeout is the time in which an owner acknowledges a request. It is longer than the
+// replacement of a connection that has failed takes.
+const ownerAckTimeout = time.Second
+
 func responseMargin(left time.Duration) time.Duration { return min(maxResponseMargin, left/10) }
 
 // ingressAttempt is an attempt of the ingress at one backend server, through the
@@ -101,7 +107,7 @@
 	if t.target.Owner.ID == c.in.opt.Self {
 		t.runLocal(ctx, t.hop)
 	} else {
-		limited, end := t.cancelWhenStopping(ctx)
+		limited, end := t.withdrawUnsent(ctx)
 		t.runPeer(limited, t.hop)
 		end()
 	}
@@ -288,21 +294,34 @@
 	return ok && !t.call.route.Idempotent && t.call.expectsContinue() && body.closeUnread()
 }
 
-// cancelWhenStopping cancels the attempt when Ingress.StopAttempts is called, if the
-// owner has not asked for the body by then. The returned function ends the watch.
-func (t *ingressAttempt) cancelWhenStopping(ctx context.Context) (limited context.Context, stop func()) {
+// withdrawUnsent cancels the attempt if the owner has not asked for the body when
+// Ingress.StopAttempts is called, or if nothing was heard of the owner for ownerAckTimeout.
+// The request has not run then. The returned function ends the watch.
+//
+// The second matters while packets to or from the owner are lost: the request would otherwise
+// wait until its deadline, although another owner can serve it.
+func (t *ingressAttempt) withdrawUnsent(ctx context.Context) (limited context.Context, stop func()) {
 	if !t.call.expectsContinue() {
 		return ctx, func() {}
 	}
 	limited, cancel := context.WithCancelCause(ctx)
-	watch := context.AfterFunc(t.call.in.attemptCtx, func() {
+	withdraw := func(cause error) {
 		if t.bodyNotSent() {
-			cancel(errStopping)
+			cancel(cause)
 		}
+	}
+	unwatch := context.AfterFunc(t.call.in.attemptCtx, func() { withdraw(errStopping) })
+	silent := time.AfterFunc(min(ownerAckTimeout, t.hop.TimeLeft/2), func() { withdraw(errUnacknowledged) })
+	limited = httptrace.WithClientTrace(limited, &httptrace.ClientTrace{
+		Got1xxResponse: func(int, textproto.MIMEHeader) error { silent.Stop(); return nil },
 	})
-	return limited, func() { watch() }
+	return limited, func() { unwatch(); silent.Stop() }
 }
 
+// errUnacknowledged is the cause with which an attempt is canceled because its owner has not
+// acknowledged it.
+var errUnacknowledged = errors.New("owner has not acknowledged the request")
+
 // errStopping is the cause with which an attempt is canceled because the node is about
 // to exit.
 var errStopping = errors.New("node is shutting down")
--- a/internal/transport/proxy/expect_continue_test.go
+++ b/internal/transport/proxy/expect_continue_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -48,6 +49,49 @@
 	}
 }
 
+// Guards against a request that waits until its deadline for an owner whose link drops all
+// packets, although it has not run and another owner can serve it.
+func TestOwnerThatIsSilent(t *testing.T) {
+	f := newFleet(t, 3, func(_ *OwnerOptions, in *IngressOptions) {
+		in.ExpectContinue, in.MaxBufferedBodyBytes, in.FreeRefusals = true, 1<<20, 4
+	})
+	var cut atomic.Bool
+	owner := f.nodes[1].addr
+	f.nodes[1].addr = serveRaw(t, func(conn net.Conn) {
+		to, err := net.Dial("tcp", owner)
+		if err != nil {
+			return
+		}
+		defer to.Close()
+		forward := func(to, from net.Conn) {
+			buf := make([]byte, 16<<10)
+			for {
+				n, err := from.Read(buf)
+				if err != nil {
+					return
+				}
+				if !cut.Load() {
+					_, _ = to.Write(buf[:n])
+				}
+			}
+		}
+		go forward(conn, to)
+		forward(to, conn)
+	})
+	answer := func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+	f.serve(1, "b1", answer)
+	if got := f.send(0, "POST", "/", strings.NewReader("x")); got.outcome != header.Answered {
+		t.Fatalf("before the fault: %+v", got)
+	}
+	cut.Store(true)
+	f.serve(2, "b2", answer)
+	for i := range 4 {
+		if got := f.send(0, "POST", "/", strings.NewReader("whole")); got.outcome != header.Answered || got.body != "whole" {
+			t.Fatalf("request %d: %+v", i, got)
+		}
+	}
+}
+
 // Guards against a request that reaches a backend server before the first bytes of its
 // body have arrived, because the ingress node may report such a request as not run.
 func TestRequestIsNotSentBeforeBodyArrives(t *testing.T) {
