Refuse queued requests at once that cannot start in time

Change: the controller forecasts the start of each queued request from the usual service times, the age of what is in flight and the order of the queue. What cannot start in time is refused at once as queue_too_slow, while time is left to try it elsewhere.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -82,6 +82,9 @@
 	// RemoteShareFull means that the part of the queue that is open to other regions is
 	// full.
 	RemoteShareFull Reason = "remote_share_full"
+	// QueueTooSlow means that the requests before it in the queue and in flight are likely to
+	// take so long that it cannot start in time.
+	QueueTooSlow Reason = "queue_too_slow"
 	// BackendDraining means that the backend server is draining.
 	BackendDraining Reason = "backend_draining"
 	// BackendEjected means that the backend server is ejected.
@@ -238,6 +241,7 @@
 		return Refused, QueueFull
 	}
 	c.enqueue(e)
+	c.refuseHopeless()
 	return Queued, None
 }
 
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -17,6 +17,8 @@
 	due time.Time
 	// startBy orders entries of the same rank; zero sorts last. See Controller.startBy.
 	startBy time.Time
+	// started is when the request got its slot.
+	started time.Time
 	// decisionCount counts the decisions about the ticket.
 	decisionCount int
 	admitted      bool
@@ -65,8 +67,7 @@
 	if by.IsZero() {
 		return by
 	}
-	median, _ := c.medians.value(c.now, r.Route)
-	return by.Add(-median)
+	return by.Add(-c.serviceTime(r))
 }
 
 // next returns the queue index of the request to admit next, or -1. It compares the first
@@ -127,7 +128,7 @@
 
 // start assigns a slot to the entry.
 func (c *Controller) start(e *entry) {
-	e.admitted = true
+	e.admitted, e.started = true, c.now
 	c.callers[e.caller.name] = e.caller
 	e.caller.inFlight++
 	c.inFlight[e.Ticket] = e
--- a/internal/transport/proxy/admitter.go
+++ b/internal/transport/proxy/admitter.go
@@ -98,17 +98,26 @@
 			decided <- d
 		}
 	}
-	if !timed || a.closed {
+	wait := admission.ForecastInterval
+	if timed {
+		wait = max(min(wait, next.Sub(a.now())), 0)
+	}
+	if a.closed || !timed && len(a.waiters) == 0 {
 		return
 	}
-	wait := max(next.Sub(a.now()), 0)
 	if a.timer == nil {
-		a.timer = time.AfterFunc(wait, a.deliverDecisions)
+		a.timer = time.AfterFunc(wait, a.forecast)
 		return
 	}
 	a.timer.Reset(wait)
 }
 
+// forecast runs the timer of the controller.
+func (a *admitter) forecast() {
+	a.controller.RefuseHopeless(a.now())
+	a.deliverDecisions()
+}
+
 // close stops the timer. The state of the controller must have been changed before, so
 // that all queued requests have been refused.
 func (a *admitter) close() {
