Order the queue of an owner by what can still be in time and by the quotas of teams

Cause: a request that had missed its objective sorted first in the queue of its rank, so that under overload each one made the next late. Teams were not told apart in the queue; told apart without their quotas, a large team would have been put behind small ones. Urgent requests from other regions were refused while less urgent local ones waited.

Change: requests that cannot meet their objective sort by their deadline. Owners learn the team and its quota; within a rank the team with the least for its quota goes first. Requests that state no team, such as calls, are no team. A more urgent request from another region takes the place of a less urgent one.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -120,6 +120,9 @@
 	Ticket uint64
 	// Caller is the team that sent the request.
 	Caller string
+	// CallerWeight is the share of the team in the slots relative to other teams, such as its
+	// quota; 0 means 1.
+	CallerWeight float64
 	// Route is the name of the route. Service times are kept per route.
 	Route string
 	// Rank orders requests that compete for a slot; 0 comes first.
@@ -168,9 +171,9 @@
 	decisions   []*entry // not yet returned by TakeDecisions
 	callers     map[string]*callerState
 	lastArrival uint64
-	// virtualTime is the virtual time of the fair queue: the highest number of earlier
+	// virtualTime is the virtual time of the fair queue: the highest share of earlier
 	// admissions with which a caller was admitted from the queue.
-	virtualTime uint64
+	virtualTime float64
 
 	medians medians
 
@@ -223,7 +226,7 @@
 	}
 	c.lastArrival++
 	e := &entry{
-		Request: r, caller: c.callerState(r.Caller), arrival: c.lastArrival,
+		Request: r, caller: c.callerState(&r), arrival: c.lastArrival,
 		due: c.now.Add(time.Duration(r.Rank) * rankPenalty),
 	}
 	if len(c.inFlight) < c.slots() && c.callerMayRun(e.caller) {
@@ -232,7 +235,7 @@
 		return Admitted, None
 	}
 	limit := c.queueLimit()
-	if r.Remote && len(c.queue) >= limit/2 {
+	if r.Remote && len(c.queue) >= limit/2 && !c.evictLessUrgent(e) {
 		c.removeIfIdle(e.caller)
 		return Refused, RemoteShareFull
 	}
--- a/internal/coordination/admission/forecast.go
+++ b/internal/coordination/admission/forecast.go
@@ -44,7 +44,7 @@
 	}
 	order := slices.Clone(c.queue)
 	slices.SortStableFunc(order, func(a, b *entry) int {
-		return cmp.Or(a.due.Compare(b.due), compareTimes(a.startBy, b.startBy))
+		return cmp.Or(a.due.Compare(b.due), compareTimes(c.startBy(&a.Request), c.startBy(&b.Request)))
 	})
 	for _, e := range order {
 		start := free[0]
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -15,8 +15,6 @@
 	arrival uint64
 	// due is the arrival time plus the delay of the rank; see rankPenalty.
 	due time.Time
-	// startBy orders entries of the same rank; zero sorts last. See Controller.startBy.
-	startBy time.Time
 	// started is when the request got its slot.
 	started time.Time
 	// decisionCount counts the decisions about the ticket.
@@ -29,21 +27,37 @@
 	name     string
 	inFlight int
 	queued   int
-	// admissions is the number of the caller's admissions from the queue. It is raised to
-	// virtualTime when the caller joins the queue, so that a caller gains no advantage
-	// from a time without requests.
-	admissions uint64
+	// weight is the latest Request.CallerWeight.
+	weight float64
+	// admissions is the number of the caller's admissions from the queue, divided by its
+	// weight. It is raised to virtualTime when the caller joins the queue, so that a caller
+	// gains no advantage from a time without requests.
+	admissions float64
 }
 
-func (c *Controller) callerState(name string) *callerState {
-	s := c.callers[name]
+func (c *Controller) callerState(r *Request) *callerState {
+	s := c.callers[r.Caller]
 	if s == nil {
-		s = &callerState{name: name}
-		c.callers[name] = s
+		s = &callerState{name: r.Caller}
+		c.callers[r.Caller] = s
 	}
+	s.weight = cmp.Or(r.CallerWeight, 1)
 	return s
 }
 
+// anonymous reports whether the requests state no caller. Calls of backend servers do not, and
+// requests of all callers where callers are not known. They are not shared out as if they came
+// from one team.
+func (s *callerState) anonymous() bool { return s.name == "" }
+
+// share returns a number of the caller's requests, divided by its weight.
+func (s *callerState) share(n int) float64 {
+	if s.anonymous() {
+		return 0
+	}
+	return float64(n) / s.weight
+}
+
 func (c *Controller) callerMayRun(s *callerState) bool {
 	return c.opts.CallerInFlight <= 0 || s.inFlight < c.opts.CallerInFlight
 }
@@ -56,25 +70,25 @@
 const rankPenalty = 300 * time.Millisecond
 
 // startBy returns the latest start time with which the response arrives by the objective, or
-// by the deadline if the objective has passed or is not stated. Short calls thus go before
-// long uploads, and an upload behind a steady stream of calls still starts in time for its
-// objective, rather than shortly before its deadline.
+// by the deadline if the objective cannot be met any more or is not stated. Short calls thus go
+// before long uploads, an upload behind a steady stream of calls still starts in time for its
+// objective, and requests that have missed theirs do not make others miss it too.
 func (c *Controller) startBy(r *Request) time.Time {
-	by := r.Deadline
-	if r.Objective.After(c.now) {
-		by = r.Objective
+	service := c.serviceTime(r)
+	if !r.Objective.IsZero() && !c.now.Add(service).After(r.Objective) {
+		return r.Objective.Add(-service)
 	}
-	if by.IsZero() {
-		return by
+	if r.Deadline.IsZero() {
+		return r.Deadline
 	}
-	return by.Add(-c.serviceTime(r))
+	return r.Deadline.Add(-service)
 }
 
 // next returns the queue index of the request to admit next, or -1. It compares the first
-// entry of each rank and chooses the one with the earliest due time.
+// entry of each group and chooses the one with the earliest due time.
 func (c *Controller) next() int {
 	best := -1
-	for _, i := range c.firstOfEachRank() {
+	for _, i := range c.firstOfEachGroup() {
 		if best < 0 || c.queue[i].due.Before(c.queue[best].due) {
 			best = i
 		}
@@ -82,32 +96,38 @@
 	return best
 }
 
-// firstOfEachRank returns the queue index of the first entry of each rank, without callers
+// firstOfEachGroup returns the queue index of the first entry of each group, without callers
 // at their limit.
-func (c *Controller) firstOfEachRank() []int {
+func (c *Controller) firstOfEachGroup() []int {
 	var firsts []int
 	for i, e := range c.queue {
 		if !c.callerMayRun(e.caller) {
 			continue
 		}
-		k := slices.IndexFunc(firsts, func(f int) bool { return c.queue[f].Rank == e.Rank })
+		k := slices.IndexFunc(firsts, func(f int) bool { return c.queue[f].sameGroup(e) })
 		if k < 0 {
 			firsts = append(firsts, i)
-		} else if e.precedes(c.queue[firsts[k]]) {
+		} else if c.precedes(e, c.queue[firsts[k]]) {
 			firsts[k] = i
 		}
 	}
 	return firsts
 }
 
-// precedes compares entries of one rank. The caller with the fewest requests in flight goes
-// first, then the caller with the fewest admissions from the queue, then the earliest
-// startBy. The second rule is needed with a single slot: no queued caller then has requests
-// in flight, and a caller with short deadlines would starve all others.
-func (e *entry) precedes(o *entry) bool {
+// sameGroup reports whether precedes applies to two entries: they have the same rank, and both
+// or none of them state their caller.
+func (e *entry) sameGroup(o *entry) bool {
+	return e.Rank == o.Rank && e.caller.anonymous() == o.caller.anonymous()
+}
+
+// precedes compares entries of one group. The caller with the fewest requests in flight for its
+// weight goes first, then the caller with the fewest admissions from the queue, then the
+// earliest startBy. The second rule is needed with a single slot: no queued caller then has
+// requests in flight, and a caller with short deadlines would starve all others.
+func (c *Controller) precedes(e, o *entry) bool {
 	a, b := e.caller, o.caller
-	return cmp.Or(cmp.Compare(a.inFlight, b.inFlight), cmp.Compare(a.admissions, b.admissions),
-		compareTimes(e.startBy, o.startBy)) < 0
+	return cmp.Or(cmp.Compare(a.share(a.inFlight), b.share(b.inFlight)), cmp.Compare(a.admissions, b.admissions),
+		compareTimes(c.startBy(&e.Request), c.startBy(&o.Request))) < 0
 }
 
 // decide removes entry i from the queue and records its decision for TakeDecisions.
@@ -120,7 +140,7 @@
 	e.admitted, e.reason = admitted, reason
 	if admitted {
 		c.virtualTime = max(c.virtualTime, e.caller.admissions)
-		e.caller.admissions++
+		e.caller.admissions += e.caller.share(1)
 		c.start(e)
 	}
 	c.decisions = append(c.decisions, e)
@@ -145,7 +165,6 @@
 
 // enqueue inserts the entry in deadline order.
 func (c *Controller) enqueue(e *entry) {
-	e.startBy = c.startBy(&e.Request)
 	i, _ := slices.BinarySearchFunc(c.queue, e, compareEntries)
 	c.queue = slices.Insert(c.queue, i, e)
 	if e.caller.queued == 0 {
@@ -168,8 +187,8 @@
 //
 // If the queued entry with the latest due time has another rank than e, the one of the two
 // that is due later is refused. If it has the same rank, the newest entry of the caller with
-// the most entries is refused. The count of the caller of e includes e, and e is refused if
-// no other caller has more entries.
+// the most entries for its weight is refused. The count of the caller of e includes e, and e is
+// refused if no other caller has more entries.
 func (c *Controller) evictFor(e *entry) bool {
 	if i := c.latestDue(); c.queue[i].Rank != e.Rank {
 		if c.queue[i].due.Before(e.due) {
@@ -178,10 +197,10 @@
 		c.decide(i, false, QueueFull)
 		return true
 	}
-	most, entries := e.caller, e.caller.queued+1
+	most, entries := e.caller, e.caller.share(e.caller.queued+1)
 	for _, q := range c.queue {
-		if q.caller != e.caller && q.caller.queued > entries {
-			most, entries = q.caller, q.caller.queued
+		if share := q.caller.share(q.caller.queued); q.caller != e.caller && share > entries {
+			most, entries = q.caller, share
 		}
 	}
 	if most == e.caller {
@@ -191,6 +210,21 @@
 	return true
 }
 
+// evictLessUrgent makes room for e by refusing the queued entry with the latest due time, if it
+// has a higher rank than e and is due later. Callers in other regions are thus not refused for
+// the sake of less urgent requests.
+func (c *Controller) evictLessUrgent(e *entry) bool {
+	if len(c.queue) == 0 {
+		return false
+	}
+	i := c.latestDue()
+	if q := c.queue[i]; q.Rank <= e.Rank || q.due.Before(e.due) {
+		return false
+	}
+	c.decide(i, false, QueueFull)
+	return true
+}
+
 // latestDue returns the index of the entry with the latest due time.
 func (c *Controller) latestDue() int {
 	last := 0
@@ -217,7 +251,7 @@
 	for len(c.queue) > c.queueLimit() {
 		most := c.queue[0].caller
 		for _, q := range c.queue {
-			if q.caller.queued > most.queued {
+			if q.caller.share(q.caller.queued) > most.share(most.queued) {
 				most = q.caller
 			}
 		}
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -12,6 +12,8 @@
 	Reason = "Wigeonspring-Reason"
 	// Caller identifies the team that sent the request.
 	Caller = "Wigeonspring-Caller"
+	// CallerWeight is the share of the caller in the slots relative to others; absent means 1.
+	CallerWeight = "Wigeonspring-Caller-Weight"
 	// DeadlineMillis is the time left for the request in milliseconds.
 	DeadlineMillis = "Wigeonspring-Deadline-Ms"
 	// AnswerWithinMillis is the time in milliseconds within which the response to an
--- a/internal/protocol/header/header_test.go
+++ b/internal/protocol/header/header_test.go
@@ -23,7 +23,7 @@
 		func(incarnation uint64, ms int64, attempt, samples int, rate float64, name string) bool {
 			in := Hop{
 				RequestID: NewRequestID(), Backend: "b", Service: "s", Route: name, Incarnation: incarnation,
-				TimeLeft: time.Duration(ms) * time.Millisecond, AnswerWithin: time.Duration(attempt) * time.Millisecond, Attempt: attempt, Caller: CallerName(name), Region: "r",
+				TimeLeft: time.Duration(ms) * time.Millisecond, AnswerWithin: time.Duration(attempt) * time.Millisecond, Attempt: attempt, Caller: CallerName(name), CallerWeight: rate, Region: "r",
 				Baseline:   evidence.Baseline{FailureRate: float64(int(rate*1000)) / 1000, Median: time.Duration(samples) * time.Microsecond, Samples: samples},
 				Idempotent: incarnation&1 != 0, Trial: incarnation&2 != 0, Explore: incarnation&4 != 0, NoBetterBackend: incarnation&8 != 0, Repeat: incarnation&16 != 0, StatusInHeader: incarnation&32 != 0,
 				Origin: "n1.0", Sequence: incarnation,
--- a/internal/protocol/header/hop.go
+++ b/internal/protocol/header/hop.go
@@ -23,6 +23,9 @@
 	AnswerWithin time.Duration
 	Attempt      int
 	Caller       string
+	// CallerWeight is the share of the caller in the slots of a backend server, relative to
+	// other callers. 0 means 1.
+	CallerWeight float64
 	// Region is the region of the ingress node.
 	Region   string
 	Baseline evidence.Baseline
@@ -77,6 +80,9 @@
 	set(Region, hop.Region)
 	set(Baseline, FormatBaseline(hop.Baseline))
 	set(Caller, hop.Caller)
+	if hop.CallerWeight > 0 {
+		set(CallerWeight, strconv.FormatFloat(hop.CallerWeight, 'g', -1, 64))
+	}
 	if hop.AnswerWithin > 0 {
 		set(AnswerWithinMillis, FormatDeadline(hop.AnswerWithin))
 	}
@@ -143,6 +149,12 @@
 			return hop, err
 		}
 	}
+	if s := h.Get(CallerWeight); s != "" {
+		hop.CallerWeight, err = strconv.ParseFloat(s, 64)
+		if err != nil || !(hop.CallerWeight > 0 && hop.CallerWeight <= maxCallerWeight) {
+			return hop, fmt.Errorf("%s: %q is not a weight", CallerWeight, s)
+		}
+	}
 	if hop.Origin, hop.Sequence, err = readOrigin(h); err != nil {
 		return hop, err
 	}
@@ -164,6 +176,9 @@
 	return hop, err
 }
 
+// maxCallerWeight bounds the weight of a caller.
+const maxCallerWeight = 1e12
+
 // maxOriginBytes bounds the length of the name of an ingress process.
 const maxOriginBytes = 128
 
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -79,7 +79,7 @@
 	hop := header.Hop{
 		RequestID: c.id, Backend: target.Backend, Service: c.service, Route: c.route.Name,
 		Incarnation: target.Owner.Incarnation, TimeLeft: left, AnswerWithin: responseTimeout,
-		Attempt: len(c.tried), Caller: c.caller, Region: in.opt.Region, Baseline: baseline,
+		Attempt: len(c.tried), Caller: c.caller, CallerWeight: c.callerWeight, Region: in.opt.Region, Baseline: baseline,
 		Origin: in.origin, Sequence: in.sequence.Add(1),
 		Rank: c.rank, Repeat: c.arrived > 0, Idempotent: c.route.Idempotent, NoBetterBackend: c.noBetter,
 		// While too many requests of the service fail, a request that may run again or
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -46,7 +46,10 @@
 	policy  *policy.InForce
 	service registry.ServiceID
 	route   *policy.Route
-	caller  string
+	// caller is the name of the team, or what the request states. callerWeight is the quota of
+	// the team; 0 means that it has none.
+	caller       string
+	callerWeight float64
 	// team is the team whose key the request bears, or nil.
 	team *policy.Team
 	rank int
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -276,6 +276,7 @@
 	header.Set(r.Header, in.opt.Dialect.CallerService, in.opt.LocalService)
 	if c.team != nil {
 		header.Set(r.Header, in.opt.Dialect.Team, c.team.Name)
+		c.caller, c.callerWeight = header.CallerName(c.team.Name), c.team.RatePerSecond
 	}
 	c.request = r
 	return c.prepareBody(r)
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -217,7 +217,7 @@
 		}
 	}
 	slotRequest := admission.Request{
-		Caller: a.Caller, Route: a.Route, Rank: a.Rank, Deadline: a.responseDeadline(), Remote: a.Region != o.opt.Region,
+		Caller: a.Caller, CallerWeight: a.CallerWeight, Route: a.Route, Rank: a.Rank, Deadline: a.responseDeadline(), Remote: a.Region != o.opt.Region,
 		Repeatable: a.Idempotent, AvoidSuspect: b.tracker != nil && !a.Idempotent && !trial && !a.NoBetterBackend,
 	}
 	if a.Objective > 0 {
