Start late requests two service times before their deadline

Cause: requests that have missed their objective and start one median service time before their deadline often run in vain, because service times vary.

Change: they are due two service times before it.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -69,17 +69,24 @@
 // high rank do not starve.
 const rankPenalty = 300 * time.Millisecond
 
+// lateReserve is the time before the deadline, in service times, by which a request that has
+// missed its objective is to start. If only one were left, many would run in vain, because
+// service times vary.
+const lateReserve = 2
+
 // startBy returns the latest start time with which the response arrives by the objective, or
 // by the deadline if the objective cannot be met any more or is not stated. Short calls thus go
 // before long uploads, an upload behind a steady stream of calls still starts in time for its
 // objective, and requests that have missed theirs do not make others miss it too.
 func (c *Controller) startBy(r *Request) time.Time {
 	service := c.serviceTime(r)
-	if !r.Objective.IsZero() && !c.now.Add(service).After(r.Objective) {
+	switch {
+	case !r.Objective.IsZero() && !c.now.Add(service).After(r.Objective):
 		return r.Objective.Add(-service)
-	}
-	if r.Deadline.IsZero() {
+	case r.Deadline.IsZero():
 		return r.Deadline
+	case !r.Objective.IsZero():
+		return r.Deadline.Add(-lateReserve * service)
 	}
 	return r.Deadline.Add(-service)
 }
