Keep retries for urgent requests only when more is wanted than the budget allows

Change: retries are kept only while the demand of all priorities exceeds the limit, and a single failure is not taken for a rate.

--- a/internal/coordination/retry/priority.go
+++ b/internal/coordination/retry/priority.go
@@ -36,14 +36,23 @@
 const recentBuckets = buckets * 3 / 10
 
 // shareOf returns the number of retries that a priority and those after it may take out of
-// the limit of the window. What the priorities before it ask for, granted or not, is kept for
-// them: as much as in the window, or as much as in a window at the present rate. The present
-// rate counts because a burst would else find the budget spent by others.
+// the limit of the window. If more is wanted than the limit, what the priorities before it ask
+// for is kept for them, granted or not.
 func (w *window) shareOf(limit float64, p Priority) float64 {
-	var wanted, recent float64
+	if w.demand(priorities) <= limit {
+		return limit
+	}
+	return max(limit-w.demand(p), limit/guaranteedDivisor)
+}
+
+// demand returns the number of retries in a window that the priorities before p ask for: as many
+// as in this window, or as many as at the present rate. The present rate counts because a burst
+// would else find the budget spent by others. A single failure is no rate.
+func (w *window) demand(p Priority) float64 {
+	var wanted, recent int64
 	for i := range p {
-		wanted += float64(w.wanted[i])
-		recent += float64(w.recentlyWanted[i])
+		wanted += w.wanted[i]
+		recent += w.recentlyWanted[i]
 	}
-	return max(limit-max(wanted, recent*buckets/recentBuckets), limit/guaranteedDivisor)
+	return max(float64(wanted), float64(recent-1)*buckets/recentBuckets)
 }
--- a/internal/coordination/retry/priority_test.go
+++ b/internal/coordination/retry/priority_test.go
@@ -73,3 +73,34 @@
 		t.Errorf("%d retries taken", retries)
 	}
 }
+
+// Guards against retries that are kept for urgent requests and then not used. Each of 80 nodes
+// may retry about 7 requests in a window; 70% of that is wanted, half of it by urgent requests.
+func TestRetriesAreNotKeptWithoutNeed(t *testing.T) {
+	const nodes = 80
+	rng := rand.New(rand.NewPCG(3, 1))
+	var wanted, granted [2]float64
+	for range nodes {
+		b := NewBudget(BudgetOptions{Percent: 20, Slack: 2, RoundingOffset: rng.Float64()})
+		for t := time.Duration(0); t < 40*time.Second; t += 10 * time.Millisecond {
+			now := t0.Add(t)
+			if t%(400*time.Millisecond) == 0 {
+				b.AddRequest(now)
+			}
+			if t < 10*time.Second || rng.Float64() >= 0.7*7/1000 {
+				continue
+			}
+			kind := rng.IntN(2)
+			wanted[kind]++
+			if b.Take(now, PriorityOf(kind, kind == 1)) {
+				granted[kind]++
+			}
+		}
+	}
+	if share := granted[0] / wanted[0]; share < 0.9 {
+		t.Errorf("%.2f of the urgent requests are retried, want 0.9", share)
+	}
+	if share := granted[1] / wanted[1]; share < 0.85 {
+		t.Errorf("%.2f of the others are retried, want 0.85", share)
+	}
+}
