Keep expected work out of the order of the queue

Cause: with the expected work of each request in its latest start, a few long requests of a route go before many short ones under overload.

Change: the order uses the usual service time of the route; the forecast uses the expected work.

--- a/internal/coordination/admission/forecast_test.go
+++ b/internal/coordination/admission/forecast_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"testing"
@@ -8,7 +9,7 @@
 )
 
 // replay drives a Controller with arrivals in steps of 10 ms. Requests hold their slots for
-// the service time of their route, or until their deadline while the backend server hangs.
+// their expected work or the service time of their route, or until their deadline while the backend server hangs.
 type replay struct {
 	ctrl        *Controller
 	serviceTime map[string]time.Duration
@@ -77,8 +78,9 @@
 func (r *replay) start(now time.Duration, ticket uint64) {
 	e := r.requests[ticket]
 	e.started, e.wasStarted = now, true
-	r.running[ticket] = now + r.serviceTime[e.Route]
-	if now+r.serviceTime[e.Route] > r.hangsFrom {
+	end := now + cmp.Or(e.ExpectedWork, r.serviceTime[e.Route])
+	r.running[ticket] = end
+	if end > r.hangsFrom {
 		r.running[ticket] = e.Deadline.Sub(t0)
 	}
 }
--- a/internal/coordination/admission/order_test.go
+++ b/internal/coordination/admission/order_test.go
@@ -169,3 +169,34 @@
 		t.Errorf("decisions %+v, want one less urgent request refused", d)
 	}
 }
+
+// Guards against an overload in which the many short or the few long requests of one route pay
+// for the others. One request in ten takes 2 s, the others 100 ms; the load is 1.2 times the
+// capacity.
+func TestShortAndLongWorkShareOverload(t *testing.T) {
+	const short, long = 100 * time.Millisecond, 2 * time.Second
+	r := newReplay(Options{Slots: 8}, nil)
+	arrives, n := every(8*1.2/0.29), 0
+	r.run(30*time.Second, func(now time.Duration) []Request {
+		if !arrives() {
+			return nil
+		}
+		q := Request{Route: "pay", ExpectedWork: short, Deadline: at(now + 8*time.Second), Objective: at(now + 3*time.Second)}
+		if n++; n%10 == 0 {
+			q.ExpectedWork = long
+		}
+		return []Request{q}
+	})
+	sent, inTime := map[time.Duration]float64{}, map[time.Duration]float64{}
+	for _, e := range r.requests {
+		sent[e.ExpectedWork]++
+		if e.wasStarted && e.started+e.ExpectedWork <= e.arrived+3*time.Second {
+			inTime[e.ExpectedWork]++
+		}
+	}
+	for work := range sent {
+		if share := inTime[work] / sent[work]; share < 0.8 {
+			t.Errorf("%.2f of the requests of %s meet their objective, want 0.8", share, work)
+		}
+	}
+}
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -77,9 +77,11 @@
 // startBy returns the latest start time with which the response arrives by the objective, or
 // by the deadline if the objective cannot be met any more or is not stated. Short calls thus go
 // before long uploads, an upload behind a steady stream of calls still starts in time for its
-// objective, and requests that have missed theirs do not make others miss it too.
+// objective, and requests that have missed theirs do not make others miss it too. The service
+// time is that of the route: with the expected work of each request, a few long ones would go
+// before many short ones under overload.
 func (c *Controller) startBy(r *Request) time.Time {
-	service := c.serviceTime(r)
+	service, _ := c.medians.value(c.now, r.Route)
 	switch {
 	case !r.Objective.IsZero() && !c.now.Add(service).After(r.Objective):
 		return r.Objective.Add(-service)
