Leave each team a place in the queue when a larger one arrives

Cause: a full queue refused the newest entry of the team with the most for its quota, also the only entry of a small team, for which any large team was lighter.

--- a/internal/coordination/admission/order_test.go
+++ b/internal/coordination/admission/order_test.go
@@ -94,6 +94,20 @@
 	}
 }
 
+// Guards against a large team that takes the only place of each small one in a full queue.
+func TestSmallTeamKeepsItsEntry(t *testing.T) {
+	c := newWarm(1, 4)
+	for ticket, team := range []string{"small1", "small1", "small2", "over", "over"} {
+		c.Offer(t0, Request{Ticket: uint64(ticket), Caller: team, CallerWeight: 1})
+	}
+	for ticket := uint64(10); ticket < 13; ticket++ {
+		c.Offer(t0, Request{Ticket: ticket, Caller: "large", CallerWeight: 20})
+	}
+	if got := fmt.Sprint(c.TakeDecisions(t0)); got != "[{4 false queue_full}]" {
+		t.Errorf("decisions %s, want the second entry of the team with two refused", got)
+	}
+}
+
 // Guards against calls, which state no team, that are put behind the requests of a large team
 // of the same rank.
 func TestCallsAreNotOneTeam(t *testing.T) {
