--- a/internal/transport/proxy/team_test.go
+++ b/internal/transport/proxy/team_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
+	"wigeonspring.example/wigeonspring/internal/transport/peer"
 )
 
 // teamTable returns a table with a fleet document of one team, without the keys in taken.
@@ -122,6 +124,42 @@
 	}
 }
 
+// Guards against an owner that does not learn the team of a request and its quota, or that
+// takes them from the caller.
+func TestOwnerLearnsTeamAndQuota(t *testing.T) {
+	table := policy.NewTable(policy.TableOptions{})
+	teamTable(t, 1, table, "key-1")
+	f := newFleet(t, 2, func(_ *OwnerOptions, in *IngressOptions) { in.Policies = table })
+	hops := make(chan header.Hop, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := peer.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hop, err := header.ReadHop(r.Header)
+		if err != nil {
+			t.Error(err)
+		}
+		hops <- hop
+		f.nodes[1].owner.ServeHTTP(w, r)
+	}))
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	f.nodes[1].addr = l.Addr().String()
+	f.serve(1, "b1", func(http.ResponseWriter, *http.Request) {})
+	got := f.send(0, http.MethodGet, "/a", nil, func(r *http.Request) {
+		r.Header.Set(header.Credential, "key-1")
+		r.Header.Set(header.Caller, "forged")
+		r.Header.Set(header.CallerWeight, "1000")
+	})
+	if got.status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
+	if hop := <-hops; hop.Caller != "bakers" || hop.CallerWeight != 10 {
+		t.Errorf("owner got caller %q of weight %v, want bakers of weight 10", hop.Caller, hop.CallerWeight)
+	}
+}
+
 // Guards against a request beyond the quota that runs or waits, and against a request that has
 // not run and still counts.
 func TestQuotaOfTeam(t *testing.T) {
