Do not give a call the place of a request of the same rank in a full queue

Change: in a full queue they are refused like the newest of a team. TestCallsAreNotOneTeam compares the calls with the requests of the team in place of a fixed share, which assumed that they go first.

Measured: without the rule for requests without a team the test fails.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -211,9 +211,8 @@
 // If the queued entry with the latest due time has another rank than e, the one of the two
 // that is due later is refused. If it has the same rank, the newest entry of the caller with
 // the most entries for its weight is refused, unless this caller would then have fewer for its
-// weight than the caller of e has with e, or none. A small team thus keeps a single entry
-// beside a large one. A request without a caller takes the place of one of the caller with the
-// most.
+// weight than the caller of e has with e. A small team thus keeps a single entry beside a large
+// one. A request without a caller takes no other's place.
 func (c *Controller) evictFor(e *entry) bool {
 	if i := c.latestDue(); c.queue[i].Rank != e.Rank {
 		if c.queue[i].due.Before(e.due) {
@@ -222,13 +221,16 @@
 		c.decide(i, false, QueueFull)
 		return true
 	}
+	if e.caller.anonymous() {
+		return false
+	}
 	var most *callerState
 	for _, q := range c.queue {
 		if q.caller != e.caller && !q.caller.anonymous() && (most == nil || q.caller.share(q.caller.queued) > most.share(most.queued)) {
 			most = q.caller
 		}
 	}
-	if most == nil || most.queued < 2 || most.share(most.queued-1) < e.caller.share(e.caller.queued+1) {
+	if most == nil || most.share(most.queued-1) < e.caller.share(e.caller.queued+1) {
 		return false
 	}
 	c.decide(c.newestEntry(most), false, QueueFull)
