--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -82,6 +82,9 @@
 	// RemoteShareFull means that the part of the queue that is open to other regions is
 	// full.
 	RemoteShareFull Reason = "remote_share_full"
+	// QueueTooSlow means that the requests before it in the queue and in flight are likely to
+	// take so long that it cannot start in time.
+	QueueTooSlow Reason = "queue_too_slow"
 	// BackendDraining means that the backend server is draining.
 	BackendDraining Reason = "backend_draining"
 	// BackendEjected means that the backend server is ejected.
@@ -117,6 +120,9 @@
 	Ticket uint64
 	// Caller is the team that sent the request.
 	Caller string
+	// CallerWeight is the share of the team in the slots relative to other teams, such as its
+	// quota; 0 means 1.
+	CallerWeight float64
 	// Route is the name of the route. Service times are kept per route.
 	Route string
 	// Rank orders requests that compete for a slot; 0 comes first.
@@ -165,9 +171,9 @@
 	decisions   []*entry // not yet returned by TakeDecisions
 	callers     map[string]*callerState
 	lastArrival uint64
-	// virtualTime is the virtual time of the fair queue: the highest number of earlier
+	// virtualTime is the virtual time of the fair queue: the highest share of earlier
 	// admissions with which a caller was admitted from the queue.
-	virtualTime uint64
+	virtualTime float64
 
 	medians medians
 
@@ -220,7 +226,7 @@
 	}
 	c.lastArrival++
 	e := &entry{
-		Request: r, caller: c.callerState(r.Caller), arrival: c.lastArrival,
+		Request: r, caller: c.callerState(&r), arrival: c.lastArrival,
 		due: c.now.Add(time.Duration(r.Rank) * rankPenalty),
 	}
 	if len(c.inFlight) < c.slots() && c.callerMayRun(e.caller) {
@@ -229,7 +235,7 @@
 		return Admitted, None
 	}
 	limit := c.queueLimit()
-	if r.Remote && len(c.queue) >= limit/2 {
+	if r.Remote && len(c.queue) >= limit/2 && !c.evictLessUrgent(e) {
 		c.removeIfIdle(e.caller)
 		return Refused, RemoteShareFull
 	}
@@ -238,6 +244,7 @@
 		return Refused, QueueFull
 	}
 	c.enqueue(e)
+	c.refuseHopeless()
 	return Queued, None
 }
 
