Say in refusals for how long to avoid a suspect backend server

Change: the owner states with the refusal when to return. Senders of trials get different turns; other requests return when the suspicion is likely to have ended. A request avoids an owner that was replaced until its new record arrives, and suspect backend servers that were avoided are still the last resort.

--- a/internal/coordination/routing/picker.go
+++ b/internal/coordination/routing/picker.go
@@ -20,6 +20,10 @@
 	excluded *exclusions
 	// avoidSuspects leaves out backend servers that were reported as suspect.
 	avoidSuspects bool
+	// awaitTurn leaves out suspect backend servers whose next trial is not due yet.
+	awaitTurn bool
+	// avoided counts the candidates that avoidSuspects left out at each level.
+	avoided [levels]int
 }
 
 // pick chooses the locality level and the backend server in it. It returns the
@@ -59,11 +63,12 @@
 func (p *picker) candidates(level Locality) (cands []candidate, tried bool) {
 	cands = p.s.candidateBuf[:0]
 	subset := 0
+	p.avoided[level] = 0
 	for _, c := range p.v.levels[level] {
 		if subset == p.b.opt.SubsetSize {
 			break
 		}
-		if p.excluded.has(c.member.Owner.ID, p.now) {
+		if p.excluded.has(c.member.Owner, p.now) {
 			continue
 		}
 		subset++
@@ -71,7 +76,8 @@
 			tried = true
 			continue
 		}
-		if p.avoidSuspects && p.now.Before(c.stats.suspectUntil) {
+		if p.avoidSuspects && p.now.Before(c.stats.suspectUntil) || p.awaitTurn && p.now.Before(c.stats.trialAfter) {
+			p.avoided[level]++
 			continue
 		}
 		cands = append(cands, c)
@@ -106,9 +112,9 @@
 
 // leavesLevel decides whether a request leaves a level that has no free slots. The
 // share of requests that leave grows with the refusals at the level. A request that
-// was itself refused at the level always leaves.
+// was itself refused at the level, or avoids suspect backend servers there, always leaves.
 func (p *picker) leavesLevel(level Locality, tried bool) bool {
-	return tried || p.rng.Float64() < p.s.overflow[level].value(p.now)
+	return tried || p.avoided[level] > 0 || p.rng.Float64() < p.s.overflow[level].value(p.now)
 }
 
 func (p *picker) spillAllowed() bool {
@@ -166,7 +172,7 @@
 	if slices.Contains(p.r.Tried, backend.ID) {
 		invariant.Check(false, "routing_not_tried", "backend server %s chosen twice", backend.ID)
 	}
-	a := &attempt{service: p.s, stats: c.stats, bodyBytes: max(p.r.BodyBytes, 0)}
+	a := &attempt{service: p.s, stats: c.stats, bodyBytes: max(p.r.BodyBytes, 0), mayTest: !p.r.AvoidSuspects}
 	if level == OtherRegion {
 		a.chargedBytes = p.s.spill.charge(p.now, a.bodyBytes, p.v.hasLocalCandidates())
 		p.b.chargeNodeSpill(p.now, a.chargedBytes)
@@ -174,6 +180,7 @@
 	t := Target{
 		Backend: backend.ID, Service: p.r.Service, Owner: c.member.Owner, Locality: level,
 		InUse: c.stats.inUse, Queued: c.stats.queued, ReportAge: c.stats.reportAge(p.now), attempt: a,
+		AvoidedSuspects: p.avoided[SameDomain] + p.avoided[SameRegion] + p.avoided[OtherRegion],
 	}
 	c.stats.inUse++
 	return t
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -25,11 +25,13 @@
 	// PeerExclusion is how long an owner is avoided after the connection to it has
 	// failed.
 	PeerExclusion = 5 * time.Second
-	// SuspectReportTTL is how long a report that a backend server is suspect counts.
-	// It is shorter than a suspicion, which lasts at least a second. After it, the next
-	// request may go to the backend server again, which costs a round trip if the owner
-	// still refuses it.
+	// SuspectReportTTL is how long a report that a backend server is suspect counts if it
+	// does not state a time. It is shorter than a suspicion, which lasts at least a second.
+	// After it, the next request may go to the backend server again, which costs a round
+	// trip if the owner still refuses it.
 	SuspectReportTTL = 700 * time.Millisecond
+	// maxRetryAfter bounds how long a report that a backend server is suspect counts.
+	maxRetryAfter = 5 * time.Second
 	// DefaultSpillPercent and DefaultSpillBytesPerSecond limit the traffic to other
 	// regions if the policy states no limits. The balancer itself applies no
 	// defaults: a limit of 0 in a request means that no such traffic is allowed.
@@ -127,6 +129,9 @@
 	// negative if there was none.
 	InUse, Queued int
 	ReportAge     time.Duration
+	// AvoidedSuspects is the number of suspect backend servers that AvoidSuspects left out, at
+	// the levels that were considered.
+	AvoidedSuspects int
 
 	attempt *attempt
 }
@@ -136,6 +141,7 @@
 	service      *service
 	stats        *backendStats
 	bodyBytes    int64
+	mayTest      bool  // the request may test a suspect backend server
 	chargedBytes int64 // bytes charged to the limits of traffic to other regions
 	done         bool
 }
@@ -165,6 +171,12 @@
 	Latency time.Duration
 	// Load is the load that the owner reported with its response, or nil.
 	Load *evidence.Load
+	// RetryAfter is how long requests like this one should avoid the backend server because
+	// it is suspect, or 0.
+	RetryAfter time.Duration
+	// OwnerReplaced is set if the owner refused the request because it was meant for another
+	// process of the node. The node is avoided until its new record arrives.
+	OwnerReplaced bool
 	// Bytes is the total size of the request and the response.
 	Bytes int64
 }
@@ -185,14 +197,25 @@
 // their absence.
 type disabledMechanisms struct{ states, tried, spillShare bool }
 
-// exclusions is an immutable set of owners to avoid after connection failures.
+// exclusions is an immutable set of owners to avoid.
 type exclusions struct {
-	until map[registry.NodeID]time.Time
+	until map[registry.NodeID]exclusion
 	last  time.Time // when the last exclusion ends
 }
 
-func (e *exclusions) has(id registry.NodeID, now time.Time) bool {
-	return e != nil && now.Before(e.until[id])
+// exclusion avoids an owner for some time.
+type exclusion struct {
+	until time.Time
+	// incarnation restricts the exclusion to one incarnation, unless it is 0.
+	incarnation uint64
+}
+
+func (e *exclusions) has(owner *registry.Node, now time.Time) bool {
+	if e == nil {
+		return false
+	}
+	x, ok := e.until[owner.ID]
+	return ok && now.Before(x.until) && (x.incarnation == 0 || x.incarnation == owner.Incarnation)
 }
 
 // New returns a balancer without observations.
@@ -222,10 +245,10 @@
 	if e := b.exclusions.Load(); e != nil && now.Before(e.last) {
 		p.excluded = e
 	}
-	p.avoidSuspects = r.AvoidSuspects
+	p.avoidSuspects, p.awaitTurn = r.AvoidSuspects, !r.AvoidSuspects
 	t, reason := p.pick()
-	if reason != "" && p.avoidSuspects {
-		p.avoidSuspects = false
+	if reason != "" {
+		p.avoidSuspects, p.awaitTurn = false, false
 		t, reason = p.pick()
 	}
 	if reason != "" && p.excluded != nil {
@@ -269,8 +292,11 @@
 	if a == nil {
 		return
 	}
-	if r.Outcome == PeerFailed {
+	switch {
+	case r.Outcome == PeerFailed:
 		b.PeerFailed(now, t.Owner.ID)
+	case r.OwnerReplaced:
+		b.exclude(now, t.Owner.ID, t.Owner.Incarnation)
 	}
 	s := a.service
 	s.mu.Lock()
@@ -283,6 +309,14 @@
 	if r.Load != nil {
 		a.stats.report(now, *r.Load)
 	}
+	if r.RetryAfter > 0 {
+		until := now.Add(min(r.RetryAfter, maxRetryAfter))
+		if a.mayTest {
+			a.stats.trialAfter = until
+		} else {
+			a.stats.suspectUntil = until
+		}
+	}
 	a.stats.inUse--
 	switch r.Outcome {
 	case Completed:
@@ -300,17 +334,23 @@
 
 // PeerFailed makes the balancer avoid an owner for PeerExclusion.
 func (b *Balancer) PeerFailed(now time.Time, id registry.NodeID) {
-	if id == b.opt.Self {
-		return
+	if id != b.opt.Self {
+		b.exclude(now, id, 0)
 	}
+}
+
+// exclude avoids an owner for PeerExclusion. An incarnation other than 0 ends the exclusion
+// when the owner has another one.
+func (b *Balancer) exclude(now time.Time, id registry.NodeID, incarnation uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	next := &exclusions{until: map[registry.NodeID]time.Time{id: now.Add(PeerExclusion)}, last: now.Add(PeerExclusion)}
+	end := now.Add(PeerExclusion)
+	next := &exclusions{until: map[registry.NodeID]exclusion{id: {end, incarnation}}, last: end}
 	if old := b.exclusions.Load(); old != nil {
-		for other, until := range old.until {
-			if other != id && now.Before(until) {
-				next.until[other] = until
-				next.last = maxTime(next.last, until)
+		for other, x := range old.until {
+			if other != id && now.Before(x.until) {
+				next.until[other] = x
+				next.last = maxTime(next.last, x.until)
 			}
 		}
 	}
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -255,7 +255,7 @@
 	if b.exclusions.Load() != nil {
 		t.Error("a node excluded itself")
 	}
-	for !b.exclusions.Load().has("n0", t0) {
+	for !b.exclusions.Load().has(&registry.Node{ID: "n0"}, t0) {
 		target, _ := b.Pick(t0, rng, snap, request("b2", "b3"))
 		b.Done(t0, target, Result{Outcome: PeerFailed})
 	}
--- a/internal/coordination/routing/service.go
+++ b/internal/coordination/routing/service.go
@@ -178,8 +178,10 @@
 	inUseElsewhere, queued, slots int
 	weight                        float64
 	reportedAt                    time.Time
-	// suspectUntil is set by a load report with weight 0.
+	// suspectUntil is set by a load report with weight 0, and by Result.RetryAfter.
 	suspectUntil time.Time
+	// trialAfter is the time from which the owner expects the next trial of this node.
+	trialAfter time.Time
 
 	sampledAt  time.Time // time of the latest sample
 	baseline   evidence.Baseline
@@ -192,7 +194,7 @@
 	st.inUseElsewhere = max(0, l.InUse-st.inUse)
 	st.queued, st.slots, st.weight = l.Queued, l.Slots, l.Weight
 	st.reportedAt = now
-	st.suspectUntil = time.Time{}
+	st.suspectUntil, st.trialAfter = time.Time{}, time.Time{}
 	if l.Weight == 0 {
 		st.suspectUntil = now.Add(SuspectReportTTL)
 	}
--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -79,6 +79,8 @@
 	lastTrial                  time.Time
 	// trialsRunning counts the trials that have not ended.
 	trialsRunning int
+	// nextTurn is the time of the last turn that RetryAfter has given to a sender.
+	nextTurn time.Time
 }
 
 // Request describes a request that needs admission.
@@ -121,6 +123,43 @@
 	return Allow
 }
 
+// minRetryDelay and maxRetryDelay bound the results of RetryAfter.
+const (
+	minRetryDelay = trialInterval
+	maxRetryDelay = 3 * time.Second
+)
+
+// RetryAfter returns how long the sender of a refused request should avoid the backend server.
+//
+// A request that could have been a trial may return when its turn comes: the senders get
+// different times, at the rate at which trials may start, so that they neither arrive together
+// nor leave the backend server without trials. Any other request may return when the suspicion
+// is likely to have ended. Faults have widely different durations, so the longer one has
+// lasted, the longer it is likely to last; half of its age is a cautious estimate. Once a trial
+// has passed, the suspicion ends after a few more.
+func (t *Tracker) RetryAfter(now time.Time, trialAllowed bool) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.suspect || t.trialsPassed > 0 {
+		return minRetryDelay
+	}
+	if !trialAllowed {
+		return boundRetryDelay(now.Sub(t.suspectSince) / 2)
+	}
+	if t.nextTurn.Before(t.lastTrial) {
+		t.nextTurn = t.lastTrial
+	}
+	if t.nextTurn.Before(now) {
+		t.nextTurn = now
+	}
+	if t.nextTurn.Before(now.Add(maxRetryDelay)) {
+		t.nextTurn = t.nextTurn.Add(trialInterval)
+	}
+	return boundRetryDelay(t.nextTurn.Sub(now))
+}
+
+func boundRetryDelay(d time.Duration) time.Duration { return min(max(d, minRetryDelay), maxRetryDelay) }
+
 // EndTrial reports that an admitted trial ended without an outcome for Observe.
 func (t *Tracker) EndTrial() {
 	t.mu.Lock()
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -35,6 +35,9 @@
 	Baseline = "Wigeonspring-Baseline"
 	// Load is the load of the backend server as known to its owner.
 	Load = "Wigeonspring-Load"
+	// RetryAfterMillis is the time in milliseconds for which requests like the refused one
+	// should avoid the backend server, because it is suspect.
+	RetryAfterMillis = "Wigeonspring-Retry-After-Ms"
 	// Rank is the priority of requests that wait for a slot. 0 is served first.
 	Rank = "Wigeonspring-Rank"
 	// ObjectiveMillis is the time left, in milliseconds, in which a response is
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -60,6 +60,7 @@
 func (c *call) newAttempt(plan *retry.Plan, target routing.Target) *ingressAttempt {
 	in := c.in
 	c.tried = append(c.tried, target.Backend)
+	c.avoidedSuspects = target.AvoidedSuspects
 	c.publishPlacement(target)
 	now := in.opt.Now()
 	left := c.deadline.Sub(now)
@@ -225,6 +226,11 @@
 	if load, err := header.ParseLoad(resp.Header.Get(header.Load)); err == nil {
 		r.Load = &load
 	}
+	if s := resp.Header.Get(header.RetryAfterMillis); s != "" {
+		if after, err := header.ParseDeadline(s); err == nil {
+			r.RetryAfter = after
+		}
+	}
 	switch r.Outcome {
 	case header.Answered:
 		if s := resp.Header.Get(header.Status); s != "" {
@@ -336,7 +342,7 @@
 	in := t.call.in
 	in.opt.Balancer.Done(in.opt.Now(), t.target, routing.Result{
 		Outcome: t.outcome, Failed: t.failed && t.outcome == routing.Completed, Latency: t.latency,
-		Load: t.reply.Load, Bytes: t.call.body.bytesRead.Load() + responseBytes,
+		Load: t.reply.Load, RetryAfter: t.reply.RetryAfter, OwnerReplaced: t.reply.Reason == reasonIncarnation, Bytes: t.call.body.bytesRead.Load() + responseBytes,
 	})
 }
 
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -73,6 +73,8 @@
 	// server is better.
 	suspects             []registry.BackendID
 	lastResort, noBetter bool
+	// avoidedSuspects is the number of suspect backend servers that the latest attempt avoided.
+	avoidedSuspects int
 	// arrived counts the attempts that reached a backend server, and mayHaveRun those
 	// of them that may have run. interrupted counts those that a planned stop ended.
 	arrived, mayHaveRun, interrupted int
@@ -216,14 +218,14 @@
 // backend server, because another attempt is then an ordinary retry. That does not hold
 // for one that a planned stop interrupted, which is repeated without a retry.
 func (c *call) retrySuspects() bool {
-	if c.lastResort || len(c.suspects) == 0 || c.arrived > c.interrupted || !c.body.replayable() || !c.in.opt.Now().Before(c.deadline) {
+	if c.lastResort || len(c.suspects)+c.avoidedSuspects == 0 || c.arrived > c.interrupted || !c.body.replayable() || !c.in.opt.Now().Before(c.deadline) {
 		return false
 	}
-	c.publish(event.RequestRetried, reasonLastResort, event.Field{Key: "suspects", Value: strconv.Itoa(len(c.suspects))})
+	c.publish(event.RequestRetried, reasonLastResort, event.Field{Key: "suspects", Value: strconv.Itoa(len(c.suspects) + c.avoidedSuspects)})
 	c.lastResort = true
 	// A request that may run again loses nothing if the suspect backend server fails.
 	known := len(c.in.opt.Directory.Snapshot().Service(c.service))
-	c.noBetter = c.route.Idempotent || 2*len(c.suspects) > known
+	c.noBetter = c.route.Idempotent || 2*(len(c.suspects)+c.avoidedSuspects) > known
 	c.tried = slices.DeleteFunc(c.tried, func(id registry.BackendID) bool { return slices.Contains(c.suspects, id) })
 	return true
 }
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -211,7 +211,9 @@
 		case suspicion.Refuse:
 			load := b.admitter.controller.Load()
 			load.Weight = 0
-			return notRun(reasonSuspect, &load)
+			r := notRun(reasonSuspect, &load)
+			r.RetryAfter = b.tracker.RetryAfter(o.opt.Now(), a.Trial)
+			return r
 		case suspicion.Trial:
 			trial = true
 		}
--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -151,6 +151,9 @@
 	if r.Load != nil {
 		h[header.Load] = []string{header.FormatLoad(*r.Load)}
 	}
+	if r.RetryAfter > 0 {
+		h[header.RetryAfterMillis] = []string{header.FormatDeadline(r.RetryAfter)}
+	}
 	if r.Response != nil && r.StatusInHeader && status >= http.StatusMultipleChoices && status != http.StatusNotModified {
 		h[header.Status] = []string{strconv.Itoa(status)}
 		status = http.StatusOK
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -72,6 +72,9 @@
 	StatusInHeader bool
 	// Load is the load of the backend server, or nil.
 	Load *evidence.Load
+	// RetryAfter is how long the owner asks to avoid the backend server because it is
+	// suspect; 0 if it is not.
+	RetryAfter time.Duration
 	// Response is the response of the backend server; nil unless Outcome is
 	// header.Answered. Its body must be closed.
 	Response *http.Response
