Place requests by their expected completion time

Cause: requests that look alike need very different work, and a backend server with free slots by count may still have much to do. Change: an estimator of work per class and of speeds per backend server, the owner's backlog in its replies, and placement by least expected completion over a sample of candidates of all locality levels, all behind fleet.expected_cost. Off by default.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -20,7 +20,9 @@
 	// decisionCount counts the decisions about the ticket.
 	decisionCount int
 	admitted      bool
-	reason        Reason
+	// startedAt is when the entry got its slot.
+	startedAt time.Time
+	reason    Reason
 }
 
 type callerState struct {
@@ -127,7 +129,7 @@
 
 // start assigns a slot to the entry.
 func (c *Controller) start(e *entry) {
-	e.admitted = true
+	e.admitted, e.startedAt = true, c.now
 	c.callers[e.caller.name] = e.caller
 	e.caller.inFlight++
 	c.inFlight[e.Ticket] = e
--- /dev/null
+++ b/internal/coordination/routing/completion.go
@@ -0,0 +1,141 @@
+package routing
+
+import (
+	"time"
+
+	"wigeonspring.example/wigeonspring/internal/state/registry"
+)
+
+const (
+	// sampleSize is the number of candidates per level whose completion times are compared.
+	// With all of them, the ingress nodes would send their requests to the same backend
+	// server until its next load report.
+	sampleSize = 3
+	// tieShare is the share of the best completion time within which candidates are equal.
+	tieShare = 0.1
+)
+
+// distance is what a locality level adds to a completion time.
+type distance struct {
+	// roundTrip is the time that the hop takes.
+	roundTrip time.Duration
+	// minSaving is the time by which a request must end earlier than at a nearer level, for the
+	// bytes that cross the boundary and so that requests do not swing between levels. It does
+	// not count for a request that would miss its objective at the nearer level.
+	minSaving time.Duration
+}
+
+var distances = [levels]distance{
+	SameDomain:  {},
+	SameRegion:  {roundTrip: 8 * time.Millisecond, minSaving: 300 * time.Millisecond},
+	OtherRegion: {roundTrip: 16 * time.Millisecond, minSaving: time.Second},
+}
+
+// option is a candidate with its expected completion time.
+type option struct {
+	candidate  candidate
+	level      Locality
+	completion time.Duration
+	// cost is the completion time with the minimum savings of its level.
+	cost time.Duration
+}
+
+// pickByCompletion chooses the backend server with the least expected completion time among a
+// sample of the candidates of all levels.
+func (p *picker) pickByCompletion() (Target, Reason) {
+	work := p.b.opt.Cost.Estimate(p.now, p.r.Class).Mean
+	var options []option
+	limited := false
+	for level := range Locality(levels) {
+		cands, _ := p.candidates(level)
+		if len(cands) == 0 {
+			continue
+		}
+		if level == OtherRegion && !p.spillAllowed() {
+			limited = true
+			break
+		}
+		for range min(sampleSize, len(cands)) {
+			i := p.rng.IntN(len(cands))
+			options = append(options, p.option(level, cands[i], work))
+			cands[i], cands = cands[len(cands)-1], cands[:len(cands)-1]
+		}
+	}
+	if len(options) == 0 {
+		if limited {
+			return Target{}, SpillLimited
+		}
+		return Target{}, AllTried
+	}
+	best := p.least(options)
+	t := p.reserve(best.level, best.candidate)
+	t.attempt.work = work
+	best.candidate.stats.placedWork += work
+	t.ExpectedWork, t.ExpectedWait = work, p.expectedWait(best.candidate, work)
+	return t, ""
+}
+
+func (p *picker) option(level Locality, c candidate, work time.Duration) option {
+	// A backend server of low weight takes its share of the requests although its expected
+	// completion is later, so that they show whether it has recovered.
+	weight := p.weight(c)
+	if weight < 1 && p.rng.Float64() < weight {
+		weight = 1
+	}
+	needed := time.Duration(float64(work) / p.b.opt.Cost.Speed(p.now, c.member.Backend.ID))
+	d := distances[level]
+	o := option{candidate: c, level: level}
+	o.completion = time.Duration(float64(p.expectedWait(c, work)+needed)/weight) + d.roundTrip
+	o.cost = o.completion + d.minSaving
+	if p.r.TimeToObjective > 0 && o.completion > p.r.TimeToObjective {
+		// The response would be late; a longer way that is in time is always better.
+		o.cost += distances[OtherRegion].minSaving + o.completion - p.r.TimeToObjective
+	}
+	return o
+}
+
+// least returns the option of the least cost. Options that are about equal are chosen at random.
+func (p *picker) least(options []option) option {
+	least := options[0].cost
+	for _, o := range options {
+		least = min(least, o.cost)
+	}
+	limit := least + time.Duration(tieShare*float64(least))
+	n := 0
+	for _, o := range options {
+		if o.cost <= limit {
+			options[n] = o
+			n++
+		}
+	}
+	return options[p.rng.IntN(n)]
+}
+
+// expectedWait estimates how long a request would wait for a slot. The owner's report counts
+// less the older it is, and the work that this node has placed since is added to it. Without a
+// report, the wait follows from the requests that are known to be in use and queued.
+func (p *picker) expectedWait(c candidate, work time.Duration) time.Duration {
+	st, slots := c.stats, max(c.slots(p.r.Limits.MaxSlots), 1)
+	weight := st.reportWeight(p.now)
+	if weight > 0 && st.slots > 0 {
+		slots = min(slots, st.slots)
+	}
+	ahead := float64(st.inUse) + weight*float64(st.inUseElsewhere+st.queued) + 1 - float64(slots)
+	if ahead <= 0 {
+		return 0
+	}
+	counted := time.Duration(ahead / float64(slots) * float64(work))
+	if weight == 0 || !st.backlogReported {
+		return counted
+	}
+	age := p.now.Sub(st.reportedAt)
+	reported := max(0, st.backlog+st.placedWork/time.Duration(slots)-age)
+	return time.Duration(weight*float64(reported) + (1-weight)*float64(counted))
+}
+
+// learn records the service time of a completed attempt.
+func (b *Balancer) learn(now time.Time, id registry.BackendID, a *attempt, work time.Duration) {
+	if b.opt.Cost != nil && work > 0 {
+		b.opt.Cost.Observe(now, a.class, id, work)
+	}
+}
--- a/internal/coordination/routing/picker.go
+++ b/internal/coordination/routing/picker.go
@@ -29,6 +29,9 @@
 // pick chooses the locality level and the backend server in it. It returns the
 // reason if there is none.
 func (p *picker) pick() (Target, Reason) {
+	if p.b.opt.Cost != nil {
+		return p.pickByCompletion()
+	}
 	nearest := Locality(levels) // nearest level with candidates
 	for level := range Locality(levels) {
 		cands, tried := p.candidates(level)
@@ -172,7 +175,7 @@
 	if slices.Contains(p.r.Tried, backend.ID) {
 		invariant.Check(false, "routing_not_tried", "backend server %s chosen twice", backend.ID)
 	}
-	a := &attempt{service: p.s, stats: c.stats, bodyBytes: max(p.r.BodyBytes, 0), mayTest: !p.r.AvoidSuspects}
+	a := &attempt{service: p.s, stats: c.stats, bodyBytes: max(p.r.BodyBytes, 0), mayTest: !p.r.AvoidSuspects, class: p.r.Class}
 	if level == OtherRegion {
 		a.chargedBytes = p.s.spill.charge(p.now, a.bodyBytes, p.v.hasLocalCandidates())
 		p.b.chargeNodeSpill(p.now, a.chargedBytes)
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/cost"
 	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/state/evidence"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
@@ -102,6 +103,9 @@
 	// SpillBytesPerSecond limits the traffic from this node to other regions over all
 	// services, in addition to the limit of each service; 0 means no limit.
 	SpillBytesPerSecond int64
+	// Cost estimates the work of requests. Requests are then placed by their expected
+	// completion time; nil places them by free slots.
+	Cost *cost.Estimator
 }
 
 // Request describes a request to Pick.
@@ -111,6 +115,11 @@
 	Limits  policy.Limits
 	// BodyBytes is the size of the request body, or negative if it is unknown.
 	BodyBytes int64
+	// Class is the class of the request for Options.Cost.
+	Class cost.Class
+	// TimeToObjective is the time left until a response is late; 0 if there is no objective or
+	// if it has passed.
+	TimeToObjective time.Duration
 	// Tried lists the backend servers of earlier attempts.
 	Tried []registry.BackendID
 	// AvoidSuspects leaves out backend servers that their owner has recently reported
@@ -129,6 +138,8 @@
 	// negative if there was none.
 	InUse, Queued int
 	ReportAge     time.Duration
+	// ExpectedWork and ExpectedWait are the estimates on which the choice was based, or 0.
+	ExpectedWork, ExpectedWait time.Duration
 	// AvoidedSuspects is the number of suspect backend servers that AvoidSuspects left out, at
 	// the levels that were considered.
 	AvoidedSuspects int
@@ -141,6 +152,8 @@
 	service      *service
 	stats        *backendStats
 	bodyBytes    int64
+	work         time.Duration // expected work
+	class        cost.Class
 	mayTest      bool  // the request may test a suspect backend server
 	chargedBytes int64 // bytes charged to the limits of traffic to other regions
 	done         bool
@@ -171,6 +184,10 @@
 	Latency time.Duration
 	// Load is the load that the owner reported with its response, or nil.
 	Load *evidence.Load
+	// Work is the service time at the backend server, or 0 if it is not known.
+	Work time.Duration
+	// Backlog is the owner's estimate of the wait for a slot, or negative if it is not known.
+	Backlog time.Duration
 	// RetryAfter is how long requests like this one should avoid the backend server because
 	// it is suspect, or 0.
 	RetryAfter time.Duration
@@ -308,6 +325,7 @@
 	a.done = true
 	if r.Load != nil {
 		a.stats.report(now, *r.Load)
+		a.stats.reportBacklog(r.Backlog)
 	}
 	if r.RetryAfter > 0 {
 		until := now.Add(min(r.RetryAfter, maxRetryAfter))
@@ -318,11 +336,13 @@
 		}
 	}
 	a.stats.inUse--
+	a.stats.placedWork = max(0, a.stats.placedWork-a.work)
 	switch r.Outcome {
 	case Completed:
 		s.overflow[t.Locality].decrease(now)
 		a.stats.sampledAt = now
 		s.samples.add(now, a.stats, r.Failed, r.Latency)
+		b.learn(now, t.Backend, a, r.Work)
 	case RefusedByOwner:
 		s.overflow[t.Locality].increase(now)
 	}
--- a/internal/coordination/routing/service.go
+++ b/internal/coordination/routing/service.go
@@ -180,6 +180,11 @@
 	reportedAt                    time.Time
 	// suspectUntil is set by a load report with weight 0, and by Result.RetryAfter.
 	suspectUntil time.Time
+	// backlog is the owner's estimate of the wait for a slot, if backlogReported is set, and
+	// placedWork the expected work of the attempts that this node has started since.
+	backlog         time.Duration
+	backlogReported bool
+	placedWork      time.Duration
 	// trialAfter is the time from which the owner expects the next trial of this node.
 	trialAfter time.Time
 
@@ -200,6 +205,12 @@
 	}
 }
 
+// reportBacklog records the wait for a slot that came with a load report, or a negative value
+// if the owner reported none.
+func (st *backendStats) reportBacklog(backlog time.Duration) {
+	st.backlog, st.backlogReported, st.placedWork = backlog, backlog >= 0, 0
+}
+
 // reportAge returns the age of the latest report, or -1 if there was none.
 func (st *backendStats) reportAge(now time.Time) time.Duration {
 	if st.reportedAt.IsZero() {
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -35,6 +35,9 @@
 	Baseline = "Wigeonspring-Baseline"
 	// Load is the load of the backend server as known to its owner.
 	Load = "Wigeonspring-Load"
+	// Cost is the service time of a request and the wait for a slot at its backend server, as
+	// known to its owner; see FormatCost.
+	Cost = "Wigeonspring-Cost"
 	// RetryAfterMillis is the time in milliseconds for which requests like the refused one
 	// should avoid the backend server, because it is suspect.
 	RetryAfterMillis = "Wigeonspring-Retry-After-Ms"
--- a/internal/protocol/header/values.go
+++ b/internal/protocol/header/values.go
@@ -121,6 +121,24 @@
 	return l, err
 }
 
+// FormatCost formats the service time of a request, which is 0 if it has not run, and the wait
+// for a slot as "work_us=1500 wait_us=0".
+func FormatCost(work, wait time.Duration) string {
+	b := make([]byte, 0, 40)
+	b = append(b, "work_us="...)
+	b = strconv.AppendInt(b, min(work.Microseconds(), maxCount), 10)
+	b = append(b, " wait_us="...)
+	b = strconv.AppendInt(b, min(wait.Microseconds(), maxCount), 10)
+	return string(b)
+}
+
+// ParseCost parses the output of FormatCost.
+func ParseCost(s string) (work, wait time.Duration, err error) {
+	var w, q int
+	err = parseFields(Cost, s, []field{{"work_us", &w, nil}, {"wait_us", &q, nil}})
+	return time.Duration(w) * time.Microsecond, time.Duration(q) * time.Microsecond, err
+}
+
 // FormatBaseline formats a baseline as "failure_rate=0.01 median_us=1500 samples=40".
 func FormatBaseline(v evidence.Baseline) string {
 	b := make([]byte, 0, 56)
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -13,6 +13,7 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/cost"
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
 	"wigeonspring.example/wigeonspring/internal/coordination/membership"
 	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
@@ -227,6 +228,10 @@
 		Belongs:         n.dialect().BelongsToRequest,
 		NotRun:          n.dialect().ProvesNotRun,
 	})
+	var estimator *cost.Estimator
+	if s.Fleet.ExpectedCost {
+		estimator = cost.NewEstimator()
+	}
 	n.peers = peer.NewPool(peer.Options{MaxPeers: s.Limits.MaxPeerConnections})
 	n.owner = proxy.NewOwner(proxy.OwnerOptions{
 		Self:   n.ID(),
@@ -237,6 +242,7 @@
 		Backends:        n.backends,
 		Dialect:         n.dialect(),
 		Observe:         n.observe,
+		Cost:            estimator,
 		Events:          n.bus,
 		Logger:          n.log,
 		Tracing:         n.tracing,
@@ -250,6 +256,7 @@
 			Self:          n.ID(),
 			FailureDomain: s.Node.FailureDomain,
 			Region:        s.Node.Region,
+			Cost:          estimator,
 		}),
 		Peers:                n.peers,
 		Owner:                n.owner,
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -226,6 +226,9 @@
 	if load, err := header.ParseLoad(resp.Header.Get(header.Load)); err == nil {
 		r.Load = &load
 	}
+	if work, wait, err := header.ParseCost(resp.Header.Get(header.Cost)); err == nil {
+		r.Cost = &reportedCost{work, wait}
+	}
 	if s := resp.Header.Get(header.RetryAfterMillis); s != "" {
 		if after, err := header.ParseDeadline(s); err == nil {
 			r.RetryAfter = after
@@ -340,7 +343,15 @@
 	t.reply.close()
 	_ = t.body.Close() // The attempt reads no more of the caller's body.
 	in := t.call.in
+	work, backlog := time.Duration(0), time.Duration(-1)
+	if c := t.reply.Cost; c != nil {
+		work, backlog = c.work, c.wait
+	}
+	if t.target.Owner.ID == in.opt.Self {
+		work = 0 // The owner has observed it already.
+	}
 	in.opt.Balancer.Done(in.opt.Now(), t.target, routing.Result{
+		Work: work, Backlog: backlog,
 		Outcome: t.outcome, Failed: t.failed && t.outcome == routing.Completed, Latency: t.latency,
 		Load: t.reply.Load, RetryAfter: t.reply.RetryAfter, OwnerReplaced: t.reply.Reason == reasonIncarnation, Bytes: t.call.body.bytesRead.Load() + responseBytes,
 	})
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/admission"
+	"wigeonspring.example/wigeonspring/internal/coordination/cost"
 	"wigeonspring.example/wigeonspring/internal/coordination/retry"
 	"wigeonspring.example/wigeonspring/internal/coordination/routing"
 	"wigeonspring.example/wigeonspring/internal/invariant"
@@ -50,6 +51,8 @@
 	// team is the team whose key the request bears, or nil.
 	team *policy.Team
 	rank int
+	// class is the class of the request for estimates of its work.
+	class cost.Class
 	// quotaTaken is set while the request counts against the quota of its team, and
 	// retryAfterQuota is the retry delay of a request beyond the quota.
 	quotaTaken      bool
@@ -247,10 +250,17 @@
 func (c *call) routingRequest() routing.Request {
 	return routing.Request{
 		Service: c.service, Route: c.route, Limits: c.policy.Document.Service.Limits,
-		BodyBytes: c.body.length, Tried: c.tried,
+		BodyBytes: c.body.length, Tried: c.tried, Class: c.class, TimeToObjective: c.timeToObjective(),
 	}
 }
 
+func (c *call) timeToObjective() time.Duration {
+	if c.objective.IsZero() {
+		return 0
+	}
+	return max(c.objective.Sub(c.in.opt.Now()), 0)
+}
+
 // recordFailure stores why an attempt brought no response.
 func (c *call) recordFailure(t *ingressAttempt) {
 	c.reason, c.timeout = t.reply.Reason, t.reply.Timeout
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -278,6 +278,7 @@
 		header.Set(r.Header, in.opt.Dialect.Team, c.team.Name)
 	}
 	c.request = r
+	c.class = requestClass(c.service, route.Name, r, r.Header.Get(in.opt.Dialect.Team))
 	return c.prepareBody(r)
 }
 
--- a/internal/transport/proxy/owner.go
+++ b/internal/transport/proxy/owner.go
@@ -17,6 +17,7 @@
 
 	"wigeonspring.example/wigeonspring/internal/coordination/admission"
 	"wigeonspring.example/wigeonspring/internal/coordination/attempts"
+	"wigeonspring.example/wigeonspring/internal/coordination/cost"
 	"wigeonspring.example/wigeonspring/internal/coordination/suspicion"
 	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
@@ -55,6 +56,8 @@
 	Dialect *header.Dialect
 	// Observe receives every exchange with a backend server. It must not block.
 	Observe func(evidence.Observation)
+	// Cost estimates the work of requests; nil reports no costs to ingress nodes.
+	Cost    *cost.Estimator
 	Events  event.Sink
 	Logger  *zap.Logger
 	Tracing trace.TracerProvider
@@ -222,6 +225,7 @@
 		Caller: a.Caller, Route: a.Route, Rank: a.Rank, Deadline: a.responseDeadline(), Remote: a.Region != o.opt.Region,
 		Repeatable: a.Idempotent, AvoidSuspect: b.tracker != nil && !a.Idempotent && !trial && !a.NoBetterBackend,
 	}
+	slotRequest.ExpectedWork = o.expectedWork(a)
 	if a.Objective > 0 {
 		slotRequest.Objective = o.opt.Now().Add(a.Objective)
 	}
@@ -234,7 +238,9 @@
 		if reason == reasonStopping || reason == reasonSuspect {
 			load.Weight = 0 // Ingress nodes avoid the backend server for a moment.
 		}
-		return notRun(reason, &load)
+		r := notRun(reason, &load)
+		r.Cost = o.reportCost(b, 0)
+		return r
 	}
 	return o.dispatch(ctx, a, b, ticket, trial, &load)
 }
@@ -290,7 +296,10 @@
 		return x.rejectUnproved(resp, load)
 	}
 	x.wrapResponse(resp)
-	return &reply{Outcome: header.Answered, Load: load, Response: resp.Response}
+	if o.opt.Cost != nil {
+		*load = b.admitter.controller.Load() // The load on admission may be seconds old.
+	}
+	return &reply{Outcome: header.Answered, Load: load, Cost: o.reportCost(b, x.serviceTime(resp.StatusCode)), Response: resp.Response}
 }
 
 // backendRequest returns the request for the backend server.
@@ -482,5 +491,8 @@
 			return // Reported already.
 		}
 		x.report(kind, now, latency)
+		if c := o.opt.Cost; c != nil && kind == evidence.Success {
+			c.Observe(now, a.class(o.opt.Dialect), a.Backend, latency)
+		}
 	})
 }
--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -151,6 +151,9 @@
 	if r.Load != nil {
 		h[header.Load] = []string{header.FormatLoad(*r.Load)}
 	}
+	if r.Cost != nil {
+		h[header.Cost] = []string{header.FormatCost(r.Cost.work, r.Cost.wait)}
+	}
 	if r.RetryAfter > 0 {
 		h[header.RetryAfterMillis] = []string{header.FormatDeadline(r.RetryAfter)}
 	}
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -72,6 +72,8 @@
 	StatusInHeader bool
 	// Load is the load of the backend server, or nil.
 	Load *evidence.Load
+	// Cost is the service time and the wait for a slot; nil if the owner does not report them.
+	Cost *reportedCost
 	// RetryAfter is how long the owner asks to avoid the backend server because it is
 	// suspect; 0 if it is not.
 	RetryAfter time.Duration
@@ -101,6 +103,10 @@
 
 func unknown(reason string) *reply { return &reply{Outcome: header.Unknown, Reason: reason} }
 
+// reportedCost is the service time of a request, or 0 if it has not completed, and the wait for
+// a slot at its backend server.
+type reportedCost struct{ work, wait time.Duration }
+
 func (r *reply) close() {
 	if r.Response != nil {
 		_ = r.Response.Body.Close()
