--- a/internal/coordination/cost/estimator.go
+++ b/internal/coordination/cost/estimator.go
@@ -21,10 +21,13 @@
 	// minSpeed and maxSpeed bound the relative speed of a backend server.
 	minSpeed = 1.0 / 8
 	maxSpeed = 4.0
+	// speedTrust is the part of an observed speed that counts. The rest pulls the speed to 1,
+	// because work and speed cannot be told apart if one server gets most requests of a class.
+	speedTrust = 0.8
 	// speedShare is the share of a new sample in the speed of a backend server, and
 	// speedHalfLife the time in which the speed of one without samples returns half of
 	// the way to 1.
-	speedShare    = 0.1
+	speedShare    = 0.05
 	speedHalfLife = 20 * time.Second
 	// maxServers bounds the backend servers for which a speed is kept.
 	maxServers = 4096
@@ -75,12 +78,15 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	expected := e.estimate(now, c)
-	factor := e.speed(now, server)
-	if expected.Samples >= parentWeight {
-		e.learnSpeed(now, server, float64(expected.Mean)/float64(work))
+	normalized := time.Duration(float64(work) * e.speed(now, server))
+	if el := e.groups[c]; el != nil {
+		h := &el.Value.(*group).samples
+		if h.decay(now); h.weight >= parentWeight {
+			// The logarithm of skewed service times has a mean that a few heavy requests
+			// do not dominate.
+			e.learnSpeed(now, server, h.sumLog/h.weight-math.Log(float64(work)))
+		}
 	}
-	normalized := time.Duration(float64(work) * factor)
 	for _, key := range levelsOf(c) {
 		e.group(now, key).samples.add(now, normalized)
 	}
@@ -167,7 +173,8 @@
 	return math.Exp(s.log * math.Exp2(-float64(now.Sub(s.updated))/float64(speedHalfLife)))
 }
 
-func (e *Estimator) learnSpeed(now time.Time, id registry.BackendID, ratio float64) {
+// learnSpeed adds a sample, the logarithm of a speed, to the speed of a backend server.
+func (e *Estimator) learnSpeed(now time.Time, id registry.BackendID, sample float64) {
 	s := e.speeds[id]
 	if s == nil {
 		if len(e.speeds) >= maxServers {
@@ -177,7 +184,7 @@
 		e.speeds[id] = s
 	}
 	s.log = math.Log(e.speed(now, id))
-	s.log += speedShare * (math.Log(min(max(ratio, minSpeed), maxSpeed)) - s.log)
+	s.log += speedShare * (speedTrust*min(max(sample, math.Log(minSpeed)), math.Log(maxSpeed)) - s.log)
 	s.updated = now
 }
 
--- a/internal/coordination/cost/histogram.go
+++ b/internal/coordination/cost/histogram.go
@@ -36,6 +36,7 @@
 	counts  []float32
 	weight  float64
 	sum     float64 // weighted sum in nanoseconds
+	sumLog  float64 // weighted sum of the logarithms of nanoseconds
 	updated time.Time
 }
 
@@ -46,7 +47,9 @@
 	h.decay(now)
 	h.counts[bucketOf(d)]++
 	h.weight++
-	h.sum += float64(min(max(d, minWork), maxWork))
+	d = min(max(d, minWork), maxWork)
+	h.sum += float64(d)
+	h.sumLog += math.Log(float64(d))
 	if h.weight > maxWeight {
 		h.scale(maxWeight / h.weight)
 	}
@@ -65,4 +68,5 @@
 	}
 	h.weight *= f
 	h.sum *= f
+	h.sumLog *= f
 }
--- a/internal/coordination/routing/completion.go
+++ b/internal/coordination/routing/completion.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/cost"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
@@ -11,8 +12,6 @@
 	// With all of them, the ingress nodes would send their requests to the same backend
 	// server until its next load report.
 	sampleSize = 3
-	// tieShare is the share of the best completion time within which candidates are equal.
-	tieShare = 0.1
 )
 
 // distance is what a locality level adds to a completion time.
@@ -27,7 +26,7 @@
 
 var distances = [levels]distance{
 	SameDomain:  {},
-	SameRegion:  {roundTrip: 8 * time.Millisecond, minSaving: 300 * time.Millisecond},
+	SameRegion:  {roundTrip: 8 * time.Millisecond, minSaving: 100 * time.Millisecond},
 	OtherRegion: {roundTrip: 16 * time.Millisecond, minSaving: time.Second},
 }
 
@@ -41,41 +40,63 @@
 }
 
 // pickByCompletion chooses the backend server with the least expected completion time among a
-// sample of the candidates of all levels.
+// sample of the candidates of each level. A request leaves a level if it would be late there,
+// or on the same conditions as without estimates.
 func (p *picker) pickByCompletion() (Target, Reason) {
 	work := p.b.opt.Cost.Estimate(p.now, p.r.Class).Mean
-	var options []option
-	limited := false
+	usual := p.b.opt.Cost.Estimate(p.now, cost.Class{Service: p.r.Service}).Mean
+	var best *option
 	for level := range Locality(levels) {
-		cands, _ := p.candidates(level)
+		cands, tried := p.candidates(level)
 		if len(cands) == 0 {
 			continue
 		}
 		if level == OtherRegion && !p.spillAllowed() {
-			limited = true
+			if best == nil {
+				return Target{}, SpillLimited
+			}
 			break
 		}
-		for range min(sampleSize, len(cands)) {
-			i := p.rng.IntN(len(cands))
-			options = append(options, p.option(level, cands[i], work))
-			cands[i], cands = cands[len(cands)-1], cands[:len(cands)-1]
+		free := p.withFreeSlots(cands)
+		hasFree := len(free) > 0
+		if hasFree {
+			cands = free
 		}
-	}
-	if len(options) == 0 {
-		if limited {
-			return Target{}, SpillLimited
+		o := p.leastOf(level, cands, work, usual)
+		if best == nil || o.cost < best.cost {
+			best = &o
+		}
+		if late := p.r.TimeToObjective > 0 && best.completion > p.r.TimeToObjective; !late && (hasFree || !p.leavesLevel(level, tried)) {
+			break
 		}
+	}
+	if best == nil {
 		return Target{}, AllTried
 	}
-	best := p.least(options)
 	t := p.reserve(best.level, best.candidate)
 	t.attempt.work = work
 	best.candidate.stats.placedWork += work
-	t.ExpectedWork, t.ExpectedWait = work, p.expectedWait(best.candidate, work)
+	t.ExpectedWork, t.ExpectedWait = work, p.expectedWait(best.candidate, usual)
 	return t, ""
 }
 
-func (p *picker) option(level Locality, c candidate, work time.Duration) option {
+// leastOf returns the option of the least cost among a random sample of candidates. It reorders
+// the candidates.
+func (p *picker) leastOf(level Locality, cands []candidate, work, usual time.Duration) option {
+	var best option
+	for k := range min(sampleSize, len(cands)) {
+		i := p.rng.IntN(len(cands))
+		if o := p.option(level, cands[i], work, usual); k == 0 || o.cost < best.cost {
+			best = o
+		}
+		cands[i], cands = cands[len(cands)-1], cands[:len(cands)-1]
+	}
+	return best
+}
+
+// option estimates the completion of a request that needs the given work. usual is the mean work
+// of the service.
+func (p *picker) option(level Locality, c candidate, work, usual time.Duration) option {
 	// A backend server of low weight takes its share of the requests although its expected
 	// completion is later, so that they show whether it has recovered.
 	weight := p.weight(c)
@@ -85,46 +106,48 @@
 	needed := time.Duration(float64(work) / p.b.opt.Cost.Speed(p.now, c.member.Backend.ID))
 	d := distances[level]
 	o := option{candidate: c, level: level}
-	o.completion = time.Duration(float64(p.expectedWait(c, work)+needed)/weight) + d.roundTrip
+	o.completion = time.Duration(float64(p.expectedWait(c, usual)+needed)/weight) + d.roundTrip
 	o.cost = o.completion + d.minSaving
 	if p.r.TimeToObjective > 0 && o.completion > p.r.TimeToObjective {
 		// The response would be late; a longer way that is in time is always better.
 		o.cost += distances[OtherRegion].minSaving + o.completion - p.r.TimeToObjective
 	}
+	if p.queueFull(c) {
+		o.cost += distances[OtherRegion].minSaving
+	}
 	return o
 }
 
-// least returns the option of the least cost. Options that are about equal are chosen at random.
-func (p *picker) least(options []option) option {
-	least := options[0].cost
-	for _, o := range options {
-		least = min(least, o.cost)
-	}
-	limit := least + time.Duration(tieShare*float64(least))
-	n := 0
-	for _, o := range options {
-		if o.cost <= limit {
-			options[n] = o
-			n++
-		}
+// queueFull reports whether the queue of a candidate is likely to refuse a request.
+func (p *picker) queueFull(c candidate) bool {
+	slots := max(c.slots(p.r.Limits.MaxSlots), 1)
+	limit := p.r.Limits.Queue
+	if limit <= 0 {
+		limit = 2 * slots
 	}
-	return options[p.rng.IntN(n)]
+	return p.ahead(c, slots) >= float64(limit)
+}
+
+// ahead returns the number of requests that wait for one of the slots, with this one.
+func (p *picker) ahead(c candidate, slots int) float64 {
+	st := c.stats
+	return float64(st.inUse) + st.reportWeight(p.now)*float64(st.inUseElsewhere+st.queued) + 1 - float64(slots)
 }
 
 // expectedWait estimates how long a request would wait for a slot. The owner's report counts
 // less the older it is, and the work that this node has placed since is added to it. Without a
 // report, the wait follows from the requests that are known to be in use and queued.
-func (p *picker) expectedWait(c candidate, work time.Duration) time.Duration {
+func (p *picker) expectedWait(c candidate, usual time.Duration) time.Duration {
 	st, slots := c.stats, max(c.slots(p.r.Limits.MaxSlots), 1)
 	weight := st.reportWeight(p.now)
 	if weight > 0 && st.slots > 0 {
 		slots = min(slots, st.slots)
 	}
-	ahead := float64(st.inUse) + weight*float64(st.inUseElsewhere+st.queued) + 1 - float64(slots)
+	ahead := p.ahead(c, slots)
 	if ahead <= 0 {
 		return 0
 	}
-	counted := time.Duration(ahead / float64(slots) * float64(work))
+	counted := time.Duration(ahead / float64(slots) * float64(usual))
 	if weight == 0 || !st.backlogReported {
 		return counted
 	}
--- a/internal/protocol/header/fuzz_test.go
+++ b/internal/protocol/header/fuzz_test.go
@@ -110,3 +110,20 @@
 		}
 	})
 }
+
+// Guards against a cost that makes an ingress node panic or is accepted although it is out of
+// bounds.
+func FuzzParseCost(f *testing.F) {
+	f.Add("work_us=1500 wait_us=0")
+	f.Add("work_us=1073741824 wait_us=99999999999999999999")
+	f.Fuzz(func(t *testing.T, s string) {
+		work, wait, err := ParseCost(s)
+		if err != nil {
+			return
+		}
+		againWork, againWait, err := ParseCost(FormatCost(work, wait))
+		if err != nil || work < 0 || wait < 0 || againWork != work || againWait != wait {
+			t.Fatalf("%v, %v: %v", work, wait, err)
+		}
+	})
+}
--- a/internal/protocol/header/header_test.go
+++ b/internal/protocol/header/header_test.go
@@ -40,7 +40,9 @@
 			}
 			load := evidence.Load{Slots: samples, InUse: attempt, Queued: 2, Weight: 0.25}
 			back, loadErr := ParseLoad(FormatLoad(load))
-			return err == nil && out == in && loadErr == nil && back == load
+			work, wait := time.Duration(samples)*time.Microsecond, time.Duration(attempt)*time.Microsecond
+			gotWork, gotWait, costErr := ParseCost(FormatCost(work, wait))
+			return err == nil && out == in && loadErr == nil && back == load && costErr == nil && gotWork == work && gotWait == wait
 		},
 		gen.UInt64(), gen.Int64Range(0, maxDeadline.Milliseconds()), gen.IntRange(1, maxAttempt), gen.IntRange(0, maxCount),
 		gen.Float64Range(0, 1), gen.AlphaString()))
@@ -63,6 +65,11 @@
 			t.Errorf("load %q read as %+v", s, v)
 		}
 	}
+	for _, s := range []string{"", "work_us=1", "work_us=-1 wait_us=0", "work_us=1 wait_us=x", "wait_us=1 work_us=1", "work_us=1 wait_us=1 x=1"} {
+		if work, wait, err := ParseCost(s); err == nil {
+			t.Errorf("cost %q read as %v, %v", s, work, wait)
+		}
+	}
 	for _, name := range []string{RequestID, Backend, Service, OwnerIncarnation, DeadlineMillis, Attempt, Baseline} {
 		h := http.Header{}
 		(&Hop{RequestID: NewRequestID(), Backend: "b", Service: "s", Attempt: 1}).Write(h)
