--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -449,17 +449,28 @@
 	if t.ReportAge >= 0 {
 		age = t.ReportAge.Round(time.Millisecond).String()
 	}
-	c.publish(event.RequestPlaced, t.Locality.String(),
-		event.Field{Key: "attempt", Value: strconv.Itoa(len(c.tried))},
-		event.Field{Key: "owner", Value: string(t.Owner.ID)},
-		event.Field{Key: "route", Value: c.route.Name},
+	evidence := []event.Field{
+		{Key: "attempt", Value: strconv.Itoa(len(c.tried))},
+		{Key: "owner", Value: string(t.Owner.ID)},
+		{Key: "route", Value: c.route.Name},
 		policyEpoch(c.policy.Epoch),
-		event.Field{Key: "in_use", Value: strconv.Itoa(t.InUse)},
-		event.Field{Key: "queued", Value: strconv.Itoa(t.Queued)},
-		event.Field{Key: "report_age", Value: age},
-	)
+		{Key: "in_use", Value: strconv.Itoa(t.InUse)},
+		{Key: "queued", Value: strconv.Itoa(t.Queued)},
+		{Key: "report_age", Value: age},
+	}
+	if t.ExpectedWork > 0 {
+		evidence = append(evidence,
+			event.Field{Key: "expected_work", Value: t.ExpectedWork.Round(time.Millisecond).String()},
+			event.Field{Key: "expected_wait", Value: t.ExpectedWait.Round(time.Millisecond).String()})
+		expectedCosts.Observe("work", t.ExpectedWork)
+		expectedCosts.Observe("wait", t.ExpectedWait)
+	}
+	c.publish(event.RequestPlaced, t.Locality.String(), evidence...)
 }
 
+// expectedCosts are the estimates with which requests were placed.
+var expectedCosts = metrics.NewHistograms("expected_cost")
+
 // policyEpoch names the policy that decided, as evidence of an event.
 func policyEpoch(epoch uint64) event.Field {
 	return event.Field{Key: "policy_epoch", Value: strconv.FormatUint(epoch, 10)}
