Explain where a request would go

Cause: operators asked where a request would go now, and why, without sending it. Change: wigeonctl explain-placement and the RPC ExplainPlacement, on the operator address only.

--- a/internal/transport/control/server.go
+++ b/internal/transport/control/server.go
@@ -31,11 +31,13 @@
 	Drain(backend registry.BackendID) error
 }
 
-// Options configures a Server. All fields are required.
+// Options configures a Server. All fields but Placements are required.
 type Options struct {
 	Node     Node
 	Policies *policy.Table
 	Events   *events.Store
+	// Placements is not needed with PeerListener.
+	Placements Placements
 	// PeerClient is used for RPCs to other nodes.
 	PeerClient *http.Client
 	// PeerListener restricts the server to the RPCs of backend servers and other nodes. To
--- a/internal/transport/ctl/ctl.go
+++ b/internal/transport/ctl/ctl.go
@@ -97,6 +97,7 @@
 	must(policies.AddCommand("status", "show the epochs in force on the nodes", "", &statusCommand{tool: t}))
 	must(parser.AddCommand("nodes", "list the nodes", "", &nodesCommand{tool: t}))
 	must(parser.AddCommand("backends", "list the backend servers", "", &backendsCommand{tool: t}))
+	must(parser.AddCommand("explain-placement", "show where a request would go now", "", &explainPlacementCommand{tool: t}))
 	must(parser.AddCommand("explain", "show recent decisions", "", &explainCommand{tool: t}))
 	must(parser.AddCommand("drain", "drain a backend server or a node", "", &drainCommand{tool: t}))
 
--- a/internal/transport/ctl/ctl_test.go
+++ b/internal/transport/ctl/ctl_test.go
@@ -49,6 +49,18 @@
 	}}, nil
 }
 
+func (fakeNode) ExplainPlacement(_ context.Context, req *controlpb.ExplainPlacementRequest) (*controlpb.ExplainPlacementResponse, error) {
+	if req.Host != "booking.test" {
+		return nil, twirp.NotFoundError("no policy has the host " + req.Host)
+	}
+	return &controlpb.ExplainPlacementResponse{Node: "n1", Route: "r1", Services: []*controlpb.ServicePlacement{{
+		Service: "s1", ExpectedWorkMicros: 150_000, Candidates: []*controlpb.PlacementCandidate{
+			{Backend: "b1", Locality: "same_domain", ExpectedWaitMicros: 30_000, ReportAgeMillis: -1},
+			{Backend: "b2", Locality: "same_region", RuledOut: "nearer_level_has_room"},
+		},
+	}}}, nil
+}
+
 func (fakeNode) Explain(context.Context, *controlpb.ExplainRequest) (*controlpb.ExplainResponse, error) {
 	return &controlpb.ExplainResponse{Events: []*controlpb.EventInfo{{Kind: "backend_ejected", Backend: "b1",
 		Evidence: []*controlpb.EvidenceField{{Key: "failure_rate", Value: "0.4"}}}}}, nil
@@ -183,6 +195,9 @@
 	f.run(ExitSuccess, []string{"backends", "--service", "booking"}, "b1 booking active")
 	f.run(ExitSuccess, []string{"policy", "status"}, "booking 7 aa 2", "booking 6 aa 1", "n4 timeout")
 	f.run(ExitSuccess, []string{"policy", "status", "--service", "booking"}, "n3 booking 6 aa")
+	f.run(ExitSuccess, []string{"explain-placement", "--host", "booking.test"}, "expected work 150ms", "may be chosen", "30ms", "nearer_level_has_room")
+	f.run(ExitSuccess, []string{"--output", "json", "explain-placement", "--host", "booking.test"}, "nearer_level_has_room")
+	f.run(ExitFailure, []string{"explain-placement", "--host", "other.test"}, "no policy has the host other.test")
 	f.run(ExitSuccess, []string{"explain", "--backend", "b1"}, "backend_ejected", "failure_rate=0.4")
 	f.run(ExitSuccess, []string{"drain", "b1"}, "draining b1")
 	f.run(ExitSuccess, []string{"drain", "--this-node"}, "draining")
@@ -214,7 +229,7 @@
 	f := newFixture(t)
 	for _, args := range [][]string{
 		{}, {"unknown"}, {"policy"}, {"policy", "check"}, {"policy", "check", f.document, "more"}, {"nodes", "more"},
-		{"drain"}, {"drain", "b1", "--this-node"}, {"explain", "--limit", "0"}, {"--output", "xml", "nodes"}, {"policy", "apply", "--base", "x", f.document},
+		{"drain"}, {"drain", "b1", "--this-node"}, {"explain", "--limit", "0"}, {"explain-placement"}, {"explain-placement", "--host", "x", "--size", "-2"}, {"--output", "xml", "nodes"}, {"policy", "apply", "--base", "x", f.document},
 		{"--node", "", "nodes"}, {"--platform", "", "policy", "show", "booking"},
 	} {
 		f.run(ExitUsage, args)
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -215,7 +215,7 @@
 		Events:  n.bus,
 		Node:    s.Node.ID,
 	})
-	n.control = control.New(control.Options{Node: n, Policies: n.policies, Events: n.store, PeerClient: n.peerClient})
+	n.control = control.New(control.Options{Node: n, Placements: n.ingress, Policies: n.policies, Events: n.store, PeerClient: n.peerClient})
 	return nil
 }
 
--- a/internal/transport/proxy/cost_test.go
+++ b/internal/transport/proxy/cost_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -42,6 +43,16 @@
 		if fast, slow := estimator.Speed(now, "fast"), estimator.Speed(now, "slow"); reports && slow >= fast {
 			t.Errorf("speeds: fast %.2f, slow %.2f", fast, slow)
 		}
+		explained, err := f.nodes[0].ingress.ExplainPlacement(PlacementQuery{Host: "booking.test", Method: http.MethodGet, Path: "/x"})
+		if err != nil || explained.Route != "read" || len(explained.Services) != 1 || len(explained.Services[0].Candidates) != 2 {
+			t.Fatalf("explained as %+v, %v", explained, err)
+		}
+		if first := explained.Services[0].Candidates[0]; reports && first.Backend != "fast" {
+			t.Errorf("explanation puts %+v first", first)
+		}
+		if _, err := f.nodes[0].ingress.ExplainPlacement(PlacementQuery{Host: "other.test", Method: http.MethodGet, Path: "/x"}); !errors.Is(err, policy.ErrUnknownHost) {
+			t.Errorf("unknown host: %v", err)
+		}
 		// Placement follows the speeds.
 		rng := proptest.Rand(t)
 		counts := make(map[registry.BackendID]int)
