--- a/e2e/docs_test.go
+++ b/e2e/docs_test.go
@@ -33,7 +33,7 @@
 	if err := shell.Run(); err != nil {
 		t.Fatalf("%v\n%s\n%s", err, stdout.String(), stderr.String())
 	}
-	for _, want := range []string{"epoch 1 accepted", "backend_ejected", "detector=cusum", "draining"} {
+	for _, want := range []string{"epoch 1 accepted", "backend_ejected", "detector=cusum", "may be chosen", "draining"} {
 		if !strings.Contains(stdout.String(), want) {
 			t.Errorf("the output lacks %q:\n%s", want, stdout.String())
 		}
