--- a/internal/coordination/routing/service.go
+++ b/internal/coordination/routing/service.go
@@ -178,8 +178,15 @@
 	inUseElsewhere, queued, slots int
 	weight                        float64
 	reportedAt                    time.Time
-	// suspectUntil is set by a load report with weight 0.
+	// suspectUntil is set by a load report with weight 0, and by Result.RetryAfter.
 	suspectUntil time.Time
+	// backlog is the owner's estimate of the wait for a slot, if backlogReported is set, and
+	// placedWork the expected work of the attempts that this node has started since.
+	backlog         time.Duration
+	backlogReported bool
+	placedWork      time.Duration
+	// trialAfter is the time from which the owner expects the next trial of this node.
+	trialAfter time.Time
 
 	sampledAt  time.Time // time of the latest sample
 	baseline   evidence.Baseline
@@ -192,12 +199,18 @@
 	st.inUseElsewhere = max(0, l.InUse-st.inUse)
 	st.queued, st.slots, st.weight = l.Queued, l.Slots, l.Weight
 	st.reportedAt = now
-	st.suspectUntil = time.Time{}
+	st.suspectUntil, st.trialAfter = time.Time{}, time.Time{}
 	if l.Weight == 0 {
 		st.suspectUntil = now.Add(SuspectReportTTL)
 	}
 }
 
+// reportBacklog records the wait for a slot that came with a load report, or a negative value
+// if the owner reported none.
+func (st *backendStats) reportBacklog(backlog time.Duration) {
+	st.backlog, st.backlogReported, st.placedWork = backlog, backlog >= 0, 0
+}
+
 // reportAge returns the age of the latest report, or -1 if there was none.
 func (st *backendStats) reportAge(now time.Time) time.Duration {
 	if st.reportedAt.IsZero() {
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -13,6 +13,7 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/cost"
 	"wigeonspring.example/wigeonspring/internal/coordination/distribution"
 	"wigeonspring.example/wigeonspring/internal/coordination/freshness"
 	"wigeonspring.example/wigeonspring/internal/coordination/membership"
@@ -227,7 +228,7 @@
 		Events:  n.bus,
 		Node:    s.Node.ID,
 	})
-	n.control = control.New(control.Options{Node: n, Policies: n.policies, Events: n.store, PeerClient: n.peerClient})
+	n.control = control.New(control.Options{Node: n, Placements: n.ingress, Policies: n.policies, Events: n.store, PeerClient: n.peerClient})
 	return nil
 }
 
@@ -240,6 +241,10 @@
 		Belongs:         n.dialect().BelongsToRequest,
 		NotRun:          n.dialect().ProvesNotRun,
 	})
+	var estimator *cost.Estimator
+	if s.Fleet.ExpectedCost {
+		estimator = cost.NewEstimator()
+	}
 	n.peers = peer.NewPool(peer.Options{MaxPeers: s.Limits.MaxPeerConnections})
 	n.owner = proxy.NewOwner(proxy.OwnerOptions{
 		Self:   n.ID(),
@@ -250,6 +255,7 @@
 		Backends:        n.backends,
 		Dialect:         n.dialect(),
 		Observe:         n.observe,
+		Cost:            estimator,
 		Events:          n.bus,
 		Logger:          n.log,
 		Tracing:         n.tracing,
@@ -263,6 +269,7 @@
 			Self:          n.ID(),
 			FailureDomain: s.Node.FailureDomain,
 			Region:        s.Node.Region,
+			Cost:          estimator,
 		}),
 		Peers:                n.peers,
 		Owner:                n.owner,
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -67,6 +67,7 @@
 func (c *call) newAttempt(plan *retry.Plan, target routing.Target) *ingressAttempt {
 	in := c.in
 	c.tried = append(c.tried, target.Backend)
+	c.avoidedSuspects = target.AvoidedSuspects
 	c.publishPlacement(target)
 	now := in.opt.Now()
 	left := c.deadline.Sub(now)
@@ -232,6 +233,14 @@
 	if load, err := header.ParseLoad(resp.Header.Get(header.Load)); err == nil {
 		r.Load = &load
 	}
+	if work, wait, err := header.ParseCost(resp.Header.Get(header.Cost)); err == nil {
+		r.Cost = &reportedCost{work, wait}
+	}
+	if s := resp.Header.Get(header.RetryAfterMillis); s != "" {
+		if after, err := header.ParseDeadline(s); err == nil {
+			r.RetryAfter = after
+		}
+	}
 	switch r.Outcome {
 	case header.Answered:
 		if s := resp.Header.Get(header.Status); s != "" {
@@ -354,9 +363,17 @@
 	t.reply.close()
 	_ = t.body.Close() // The attempt reads no more of the caller's body.
 	in := t.call.in
+	work, backlog := time.Duration(0), time.Duration(-1)
+	if c := t.reply.Cost; c != nil {
+		work, backlog = c.work, c.wait
+	}
+	if t.target.Owner.ID == in.opt.Self {
+		work = 0 // The owner has observed it already.
+	}
 	in.opt.Balancer.Done(in.opt.Now(), t.target, routing.Result{
+		Work: work, Backlog: backlog,
 		Outcome: t.outcome, Failed: t.failed && t.outcome == routing.Completed, Latency: t.latency,
-		Load: t.reply.Load, Bytes: t.call.body.bytesRead.Load() + responseBytes,
+		Load: t.reply.Load, RetryAfter: t.reply.RetryAfter, OwnerReplaced: t.reply.Reason == reasonIncarnation, Bytes: t.call.body.bytesRead.Load() + responseBytes,
 	})
 }
 
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/admission"
+	"wigeonspring.example/wigeonspring/internal/coordination/cost"
 	"wigeonspring.example/wigeonspring/internal/coordination/retry"
 	"wigeonspring.example/wigeonspring/internal/coordination/routing"
 	"wigeonspring.example/wigeonspring/internal/invariant"
@@ -53,6 +54,8 @@
 	// team is the team whose key the request bears, or nil.
 	team *policy.Team
 	rank int
+	// class is the class of the request for estimates of its work.
+	class cost.Class
 	// quotaTaken is set while the request counts against the quota of its team, and
 	// retryAfterQuota is the retry delay of a request beyond the quota.
 	quotaTaken      bool
@@ -76,6 +79,8 @@
 	// server is better.
 	suspects             []registry.BackendID
 	lastResort, noBetter bool
+	// avoidedSuspects is the number of suspect backend servers that the latest attempt avoided.
+	avoidedSuspects int
 	// arrived counts the attempts that reached a backend server, and mayHaveRun those
 	// of them that may have run. interrupted counts those that a planned stop ended.
 	arrived, mayHaveRun, interrupted int
@@ -226,14 +231,14 @@
 // backend server, because another attempt is then an ordinary retry. That does not hold
 // for one that a planned stop interrupted, which is repeated without a retry.
 func (c *call) retrySuspects() bool {
-	if c.lastResort || len(c.suspects) == 0 || c.arrived > c.interrupted || !c.body.replayable() || !c.in.opt.Now().Before(c.deadline) {
+	if c.lastResort || len(c.suspects)+c.avoidedSuspects == 0 || c.arrived > c.interrupted || !c.body.replayable() || !c.in.opt.Now().Before(c.deadline) {
 		return false
 	}
-	c.publish(event.RequestRetried, reasonLastResort, event.Field{Key: "suspects", Value: strconv.Itoa(len(c.suspects))})
+	c.publish(event.RequestRetried, reasonLastResort, event.Field{Key: "suspects", Value: strconv.Itoa(len(c.suspects) + c.avoidedSuspects)})
 	c.lastResort = true
 	// A request that may run again loses nothing if the suspect backend server fails.
 	known := len(c.in.opt.Directory.Snapshot().Service(c.service))
-	c.noBetter = c.route.Idempotent || 2*len(c.suspects) > known
+	c.noBetter = c.route.Idempotent || 2*(len(c.suspects)+c.avoidedSuspects) > known
 	c.tried = slices.DeleteFunc(c.tried, func(id registry.BackendID) bool { return slices.Contains(c.suspects, id) })
 	return true
 }
@@ -255,10 +260,17 @@
 func (c *call) routingRequest() routing.Request {
 	return routing.Request{
 		Service: c.service, Route: c.route, Limits: c.policy.Document.Service.Limits,
-		BodyBytes: c.body.length, Tried: c.tried,
+		BodyBytes: c.body.length, Tried: c.tried, Class: c.class, TimeToObjective: c.timeToObjective(),
 	}
 }
 
+func (c *call) timeToObjective() time.Duration {
+	if c.objective.IsZero() {
+		return 0
+	}
+	return max(c.objective.Sub(c.in.opt.Now()), 0)
+}
+
 // recordFailure stores why an attempt brought no response.
 func (c *call) recordFailure(t *ingressAttempt) {
 	c.reason, c.timeout = t.reply.Reason, t.reply.Timeout
@@ -462,17 +474,28 @@
 	if t.ReportAge >= 0 {
 		age = t.ReportAge.Round(time.Millisecond).String()
 	}
-	c.publish(event.RequestPlaced, t.Locality.String(),
-		event.Field{Key: "attempt", Value: strconv.Itoa(len(c.tried))},
-		event.Field{Key: "owner", Value: string(t.Owner.ID)},
-		event.Field{Key: "route", Value: c.route.Name},
+	evidence := []event.Field{
+		{Key: "attempt", Value: strconv.Itoa(len(c.tried))},
+		{Key: "owner", Value: string(t.Owner.ID)},
+		{Key: "route", Value: c.route.Name},
 		policyEpoch(c.policy.Epoch),
-		event.Field{Key: "in_use", Value: strconv.Itoa(t.InUse)},
-		event.Field{Key: "queued", Value: strconv.Itoa(t.Queued)},
-		event.Field{Key: "report_age", Value: age},
-	)
+		{Key: "in_use", Value: strconv.Itoa(t.InUse)},
+		{Key: "queued", Value: strconv.Itoa(t.Queued)},
+		{Key: "report_age", Value: age},
+	}
+	if t.ExpectedWork > 0 {
+		evidence = append(evidence,
+			event.Field{Key: "expected_work", Value: t.ExpectedWork.Round(time.Millisecond).String()},
+			event.Field{Key: "expected_wait", Value: t.ExpectedWait.Round(time.Millisecond).String()})
+		expectedCosts.Observe("work", t.ExpectedWork)
+		expectedCosts.Observe("wait", t.ExpectedWait)
+	}
+	c.publish(event.RequestPlaced, t.Locality.String(), evidence...)
 }
 
+// expectedCosts are the estimates with which requests were placed.
+var expectedCosts = metrics.NewHistograms("expected_cost")
+
 // policyEpoch names the policy that decided, as evidence of an event.
 func policyEpoch(epoch uint64) event.Field {
 	return event.Field{Key: "policy_epoch", Value: strconv.FormatUint(epoch, 10)}
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -288,6 +288,7 @@
 		c.caller, c.callerWeight = header.CallerName(c.team.Name), c.team.RatePerSecond
 	}
 	c.request = r
+	c.class = requestClass(c.service, route.Name, r, r.Header.Get(in.opt.Dialect.Team))
 	return c.prepareBody(r)
 }
 
--- a/internal/transport/proxy/owner_http.go
+++ b/internal/transport/proxy/owner_http.go
@@ -151,6 +151,12 @@
 	if r.Load != nil {
 		h[header.Load] = []string{header.FormatLoad(*r.Load)}
 	}
+	if r.Cost != nil {
+		h[header.Cost] = []string{header.FormatCost(r.Cost.work, r.Cost.wait)}
+	}
+	if r.RetryAfter > 0 {
+		h[header.RetryAfterMillis] = []string{header.FormatDeadline(r.RetryAfter)}
+	}
 	if r.Response != nil && r.StatusInHeader && status >= http.StatusMultipleChoices && status != http.StatusNotModified {
 		h[header.Status] = []string{strconv.Itoa(status)}
 		status = http.StatusOK
