--- a/internal/coordination/cost/cost_test.go
+++ b/internal/coordination/cost/cost_test.go
@@ -68,20 +68,24 @@
 }
 
 // Guards against estimates that stay at an earlier mix. Load: a class whose work falls from 2 s
-// to 50 ms.
+// to 50 ms, at 20 requests per second, and at 100 per second within little more than a second.
 func TestForgetsEarlierMix(t *testing.T) {
-	e := NewEstimator()
-	now := t0
-	step := func(work time.Duration, n int) {
-		for n := range n {
-			now = now.Add(50 * time.Millisecond)
+	for _, load := range []struct {
+		interval      time.Duration
+		before, after int
+	}{{50 * time.Millisecond, 200, 200}, {10 * time.Millisecond, 400, 130}} {
+		e, now := NewEstimator(), t0
+		for n := range load.before + load.after {
+			work := 2 * time.Second
+			if n >= load.before {
+				work = 50 * time.Millisecond
+			}
+			now = now.Add(load.interval)
 			e.Observe(now, class("r"), registry.BackendID(fmt.Sprint("b", n%7)), work)
 		}
-	}
-	step(2*time.Second, 200)
-	step(50*time.Millisecond, 200)
-	if got := e.Estimate(now, class("r")).Median; !near(got, 50*time.Millisecond, 2) {
-		t.Errorf("median %v after 10 s of another mix", got)
+		if got := e.Estimate(now, class("r")).Median; !near(got, 50*time.Millisecond, 2) {
+			t.Errorf("median %v after %d requests of another mix", got, load.after)
+		}
 	}
 }
 
