--- a/internal/coordination/routing/replay_test.go
+++ b/internal/coordination/routing/replay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -43,7 +42,7 @@
 // replayed is a request of a replay.
 type replayed struct {
 	at      time.Duration
-	kind    uint8 // arrive, end or queue timer
+	kind    uint8
 	seq     int
 	start   time.Duration
 	route   string
@@ -59,23 +58,10 @@
 	end
 )
 
-type eventHeap []*replayed
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].at, h[j].at), cmp.Compare(h[i].seq, h[j].seq)) < 0
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*replayed)) }
-func (h *eventHeap) Pop() any {
-	x := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return x
-}
-
 // replay plays 30 s of a load. byCost selects placement by expected cost.
 func replay(rng *rand.Rand, l load, byCost bool) latencies {
-	events, seq := &eventHeap{}, 0
+	var events []*replayed // in the order of their times
+	seq := 0
 	places := []string{"r0a", "r0a", "r0b", "r0b"}
 	snap := nodes(places...).Snapshot()
 	var ingresses []*Balancer
@@ -94,7 +80,14 @@
 		owners[registry.BackendID(fmt.Sprint("b", k))] = admission.NewController(admission.Options{Slots: 4, SkipRamp: true}, t0)
 	}
 	result := latencies{byRoute: make(map[string][]time.Duration), byServer: make(map[registry.BackendID]int)}
-	push := func(e *replayed) { seq++; e.seq = seq; heap.Push(events, e) }
+	push := func(e *replayed) {
+		seq++
+		e.seq = seq
+		i, _ := slices.BinarySearchFunc(events, e, func(a, b *replayed) int {
+			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.seq, b.seq))
+		})
+		events = slices.Insert(events, i, e)
+	}
 	finish := func(e *replayed, now time.Duration, served bool) {
 		latency := now - e.start
 		if !served {
@@ -154,8 +147,9 @@
 		push(e)
 	}
 	tickets := make(map[*replayed]uint64)
-	for events.Len() > 0 {
-		e := heap.Pop(events).(*replayed)
+	for len(events) > 0 {
+		e := events[0]
+		events = events[1:]
 		now := e.at
 		if e.kind == arrive {
 			tickets[e] = uint64(e.seq)
