Do not ask owners again that have just refused with a full queue

In a burst each refused request went on to every owner it knew, 13,307 times after a full queue, up to 18 owners for one request, although the reports were about 100 ms old.

Change: a refusal because of a full queue counts for 150 ms against requests that are not more urgent. A request that has been refused and finds only such owners is refused at once.

TestFullOwnersAreNotAskedAgain fails without the check.

--- a/internal/coordination/routing/picker.go
+++ b/internal/coordination/routing/picker.go
@@ -22,6 +22,10 @@
 	avoidSuspects bool
 	// awaitTurn leaves out suspect backend servers whose next trial is not due yet.
 	awaitTurn bool
+	// avoidFull leaves out backend servers that have just refused a request that was as urgent.
+	avoidFull bool
+	// full counts the candidates that avoidFull left out.
+	full int
 	// avoided counts the candidates that avoidSuspects left out at each level.
 	avoided [levels]int
 }
@@ -67,6 +71,9 @@
 	cands = p.s.candidateBuf[:0]
 	subset := 0
 	p.avoided[level] = 0
+	if level == SameDomain {
+		p.full = 0
+	}
 	for _, c := range p.v.levels[level] {
 		if subset == p.b.opt.SubsetSize {
 			break
@@ -83,12 +90,24 @@
 			p.avoided[level]++
 			continue
 		}
+		if p.avoidFull && p.now.Before(c.stats.fullUntil) && p.r.Rank >= c.stats.fullRank {
+			p.full++
+			tried = true
+			continue
+		}
 		cands = append(cands, c)
 	}
 	p.s.candidateBuf = cands
 	return cands, tried
 }
 
+// refusalsAreCertain reports whether the request has been refused and every other candidate is
+// known to refuse it too. Under overload, asking them all would only use the links between the
+// nodes. A request that has not been refused yet asks one of them, because a report may be wrong.
+func (p *picker) refusalsAreCertain() bool {
+	return len(p.r.Tried) > 0 && p.full > 0
+}
+
 // withFreeSlots returns the candidates with a free slot.
 func (p *picker) withFreeSlots(cands []candidate) []candidate {
 	free := p.s.freeBuf[:0]
@@ -175,7 +194,7 @@
 	if slices.Contains(p.r.Tried, backend.ID) {
 		invariant.Check(false, "routing_not_tried", "backend server %s chosen twice", backend.ID)
 	}
-	a := &attempt{service: p.s, stats: c.stats, bodyBytes: max(p.r.BodyBytes, 0), mayTest: !p.r.AvoidSuspects, class: p.r.Class}
+	a := &attempt{service: p.s, stats: c.stats, bodyBytes: max(p.r.BodyBytes, 0), rank: p.r.Rank, mayTest: !p.r.AvoidSuspects, class: p.r.Class}
 	if level == OtherRegion {
 		a.chargedBytes = p.s.spill.charge(p.now, a.bodyBytes, p.v.hasLocalCandidates())
 		p.b.chargeNodeSpill(p.now, a.chargedBytes)
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -33,6 +33,9 @@
 	SuspectReportTTL = 700 * time.Millisecond
 	// maxRetryAfter bounds how long a report that a backend server is suspect counts.
 	maxRetryAfter = 5 * time.Second
+	// FullReportTTL is how long a refusal because of a full queue counts. A queue of two
+	// requests for each slot does not run empty meanwhile.
+	FullReportTTL = 150 * time.Millisecond
 	// DefaultSpillPercent and DefaultSpillBytesPerSecond limit the traffic to other
 	// regions if the policy states no limits. The balancer itself applies no
 	// defaults: a limit of 0 in a request means that no such traffic is allowed.
@@ -76,6 +79,9 @@
 	NoneServing Reason = "no_backend_serving"
 	// AllTried: this request has tried all backend servers of the route.
 	AllTried Reason = "all_backends_tried"
+	// AllFull: all backend servers of the route that this request has not tried have just
+	// refused one that was as urgent, because their queues are full, or are suspect.
+	AllFull Reason = "all_backends_full"
 	// SpillLimited: only other regions have candidates, and the limit of traffic to
 	// other regions is reached.
 	SpillLimited Reason = "spill_limited"
@@ -122,6 +128,10 @@
 	TimeToObjective time.Duration
 	// Tried lists the backend servers of earlier attempts.
 	Tried []registry.BackendID
+	// Rank is the priority of the request at the owners, 0 being the highest.
+	Rank int
+	// NoBetterBackend states that owners admit the request also to suspect backend servers.
+	NoBetterBackend bool
 	// AvoidSuspects leaves out backend servers that their owner has recently reported
 	// as suspect, unless no others are left.
 	AvoidSuspects bool
@@ -152,6 +162,7 @@
 	service      *service
 	stats        *backendStats
 	bodyBytes    int64
+	rank         int
 	work         time.Duration // expected work
 	class        cost.Class
 	mayTest      bool  // the request may test a suspect backend server
@@ -194,6 +205,8 @@
 	// OwnerReplaced is set if the owner refused the request because it was meant for another
 	// process of the node. The node is avoided until its new record arrives.
 	OwnerReplaced bool
+	// QueueFull is set if the owner refused the request because its queue is full.
+	QueueFull bool
 	// Bytes is the total size of the request and the response.
 	Bytes int64
 }
@@ -262,10 +275,13 @@
 	if e := b.exclusions.Load(); e != nil && now.Before(e.last) {
 		p.excluded = e
 	}
-	p.avoidSuspects, p.awaitTurn = r.AvoidSuspects, !r.AvoidSuspects
+	p.avoidSuspects, p.awaitTurn, p.avoidFull = r.AvoidSuspects, !r.AvoidSuspects && !r.NoBetterBackend, true
 	t, reason := p.pick()
+	if reason != "" && p.refusalsAreCertain() {
+		return Target{}, &Refusal{Reason: AllFull, Service: r.Service, Route: r.Route.Name}
+	}
 	if reason != "" {
-		p.avoidSuspects, p.awaitTurn = false, false
+		p.avoidSuspects, p.awaitTurn, p.avoidFull = false, false, false
 		t, reason = p.pick()
 	}
 	if reason != "" && p.excluded != nil {
@@ -335,6 +351,9 @@
 			a.stats.suspectUntil = until
 		}
 	}
+	if r.QueueFull {
+		a.stats.fullUntil, a.stats.fullRank = now.Add(FullReportTTL), a.rank
+	}
 	a.stats.inUse--
 	a.stats.placedWork = max(0, a.stats.placedWork-a.work)
 	switch r.Outcome {
--- a/internal/coordination/routing/service.go
+++ b/internal/coordination/routing/service.go
@@ -180,6 +180,10 @@
 	reportedAt                    time.Time
 	// suspectUntil is set by a load report with weight 0, and by Result.RetryAfter.
 	suspectUntil time.Time
+	// fullUntil is set by a refusal because of a full queue, and fullRank is the rank of the
+	// refused request. More urgent ones may still take the place of a queued one.
+	fullUntil time.Time
+	fullRank  int
 	// backlog is the owner's estimate of the wait for a slot, if backlogReported is set, and
 	// placedWork the expected work of the attempts that this node has started since.
 	backlog         time.Duration
--- a/internal/transport/proxy/attempt.go
+++ b/internal/transport/proxy/attempt.go
@@ -373,7 +373,8 @@
 	in.opt.Balancer.Done(in.opt.Now(), t.target, routing.Result{
 		Work: work, Backlog: backlog,
 		Outcome: t.outcome, Failed: t.failed && t.outcome == routing.Completed, Latency: t.latency,
-		Load: t.reply.Load, RetryAfter: t.reply.RetryAfter, OwnerReplaced: t.reply.Reason == reasonIncarnation, Bytes: t.call.body.bytesRead.Load() + responseBytes,
+		Load: t.reply.Load, RetryAfter: t.reply.RetryAfter, OwnerReplaced: t.reply.Reason == reasonIncarnation,
+		QueueFull: t.reply.queueFull(), Bytes: t.call.body.bytesRead.Load() + responseBytes,
 	})
 }
 
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -261,6 +261,7 @@
 	return routing.Request{
 		Service: c.service, Route: c.route, Limits: c.policy.Document.Service.Limits,
 		BodyBytes: c.body.length, Tried: c.tried, Class: c.class, TimeToObjective: c.timeToObjective(),
+		Rank: c.rank, NoBetterBackend: c.noBetter,
 	}
 }
 
--- a/internal/transport/proxy/reply.go
+++ b/internal/transport/proxy/reply.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/admission"
 	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/evidence"
 )
@@ -173,3 +174,9 @@
 		h[name] = values
 	}
 }
+
+// queueFull reports whether the owner refused the attempt because its queue has no room for it.
+func (r *reply) queueFull() bool {
+	reason := admission.Reason(r.Reason)
+	return r.Outcome == header.NotRun && (reason == admission.QueueFull || reason == admission.RemoteShareFull)
+}
