Send a share of requests to backend servers that had none for some time

Change: a request that would be in time at a server without recent requests goes there in one of eight cases.

--- a/internal/coordination/routing/completion.go
+++ b/internal/coordination/routing/completion.go
@@ -12,6 +12,10 @@
 	// With all of them, the ingress nodes would send their requests to the same backend
 	// server until its next load report.
 	sampleSize = 3
+	// exploreAfter is the time without a request of this node after which a backend server gets
+	// the share exploreShare of the requests that consider it and would not be late there.
+	exploreAfter = 2 * time.Second
+	exploreShare = 0.125
 )
 
 // distance is what a locality level adds to a completion time.
@@ -76,6 +80,7 @@
 	t := p.reserve(best.level, best.candidate)
 	t.attempt.work = work
 	best.candidate.stats.placedWork += work
+	best.candidate.stats.placedAt = p.now
 	t.ExpectedWork, t.ExpectedWait = work, p.expectedWait(best.candidate, usual)
 	return t, ""
 }
@@ -86,7 +91,11 @@
 	var best option
 	for k := range min(sampleSize, len(cands)) {
 		i := p.rng.IntN(len(cands))
-		if o := p.option(level, cands[i], work, usual); k == 0 || o.cost < best.cost {
+		o := p.option(level, cands[i], work, usual)
+		if p.explores(o) {
+			return o
+		}
+		if k == 0 || o.cost < best.cost {
 			best = o
 		}
 		cands[i], cands = cands[len(cands)-1], cands[:len(cands)-1]
@@ -94,6 +103,15 @@
 	return best
 }
 
+// explores reports whether a request goes to an option although others may be better. A slow
+// backend server would otherwise get too few requests to show that it has become faster.
+func (p *picker) explores(o option) bool {
+	if p.now.Sub(o.candidate.stats.placedAt) < exploreAfter || p.freeSlots(o.candidate) < 1 || p.r.TimeToObjective > 0 && o.completion > p.r.TimeToObjective {
+		return false
+	}
+	return p.rng.Float64() < exploreShare
+}
+
 // option estimates the completion of a request that needs the given work. usual is the mean work
 // of the service.
 func (p *picker) option(level Locality, c candidate, work, usual time.Duration) option {
--- a/internal/coordination/routing/service.go
+++ b/internal/coordination/routing/service.go
@@ -185,6 +185,7 @@
 	backlog         time.Duration
 	backlogReported bool
 	placedWork      time.Duration
+	placedAt        time.Time // time of the latest placement by expected completion
 	// trialAfter is the time from which the owner expects the next trial of this node.
 	trialAfter time.Time
 
