--- a/internal/coordination/quota/aggregator.go
+++ b/internal/coordination/quota/aggregator.go
@@ -94,6 +94,8 @@
 	demand        float64
 	at            time.Time
 	used          time.Time
+	// inherited is set once the debt to an earlier aggregator is counted.
+	inherited bool
 	// limited is set while the team's requests are admitted in part.
 	limited  bool
 	fraction float64
@@ -139,7 +141,8 @@
 	if s == nil {
 		s = &session{id: r.Session}
 		a.sessions[r.Session] = s
-		// The session had no aggregator for this time, and its part of the quotas was unused.
+		// The first report contains the requests since an earlier aggregator acknowledged one,
+		// for which that one has not used the session's part of the quotas.
 		a.earned += switchTimeout.Seconds() / a.members.count()
 	}
 	s.heard, s.from = now, from
@@ -163,8 +166,6 @@
 func (a *Aggregator) apply(now time.Time, s *session, r Report) {
 	period := demandDecay
 	if s.seq == 0 {
-		// The first report of a session contains the requests since an earlier aggregator
-		// acknowledged one.
 		period = reportInterval
 	}
 	repeated := r.Base == s.base && s.seq != 0 && a.opts.Disabled&Deduplication == 0
@@ -179,6 +180,11 @@
 				u.Refused -= min(s.usages[i].Refused, u.Refused)
 			}
 		}
+		if s.seq == 0 && u.Refused > 0 && !b.inherited && a.opts.Disabled&EmptyStart == 0 {
+			// An earlier aggregator has limited the team, which may owe it the tolerated debt.
+			b.inherited = true
+			b.level -= a.tolerated(b.limit)
+		}
 		b.level -= float64(u.Admitted)
 		b.demand += float64(max(u.Admitted, 0)+int64(u.Refused)) / period.Seconds()
 		b.used = now
@@ -196,7 +202,7 @@
 		b = &bucket{key: key, limit: limit, level: limit.Burst, at: now, earned: a.earned, used: now, fraction: 1, pushed: 1}
 		if a.opts.Disabled&EmptyStart == 0 {
 			// An earlier aggregator may have given out the tokens of the time before.
-			b.level = min(limit.Burst*a.share(), limit.RatePerSecond*a.earned)
+			b.level = min(a.capacity(limit), limit.RatePerSecond*a.earned)
 		}
 		a.buckets[key] = b
 	}
@@ -207,7 +213,7 @@
 // refill adds the tokens that a bucket has earned, and brings its demand up to date.
 func (a *Aggregator) refill(now time.Time, b *bucket) {
 	a.earn(now)
-	b.level = min(b.limit.Burst*a.share(), b.level+b.limit.RatePerSecond*(a.earned-b.earned))
+	b.level = min(a.capacity(b.limit), b.level+b.limit.RatePerSecond*(a.earned-b.earned))
 	b.earned = a.earned
 	if elapsed := now.Sub(b.at).Seconds(); elapsed > 0 {
 		b.demand *= math.Exp(-elapsed / demandDecay.Seconds())
@@ -224,6 +230,9 @@
 	return min(1, float64(len(a.sessions))/a.members.count())
 }
 
+// capacity returns the tokens of a full bucket.
+func (a *Aggregator) capacity(l Limit) float64 { return max(1, l.Burst*a.share()) }
+
 // evaluate brings all buckets up to date and lists the limited ones by their demand.
 func (a *Aggregator) evaluate(now time.Time) {
 	if !now.Before(a.nextTidy) {
@@ -279,14 +288,14 @@
 	}
 	for key, b := range a.buckets {
 		limit, ok := a.opts.Limit(key)
-		full := b.level >= b.limit.Burst*a.share() && now.Sub(b.used) > bucketLifetime
+		full := b.level >= a.capacity(b.limit) && now.Sub(b.used) > bucketLifetime
 		if !ok || full {
 			delete(a.buckets, key)
 			continue
 		}
 		if a.opts.Disabled&CurrentLimits == 0 {
 			b.limit = limit
-			b.level = min(b.level, limit.Burst)
+			b.level = min(b.level, a.capacity(limit))
 		}
 	}
 }
