Make the replay of quotas reproducible and tolerate less at high demand

The tolerated debt is now 0.7 of the permitted excess less the demand of 1 s, and a new aggregator counts 0.3 of it for a limited team.

--- a/internal/coordination/quota/aggregator.go
+++ b/internal/coordination/quota/aggregator.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -14,10 +15,13 @@
 	repayTime = time.Second
 	// reactionTime is the time between the arrival of requests and the effect of a directive
 	// because of them.
-	reactionTime = 400 * time.Millisecond
+	reactionTime = time.Second
 	// toleratedShare is the share of the permitted excess that a bucket may owe, less the
 	// demand in the reaction time, before its team is limited below its rate.
-	toleratedShare = 0.4
+	toleratedShare = 0.7
+	// inheritedShare is the share of the permitted excess that a limited team is assumed to owe
+	// to an earlier aggregator.
+	inheritedShare = 0.3
 	// silentAfter is the time without a report after which a session counts as silent.
 	silentAfter = 2 * time.Second
 	// takeoverGap is the time without any report after which an aggregator starts anew.
@@ -183,7 +187,7 @@
 		if s.seq == 0 && u.Refused > 0 && !b.inherited && a.opts.Disabled&EmptyStart == 0 {
 			// An earlier aggregator has limited the team, which may owe it the tolerated debt.
 			b.inherited = true
-			b.level -= a.tolerated(b.limit)
+			b.level -= inheritedShare * a.opts.Bound.excess(b.limit)
 		}
 		b.level -= float64(u.Admitted)
 		b.demand += float64(max(u.Admitted, 0)+int64(u.Refused)) / period.Seconds()
@@ -344,7 +348,8 @@
 		return nil
 	}
 	var out []Push
-	for _, s := range a.sessions {
+	for _, id := range slices.Sorted(maps.Keys(a.sessions)) {
+		s := a.sessions[id]
 		out = append(out, Push{To: s.from, Reply: Reply{Session: s.id, Partition: a.opts.Partition, Directives: urgent}})
 	}
 	return out
--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -259,7 +260,9 @@
 	if len(due) == 0 {
 		return nil
 	}
-	for key, e := range l.entries {
+	// The order makes reports with the same requests equal.
+	for _, key := range slices.Sorted(maps.Keys(l.entries)) {
+		e := l.entries[key]
 		u := due[partitionOf(key, l.count)]
 		if u == nil || e.admitted == 0 && e.refused == 0 || u.contains(key) {
 			continue
