--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -111,6 +111,7 @@
 	RetrySlack   int  `toml:"retry_slack" allowed:"0 to 100000" doc:"Repeats within 10 s that the whole fleet may make for a service beyond that share; each node takes an equal part. 0 allows each node 3."`
 	AskFirst     bool `toml:"ask_first" allowed:"true or false" doc:"Whether the body of a request that is not idempotent is sent to an owner on another node only after the owner has admitted the request and asked for the body. A request whose owner fails before that is tried elsewhere. This costs one round trip between the nodes."`
 	ExpectedCost bool `toml:"expected_cost" allowed:"true or false" doc:"Whether requests are placed by their expected cost and by the work that is left at each backend server, instead of by free slots alone."`
+	TeamShares   bool `toml:"team_shares" allowed:"true or false" doc:"Whether the teams that compete for one backend server share it by their quotas. Their requests then wait longer while a team with a large quota sends all of it."`
 	FreeRefusals int  `toml:"free_refusals" allowed:"0 to 100" doc:"Maximum number of refusals by owners, before anything has reached a backend server, that do not count as repeats when the request is tried elsewhere."`
 }
 
@@ -282,6 +283,7 @@
 	"supplied.quota_overage":          func(any) bool { return true },
 	"supplied.quota_slack":            func(any) bool { return true },
 	"fleet.expected_cost":             func(any) bool { return true },
+	"fleet.team_shares":               func(any) bool { return true },
 	"fleet.ask_first":                 func(any) bool { return true },
 	"fleet.free_refusals":             integerBetween(0, 100),
 	"listen.peer_advertise":           func(v any) bool { return v == "" || validSpecificAddress(v) },
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -278,6 +278,7 @@
 		Dialect:              n.dialect(),
 		LocalService:         s.Node.LocalService,
 		FreeRefusals:         s.Fleet.FreeRefusals,
+		TeamShares:           s.Fleet.TeamShares,
 		Stopping:             n.stopping.Load,
 		Quotas:               n.quotas,
 		RetrySlack:           n.retrySlack(),
--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -95,6 +95,9 @@
 	ExpectContinue bool
 	// Quotas bounds the requests of teams; nil means that they have no bound.
 	Quotas Quotas
+	// TeamShares tells owners the team of each request and its quota, so that teams that
+	// compete for a backend server share it by their quotas.
+	TeamShares bool
 	// KeysCurrent reports whether this node knows which keys are valid now; nil means
 	// always. Requests that need a key are refused as not run while it is false.
 	KeysCurrent func() bool
@@ -285,7 +288,10 @@
 	header.Set(r.Header, in.opt.Dialect.CallerService, in.opt.LocalService)
 	if c.team != nil {
 		header.Set(r.Header, in.opt.Dialect.Team, c.team.Name)
-		c.caller, c.callerWeight = header.CallerName(c.team.Name), c.team.RatePerSecond
+		c.caller, c.callerWeight = "", 0
+		if in.opt.TeamShares {
+			c.caller, c.callerWeight = header.CallerName(c.team.Name), c.team.RatePerSecond
+		}
 	}
 	c.request = r
 	c.class = requestClass(c.service, route.Name, r, r.Header.Get(in.opt.Dialect.Team))
