Notice a restore that an overdue or canceled request reports

Cause: the platform client reports ErrRestored once, to the first listing or watch in the new generation. If that was a request whose time was up or that was canceled, the core dropped the error: the pending watch from a revision of before went on, and replies sent less than restoreDelay later confirmed keys.

Change: ErrRestored counts whichever request reports it. All other requests are canceled.

--- a/internal/coordination/distribution/current_test.go
+++ b/internal/coordination/distribution/current_test.go
@@ -212,4 +212,33 @@
 			t.Errorf("watching from revision %d after the late reply to a watch of before", r.core.watch.revision)
 		}
 	})
+	// The platform client reports a restore once, to whichever request notices it.
+	t.Run("late reply reports it", func(t *testing.T) {
+		r := newReader(t)
+		list := r.request(Input{})
+		_, late := r.reply(list, PlatformReply{Objects: objects(fleetObject(5)), Revision: 10})
+		r.now = r.now.Add(5 * time.Second)
+		watch := r.request(Input{})
+		out, list := r.reply(late, PlatformReply{Err: platform.ErrRestored})
+		if list.Watch || !out.CancelPlatformRequests {
+			t.Fatal("the watch from a revision of before goes on")
+		}
+		if out, _ = r.reply(list, PlatformReply{Objects: objects(fleetObject(5)), Revision: 8}); out.CurrentAsOf != 0 {
+			t.Error("a listing counts although a newer document may be lost")
+		}
+		out = r.core.Step(Input{Now: r.now, PlatformReply: &PlatformReply{ID: watch.ID, Revision: 12}})
+		if out.CurrentAsOf != 0 || r.core.watch.revision != 8 {
+			t.Errorf("a canceled watch counts; watching from revision %d", r.core.watch.revision)
+		}
+	})
+	t.Run("canceled request reports it", func(t *testing.T) {
+		r := newReader(t)
+		list := r.request(Input{})
+		_, watch := r.reply(list, PlatformReply{Objects: objects(fleetObject(5)), Revision: 10})
+		r.core.watch.request, r.core.watch.listed = nil, false
+		_, list = r.reply(watch, PlatformReply{Err: platform.ErrRestored})
+		if out, _ := r.reply(list, PlatformReply{Objects: objects(fleetObject(5)), Revision: 8}); out.CurrentAsOf != 0 {
+			t.Error("a listing counts although a newer document may be lost")
+		}
+	})
 }
--- a/internal/coordination/distribution/platform.go
+++ b/internal/coordination/distribution/platform.go
@@ -129,6 +129,10 @@
 // handlePlatformReply processes the reply to the pending request or to an overdue one.
 func (c *Core) handlePlatformReply(r *PlatformReply) {
 	w := &c.watch
+	if errors.Is(r.Err, platform.ErrRestored) {
+		c.handleRestore(r.ID)
+		return
+	}
 	if late := w.overdue[r.ID]; late != nil {
 		delete(w.overdue, r.ID)
 		if r.Err == nil {
@@ -142,12 +146,6 @@
 	request := w.request
 	w.request = nil
 	switch {
-	case errors.Is(r.Err, platform.ErrRestored):
-		w.listed, w.newest, w.restored, w.retryAt = false, Version{}, c.now, c.now
-		// Their revisions belong to the data that is gone.
-		clear(w.overdue)
-		c.event(event.PlatformRestored, "", "the platform returned to older data; listing again",
-			event.Field{Key: "revision", Value: fmt.Sprint(w.revision)})
 	case errors.Is(r.Err, platform.ErrCompacted):
 		// The jitter avoids a tight loop if the platform rejects its own revisions.
 		w.listed, w.retryAt = false, c.now.Add(c.jitter(minBackoff))
@@ -159,6 +157,20 @@
 	}
 }
 
+// handleRestore drops all requests, whose revisions belong to the data that is gone, and lists
+// again. Only one request reports a restore. It may be an overdue or a canceled one.
+func (c *Core) handleRestore(reportedBy uint64) {
+	w := &c.watch
+	if w.request != nil && w.request.ID != reportedBy {
+		c.out.CancelPlatformRequests = true
+	}
+	w.request = nil
+	clear(w.overdue)
+	w.listed, w.newest, w.restored, w.retryAt = false, Version{}, c.now, c.now
+	c.event(event.PlatformRestored, "", "the platform returned to older data; listing again",
+		event.Field{Key: "revision", Value: fmt.Sprint(w.revision)})
+}
+
 // handlePlatformFailure schedules the next request after a failed one.
 func (c *Core) handlePlatformFailure(err error) {
 	w := &c.watch
