Remove keys and names of teams from requests also before the first teams are known

Cause: they were removed only if the policies in force had teams. At a node that had not learned of the first teams yet, the key went on to the backend server, and with it a name of a team that the caller chose, where a dialect names these headers outside the project's prefix.

Change: the ingress removes both from every request.

Result: TestKeyStaysAtNodeWithoutTeams fails before the change and passes with it; the tests of proxy with Key, Team, Quota, Trace, Header or Call in their names pass (one run).

--- a/internal/transport/proxy/ingress.go
+++ b/internal/transport/proxy/ingress.go
@@ -245,7 +245,9 @@
 		return c.refuse(http.StatusNotFound, reasonNoRoute, policyEpoch(m.Epoch))
 	}
 	c.rank = m.Route.Rank
-	if m.Teams != nil && !c.authenticate(r, &m, keysCurrent) {
+	// The node may not have learned of the first teams yet.
+	keys := takeKeys(r.Header, in.opt.Dialect)
+	if !c.authenticate(keys, &m, keysCurrent) {
 		return false
 	}
 	rng := in.rngs.Get().(*rand.Rand)
--- a/internal/transport/proxy/team.go
+++ b/internal/transport/proxy/team.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/protocol/header"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 )
 
@@ -16,14 +17,19 @@
 	Refund(team *policy.Team)
 }
 
-// authenticate finds the team whose key the request bears, and removes the key. If the request
-// needs a key and bears none that is valid now, it responds to the caller and returns false.
-func (c *call) authenticate(r *http.Request, m *policy.Match, keysCurrent bool) bool {
-	d := c.in.opt.Dialect
-	keys := r.Header[d.Credential]
-	delete(r.Header, d.Credential)
-	delete(r.Header, d.Team)
-	if m.Route.Public {
+// takeKeys returns the keys that the request bears, and removes them and the name of a team that
+// the caller chose.
+func takeKeys(h http.Header, d *header.Dialect) []string {
+	keys := h[d.Credential]
+	delete(h, d.Credential)
+	delete(h, d.Team)
+	return keys
+}
+
+// authenticate finds the team whose key the request bears. If the request needs a key and bears
+// none that is valid now, it responds to the caller and returns false.
+func (c *call) authenticate(keys []string, m *policy.Match, keysCurrent bool) bool {
+	if m.Teams == nil || m.Route.Public {
 		return true
 	}
 	// A node that may have missed a revocation cannot tell which keys are valid.
--- a/internal/transport/proxy/team_test.go
+++ b/internal/transport/proxy/team_test.go
@@ -182,3 +182,23 @@
 		t.Errorf("beyond the quota: %d %s, Retry-After %q, %d refunds", got.status, got.outcome, got.header.Get("Retry-After"), quotas.refunds)
 	}
 }
+
+// Guards against a key that reaches a backend server while the policies in force have no teams,
+// at a node that has not learned of the first ones.
+func TestKeyStaysAtNodeWithoutTeams(t *testing.T) {
+	dialect := *header.DefaultDialect()
+	dialect.Credential, dialect.Team = "Credential", "Team-Name"
+	f := newFleet(t, 2, func(o *OwnerOptions, in *IngressOptions) { o.Dialect, in.Dialect = &dialect, &dialect })
+	ran := make(chan http.Header, 1)
+	f.serve(1, "b1", func(_ http.ResponseWriter, r *http.Request) { ran <- r.Header })
+	got := f.send(0, http.MethodGet, "/a", nil, func(r *http.Request) {
+		r.Header.Set(dialect.Credential, "key-1")
+		r.Header.Set(dialect.Team, "forged")
+	})
+	if got.status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
+	if h := <-ran; h.Get(dialect.Credential) != "" || h.Get(dialect.Team) != "" {
+		t.Errorf("backend server got key %q and team %q", h.Get(dialect.Credential), h.Get(dialect.Team))
+	}
+}
