Do not aggregate quotas before the members and quotas are known

A node that had just started acknowledged reports before it had a policy and members. Without a policy it dropped the counts, and the reporting nodes admitted requests without a limit; without members it counted itself as the whole fleet, so that each new session earned 0.5 s of the whole quota and buckets could start with the full burst.

Such a node now does not reply, and the reporting nodes go to the next member.

TestUnpreparedNodeDoesNotAggregate fails before in its three unprepared cases and passes after; the package passes.

--- a/internal/transport/quota/quota.go
+++ b/internal/transport/quota/quota.go
@@ -196,8 +196,13 @@
 	return true
 }
 
-// aggregate applies a report. It returns false if this node aggregates too many partitions.
+// aggregate applies a report. It returns false if this node aggregates too many partitions, or
+// if it does not know the quotas and members yet: an acknowledgement would then admit requests
+// without a limit, or with tokens that an earlier process may have given out.
 func (m *Manager) aggregate(now time.Time, from string, r quota.Report) (quota.Reply, bool) {
+	if m.members == 0 {
+		return quota.Reply{}, false
+	}
 	a := m.aggregators[r.Partition]
 	if a == nil {
 		if len(m.aggregators) >= maxAggregators {
--- a/internal/transport/quota/quota_test.go
+++ b/internal/transport/quota/quota_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"wigeonspring.example/wigeonspring/internal/coordination/quota"
+	protocol "wigeonspring.example/wigeonspring/internal/protocol/quota"
 	"wigeonspring.example/wigeonspring/internal/state/event"
 	"wigeonspring.example/wigeonspring/internal/state/policy"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
@@ -159,6 +160,48 @@
 	}
 }
 
+// Guards against a node that has just started and acknowledges reports before it knows the
+// quotas or the members: the other nodes would admit requests without a limit.
+func TestUnpreparedNodeDoesNotAggregate(t *testing.T) {
+	var teams *policy.Teams
+	var members []registry.NodeID
+	replies := 0
+	m := New(Options{
+		Self: "n0", Bound: quota.Bound{Window: 3 * time.Second, Overage: 0.1, Slack: 20},
+		Teams:   func() *policy.Teams { return teams },
+		Members: func() []registry.NodeID { return members },
+		Address: func(id registry.NodeID) (string, bool) { return string(id), true },
+		Send:    func(string, []byte) { replies++ },
+		Events:  &fakeFleet{}, Logger: zap.NewNop(),
+	})
+	now := time.Now()
+	report := protocol.AppendReport(nil, quota.Report{
+		Session: 1, Partition: 1, Seq: 1, Usages: []quota.Usage{{Team: quota.KeyOf("bakers"), Admitted: 1}},
+	})
+	receive := func() int {
+		replies = 0
+		m.tick(now)
+		replies = 0
+		m.Receive("n1", report)
+		return replies
+	}
+	if receive() != 0 {
+		t.Error("a report is acknowledged without quotas and members")
+	}
+	teams = teamsOf(t, 60, 30)
+	if receive() != 0 {
+		t.Error("a report is acknowledged without members")
+	}
+	teams, members = nil, []registry.NodeID{"n0", "n1"}
+	if receive() != 0 {
+		t.Error("a report is acknowledged without quotas")
+	}
+	teams = teamsOf(t, 60, 30)
+	if receive() != 1 {
+		t.Error("a report is not acknowledged with quotas and members")
+	}
+}
+
 // Guards against traffic between the nodes of a fleet whose teams have no quotas.
 func TestNoQuotasNoReports(t *testing.T) {
 	f, _ := newFakeFleet(t, 3, 0, 0)
