Forecast the order of the queue with the shares of its teams

The forecast of waits put all requests of a rank in the order of their latest start, as if one team had sent them. Beside a team that fills the queue, the requests of other teams were forecast behind it and refused as too late, although the queue admits them first.

The forecast now sorts each group by the share that its caller will have in flight, as the queue itself does.

TestForecastRespectsSharesOfCallers: before, 14 of 15 requests of the small team refused; after, all started. The tests of the package pass.

--- a/internal/coordination/admission/forecast.go
+++ b/internal/coordination/admission/forecast.go
@@ -1,7 +1,7 @@
 package admission
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 )
@@ -55,33 +55,69 @@
 	}
 }
 
-// likelyOrder returns the queue in the order in which next would admit it if all requests were
-// of one caller.
+// likelyOrder returns the queue in the order in which next is likely to admit it.
 func (c *Controller) likelyOrder() []*entry {
-	byRank := make(map[int][]*entry)
-	for _, e := range c.queue {
-		byRank[e.Rank] = append(byRank[e.Rank], e)
-	}
-	for _, entries := range byRank {
-		slices.SortStableFunc(entries, func(a, b *entry) int {
-			return compareTimes(c.startBy(&a.Request), c.startBy(&b.Request))
-		})
-	}
-	ranks := slices.Sorted(maps.Keys(byRank))
+	groups := c.groupsInOrder()
 	order := make([]*entry, 0, len(c.queue))
-	for range c.queue {
-		best := -1
-		for _, rank := range ranks {
-			if e := byRank[rank]; len(e) > 0 && (best < 0 || e[0].due.Before(byRank[best][0].due)) {
-				best = rank
+	for len(groups) > 0 {
+		best := 0
+		for i, g := range groups {
+			if c.goesBefore(g[0], groups[best][0]) {
+				best = i
 			}
 		}
-		order = append(order, byRank[best][0])
-		byRank[best] = byRank[best][1:]
+		order = append(order, groups[best][0])
+		if groups[best] = groups[best][1:]; len(groups[best]) == 0 {
+			groups = slices.Delete(groups, best, best+1)
+		}
 	}
 	return order
 }
 
+// goesBefore compares the first entries of two groups.
+func (c *Controller) goesBefore(e, o *entry) bool {
+	if e.Rank == o.Rank {
+		return c.startsBefore(e, o)
+	}
+	return e.due.Before(o.due)
+}
+
+// groupsInOrder returns the entries to which precedes applies, in its order. The requests of a
+// caller count as in flight for the later ones of the same caller, so that callers with few
+// requests are not forecast behind the whole queue of one with many.
+func (c *Controller) groupsInOrder() [][]*entry {
+	queue := slices.Clone(c.queue)
+	slices.SortStableFunc(queue, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), compareTimes(c.startBy(&a.Request), c.startBy(&b.Request)))
+	})
+	var groups [][]*entry
+	for _, e := range queue {
+		i := slices.IndexFunc(groups, func(g []*entry) bool { return e.sameGroup(g[0]) })
+		if i < 0 {
+			groups = append(groups, []*entry{e})
+			continue
+		}
+		groups[i] = append(groups[i], e)
+	}
+	for _, g := range groups {
+		sortByShares(g)
+	}
+	return groups
+}
+
+// sortByShares sorts a group, which is in the order of startBy, by the shares of the callers.
+func sortByShares(group []*entry) {
+	shares := make(map[*entry]float64, len(group))
+	inFlight := make(map[*callerState]int)
+	for _, e := range group {
+		shares[e] = e.caller.share(e.caller.inFlight + inFlight[e.caller])
+		inFlight[e.caller]++
+	}
+	slices.SortStableFunc(group, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(shares[a], shares[b]), cmp.Compare(a.caller.admissions, b.caller.admissions))
+	})
+}
+
 // releaseTimes returns when each slot is likely to become free, in order. A request that has
 // taken longer than usual is expected to take as long again as it is late. The result is false
 // if the service time of a request in flight is not known.
--- a/internal/coordination/admission/forecast_test.go
+++ b/internal/coordination/admission/forecast_test.go
@@ -143,3 +143,32 @@
 		t.Errorf("%d requests refused after %s in the mean, want 1s at most", refused, waited/time.Duration(max(refused, 1)))
 	}
 }
+
+// Guards against refusing the requests of a team within its share because another team fills the
+// queue: they start before most of the queue. The queue holds 5 s of work, and requests have 4 s.
+func TestForecastRespectsSharesOfCallers(t *testing.T) {
+	r := newReplay(Options{Slots: 4, QueueLimit: 32}, map[string]time.Duration{"pay": time.Second})
+	r.run(30*time.Second, func(now time.Duration) []Request {
+		var arrivals []Request
+		if now%(50*time.Millisecond) == 0 {
+			arrivals = append(arrivals, Request{Caller: "large", Route: "pay", Deadline: at(now + 4*time.Second)})
+		}
+		if now%(2*time.Second) == time.Second {
+			arrivals = append(arrivals, Request{Caller: "small", Route: "pay", Deadline: at(now + 4*time.Second)})
+		}
+		return arrivals
+	})
+	var started, refused int
+	for _, e := range r.requests {
+		switch {
+		case e.Caller != "small":
+		case e.wasStarted:
+			started++
+		case e.wasRefused:
+			refused++
+		}
+	}
+	if started < 13 || refused > 0 {
+		t.Errorf("%d requests of the small team started and %d refused, want all", started, refused)
+	}
+}
