Keep the numbers of quota reports rising when partitions change back

Uplinks began with report 1 again after the number of partitions had changed. If it changed back within 2 s, the aggregator took the reports for old ones and acknowledged numbers that had not been sent, so that the node admitted by its local bucket until its numbers had caught up. Each report kept the session of the earlier uplink alive.

New uplinks now number their reports from above all earlier ones.

TestReportsAfterPartitionsChangeBack fails before and passes after; the tests of the package pass.

--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -77,11 +77,13 @@
 
 // Limiter admits the requests of teams at one ingress node.
 type Limiter struct {
-	opts     LimiterOptions
-	live     []registry.NodeID
-	members  memberCount
-	uplinks  map[Partition]*uplink
-	count    int
+	opts    LimiterOptions
+	live    []registry.NodeID
+	members memberCount
+	uplinks map[Partition]*uplink
+	count   int
+	// firstSeq is above the numbers of the reports of all earlier uplinks.
+	firstSeq uint64
 	entries  map[TeamKey]*entry
 	nextTidy time.Time
 }
@@ -135,12 +137,16 @@
 	l.members.observe(now, len(live))
 	if count := partitionCount(len(live)); count != l.count {
 		l.count = count
+		// An aggregator may know the reports of an earlier uplink to the same partition.
+		for _, u := range l.uplinks {
+			l.firstSeq = max(l.firstSeq, u.seq+1)
+		}
 		clear(l.uplinks)
 	}
 	for i := range l.count {
 		p := Partition(l.count + i)
 		if l.uplinks[p] == nil {
-			l.uplinks[p] = &uplink{partition: p, unresponsive: make(map[registry.NodeID]time.Time)}
+			l.uplinks[p] = &uplink{partition: p, seq: l.firstSeq, base: l.firstSeq, unresponsive: make(map[registry.NodeID]time.Time)}
 		}
 	}
 }
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -172,3 +173,38 @@
 		})
 	}
 }
+
+// Guards against a node that stays without contact after the number of partitions has changed
+// and changed back, because the aggregator takes its reports for old ones.
+func TestReportsAfterPartitionsChangeBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := Limit{Team: "bakers", RatePerSecond: 100, Burst: 100}
+	l := NewLimiter(LimiterOptions{Session: 1, Rand: rand.New(rand.NewPCG(1, 1))})
+	a := NewAggregator(AggregatorOptions{Partition: 1, Limit: func(TeamKey) (Limit, bool) { return limit, true }})
+	few, many := make([]registry.NodeID, 2*nodesPerPartition-1), make([]registry.NodeID, 2*nodesPerPartition)
+	for i := range many {
+		many[i] = registry.NodeID(fmt.Sprintf("n%d", i))
+	}
+	copy(few, many)
+	acknowledged := func() bool {
+		now = now.Add(reportInterval)
+		l.Admit(now, limit)
+		reports := l.Tick(now)
+		if len(reports) != 1 {
+			t.Fatalf("%d reports", len(reports))
+		}
+		l.HandleReply(now, a.HandleReport(now, "n1", reports[0].Report))
+		return l.uplinks[1].inContact(now) && l.uplinks[1].unanswered.IsZero()
+	}
+	l.SetMembers(now, few)
+	for range 5 {
+		if !acknowledged() {
+			t.Fatal("no contact before the change")
+		}
+	}
+	l.SetMembers(now, many)
+	l.SetMembers(now, few)
+	if !acknowledged() {
+		t.Error("the first report after the change is not acknowledged")
+	}
+}
