Keep directives of quotas for which a reply has no room

Each reply to a report ended all directives of the partition, but contains only the limited teams of the report and 16 others. While more teams were limited, a node that sent a report without one of them admitted the next of its requests, after each report.

A reply now ends the directives of the teams in its report, and all others only if it has room for all limited teams.

TestManyLimitedTeams fails before and passes after; the tests of coordination/quota and transport/quota pass.

--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -391,14 +391,10 @@
 			return
 		}
 		u.acknowledged, u.unanswered, u.switchAt = true, time.Time{}, time.Time{}
+		l.endDirectives(u, r)
 		if r.Seq == u.seq {
 			l.acknowledge(u)
 		}
-		for key, e := range l.entries {
-			if partitionOf(key, l.count) == r.Partition {
-				e.until = time.Time{}
-			}
-		}
 	}
 	for _, d := range r.Directives {
 		if e := l.entry(now, d.Team); e != nil && partitionOf(d.Team, l.count) == r.Partition {
@@ -407,6 +403,24 @@
 	}
 }
 
+// endDirectives ends the directives that a reply replaces: those of the reported teams, and the
+// others if the reply has room for all limited teams.
+func (l *Limiter) endDirectives(u *uplink, r Reply) {
+	for _, usage := range u.sent {
+		if e := l.entries[usage.Team]; e != nil {
+			e.until = time.Time{}
+		}
+	}
+	if len(r.Directives) >= maxUnrequested {
+		return
+	}
+	for key, e := range l.entries {
+		if partitionOf(key, l.count) == u.partition {
+			e.until = time.Time{}
+		}
+	}
+}
+
 // acknowledge takes the usages of the last report off the counts.
 func (l *Limiter) acknowledge(u *uplink) {
 	u.base = u.seq
--- a/internal/coordination/quota/messages.go
+++ b/internal/coordination/quota/messages.go
@@ -61,8 +61,9 @@
 	// acknowledges none.
 	Session, Seq uint64
 	Partition    Partition
-	// Directives replaces all directives of the partition if the reply acknowledges a report;
-	// otherwise, it adds to them.
+	// Directives replaces the directives of the reported teams if the reply acknowledges a
+	// report, and those of all others too if it has less than maxUnrequested; otherwise, it
+	// adds to them.
 	Directives []Directive
 }
 
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -208,3 +208,41 @@
 		t.Error("the first report after the change is not acknowledged")
 	}
 }
+
+// Guards against teams that are not limited at nodes with few of their requests while more teams
+// are limited than a reply contains.
+func TestManyLimitedTeams(t *testing.T) {
+	now := time.Unix(1000, 0)
+	quiet, busy := Limit{Team: "quiet", RatePerSecond: 10, Burst: 10}, Limit{Team: "busy", RatePerSecond: 10, Burst: 10}
+	l := NewLimiter(LimiterOptions{Session: 1, Rand: rand.New(rand.NewPCG(1, 1))})
+	l.SetMembers(now, []registry.NodeID{"n0"})
+	var most []Directive
+	for i := range maxUnrequested {
+		most = append(most, Directive{Team: TeamKey(i)})
+	}
+	// reply reports the requests so far and applies a reply.
+	reply := func(directives []Directive) {
+		now = now.Add(reportInterval)
+		report := l.Tick(now)[0].Report
+		l.HandleReply(now, Reply{Session: 1, Seq: report.Seq, Partition: 1, Directives: directives})
+	}
+	limited := func(limit Limit) bool { ok, _ := l.Admit(now, limit); return !ok }
+
+	reply(nil)
+	l.Admit(now, quiet)
+	reply(append([]Directive{{Team: KeyOf("quiet")}}, most...))
+	l.Admit(now, busy)
+	reply(most)
+	if !limited(quiet) {
+		t.Error("a reply without room for a team ends its limit")
+	}
+	reply(most)
+	if limited(quiet) {
+		t.Error("the reply to a report with the team does not end its limit")
+	}
+	reply(append([]Directive{{Team: KeyOf("quiet")}}, most...))
+	reply(most[1:])
+	if limited(quiet) {
+		t.Error("a reply with room for the team does not end its limit")
+	}
+}
