--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -78,11 +78,13 @@
 
 // Limiter admits the requests of teams at one ingress node.
 type Limiter struct {
-	opts     LimiterOptions
-	live     []registry.NodeID
-	members  memberCount
-	uplinks  map[Partition]*uplink
-	count    int
+	opts    LimiterOptions
+	live    []registry.NodeID
+	members memberCount
+	uplinks map[Partition]*uplink
+	count   int
+	// firstSeq is above the numbers of the reports of all earlier uplinks.
+	firstSeq uint64
 	entries  map[TeamKey]*entry
 	nextTidy time.Time
 }
@@ -136,12 +138,16 @@
 	l.members.observe(now, len(live))
 	if count := partitionCount(len(live)); count != l.count {
 		l.count = count
+		// An aggregator may know the reports of an earlier uplink to the same partition.
+		for _, u := range l.uplinks {
+			l.firstSeq = max(l.firstSeq, u.seq+1)
+		}
 		clear(l.uplinks)
 	}
 	for i := range l.count {
 		p := Partition(l.count + i)
 		if l.uplinks[p] == nil {
-			l.uplinks[p] = &uplink{partition: p, unresponsive: make(map[registry.NodeID]time.Time)}
+			l.uplinks[p] = &uplink{partition: p, seq: l.firstSeq, base: l.firstSeq, unresponsive: make(map[registry.NodeID]time.Time)}
 		}
 	}
 }
@@ -388,14 +394,10 @@
 			return
 		}
 		u.acknowledged, u.unanswered, u.switchAt = true, time.Time{}, time.Time{}
+		l.endDirectives(u, r)
 		if r.Seq == u.seq {
 			l.acknowledge(u)
 		}
-		for key, e := range l.entries {
-			if partitionOf(key, l.count) == r.Partition {
-				e.until = time.Time{}
-			}
-		}
 	}
 	for _, d := range r.Directives {
 		if e := l.entry(now, d.Team); e != nil && partitionOf(d.Team, l.count) == r.Partition {
@@ -404,6 +406,24 @@
 	}
 }
 
+// endDirectives ends the directives that a reply replaces: those of the reported teams, and the
+// others if the reply has room for all limited teams.
+func (l *Limiter) endDirectives(u *uplink, r Reply) {
+	for _, usage := range u.sent {
+		if e := l.entries[usage.Team]; e != nil {
+			e.until = time.Time{}
+		}
+	}
+	if len(r.Directives) >= maxUnrequested {
+		return
+	}
+	for key, e := range l.entries {
+		if partitionOf(key, l.count) == u.partition {
+			e.until = time.Time{}
+		}
+	}
+}
+
 // acknowledge takes the usages of the last report off the counts.
 func (l *Limiter) acknowledge(u *uplink) {
 	u.base = u.seq
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -172,3 +173,76 @@
 		})
 	}
 }
+
+// Guards against a node that stays without contact after the number of partitions has changed
+// and changed back, because the aggregator takes its reports for old ones.
+func TestReportsAfterPartitionsChangeBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := Limit{Team: "bakers", RatePerSecond: 100, Burst: 100}
+	l := NewLimiter(LimiterOptions{Session: 1, Rand: rand.New(rand.NewPCG(1, 1))})
+	a := NewAggregator(AggregatorOptions{Partition: 1, Limit: func(TeamKey) (Limit, bool) { return limit, true }})
+	few, many := make([]registry.NodeID, 2*nodesPerPartition-1), make([]registry.NodeID, 2*nodesPerPartition)
+	for i := range many {
+		many[i] = registry.NodeID(fmt.Sprintf("n%d", i))
+	}
+	copy(few, many)
+	acknowledged := func() bool {
+		now = now.Add(reportInterval)
+		l.Admit(now, limit)
+		reports := l.Tick(now)
+		if len(reports) != 1 {
+			t.Fatalf("%d reports", len(reports))
+		}
+		l.HandleReply(now, a.HandleReport(now, "n1", reports[0].Report))
+		return l.uplinks[1].inContact(now) && l.uplinks[1].unanswered.IsZero()
+	}
+	l.SetMembers(now, few)
+	for range 5 {
+		if !acknowledged() {
+			t.Fatal("no contact before the change")
+		}
+	}
+	l.SetMembers(now, many)
+	l.SetMembers(now, few)
+	if !acknowledged() {
+		t.Error("the first report after the change is not acknowledged")
+	}
+}
+
+// Guards against teams that are not limited at nodes with few of their requests while more teams
+// are limited than a reply contains.
+func TestManyLimitedTeams(t *testing.T) {
+	now := time.Unix(1000, 0)
+	quiet, busy := Limit{Team: "quiet", RatePerSecond: 10, Burst: 10}, Limit{Team: "busy", RatePerSecond: 10, Burst: 10}
+	l := NewLimiter(LimiterOptions{Session: 1, Rand: rand.New(rand.NewPCG(1, 1))})
+	l.SetMembers(now, []registry.NodeID{"n0"})
+	var most []Directive
+	for i := range maxUnrequested {
+		most = append(most, Directive{Team: TeamKey(i)})
+	}
+	// reply reports the requests so far and applies a reply.
+	reply := func(directives []Directive) {
+		now = now.Add(reportInterval)
+		report := l.Tick(now)[0].Report
+		l.HandleReply(now, Reply{Session: 1, Seq: report.Seq, Partition: 1, Directives: directives})
+	}
+	limited := func(limit Limit) bool { ok, _ := l.Admit(now, limit); return !ok }
+
+	reply(nil)
+	l.Admit(now, quiet)
+	reply(append([]Directive{{Team: KeyOf("quiet")}}, most...))
+	l.Admit(now, busy)
+	reply(most)
+	if !limited(quiet) {
+		t.Error("a reply without room for a team ends its limit")
+	}
+	reply(most)
+	if limited(quiet) {
+		t.Error("the reply to a report with the team does not end its limit")
+	}
+	reply(append([]Directive{{Team: KeyOf("quiet")}}, most...))
+	reply(most[1:])
+	if limited(quiet) {
+		t.Error("a reply with room for the team does not end its limit")
+	}
+}
