--- a/internal/transport/proxy/slow_reader_test.go
+++ b/internal/transport/proxy/slow_reader_test.go
@@ -94,12 +94,13 @@
 			return in.unread.blocked.Len(), in.unread.bytes
 		}
 		want := map[bool]int{true: fit, false: slow}[bounded]
-		n, bytes := blocked()
-		for start := time.Now(); n != want && time.Since(start) < 10*time.Second; n, bytes = blocked() {
-			time.Sleep(50 * time.Millisecond)
+		for start := time.Now(); time.Since(start) < 10*time.Second; time.Sleep(50 * time.Millisecond) {
+			if n, _ := blocked(); n == want {
+				break
+			}
 		}
 		time.Sleep(minUnreadTime + 200*time.Millisecond) // Nothing changes any more.
-		if n, bytes = blocked(); n != want {
+		if n, bytes := blocked(); n != want {
 			t.Errorf("bounded %t: %d responses with %d KB are unread, want %d", bounded, n, bytes>>10, want)
 		}
 		if got := f.send(0, http.MethodGet, "/small", nil); got.status != http.StatusOK || got.err != nil {
