Review case 9: a departure that a drill has lost is not written again in time

The store comes back from a copy that lacks the acknowledged departure, and the node is killed a second later.

--- a/review/rig/case_departure.go
+++ b/review/rig/case_departure.go
@@ -7,10 +7,14 @@
 	"time"
 )
 
-func init() { cases["7"] = departure }
+func init() {
+	cases["7"] = func(w *world, trouble bool) (bool, error) { return departure(w, trouble, false) }
+	cases["9"] = func(w *world, trouble bool) (bool, error) { return departure(w, trouble, true) }
+}
 
-// departure: a backend server leaves while the store is away for a moment, and its node is killed.
-func departure(w *world, trouble bool) (bool, error) {
+// departure: a backend server leaves and its node is killed soon after. The store is away for a
+// moment meanwhile; in a drill, it comes back from a copy that is some seconds old.
+func departure(w *world, trouble, inDrill bool) (bool, error) {
 	const drain = 2 * time.Second
 	const stable = 3 * time.Second
 	zones := []string{"zapad-a", "stred-a", "vychod-a"}
@@ -22,6 +26,9 @@
 		w.addMachine(zones[i%3], zones[i%3][:len(zones[i%3])-2], service).addServer(7, 60*time.Millisecond)
 	}
 	w.store.configure(7, []string{"katalog", "vratky"}, []route{{name: "r-browse", prefix: "/browse/", kind: "safe", service: "katalog"}}, nil)
+	if inDrill {
+		w.store.era = 1
+	}
 	if err := w.startAll(); err != nil {
 		return false, err
 	}
@@ -34,7 +41,8 @@
 	time.Sleep(4 * time.Second)
 
 	left := w.nodes[0]
-	if trouble {
+	copied := w.store.backup()
+	if trouble && !inDrill {
 		w.record("the store is away")
 		w.store.setAway(func(*http.Request) string { return "reset" })
 	}
@@ -45,11 +53,21 @@
 	if !acknowledged {
 		w.record("the departure was not acknowledged")
 	}
-	if trouble {
+	if trouble && inDrill {
+		time.Sleep(200 * time.Millisecond)
+		w.record("the store is away")
+		w.store.setAway(func(*http.Request) string { return "reset" })
+		time.Sleep(500 * time.Millisecond)
+		w.store.restore(copied)
+		time.Sleep(time.Second)
+		left.kill()
+	} else if trouble {
 		time.Sleep(200 * time.Millisecond)
 		left.kill()
 		w.store.setAway(nil)
 		w.record("the store is back")
+	}
+	if trouble {
 		time.Sleep(500 * time.Millisecond)
 		if err := left.startNode(); err != nil {
 			return false, err
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -22,6 +24,8 @@
 	objects  map[string]*object // by kind/name
 	history  []change
 	changed  chan struct{}
+	// era is the number of the copy that the store serves; 0 if it does not tell.
+	era uint64
 	// away tells how a call fails now: "" (it does not), "reset" or "busy".
 	away func(r *http.Request) string
 }
@@ -100,6 +104,11 @@
 		return
 	}
 	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
+	s.mu.Unlock()
 	path, ok := strings.CutPrefix(r.URL.Path, "/v1/objects/")
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -196,8 +205,15 @@
 				events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed, era := s.revision, s.changed, s.era
 		s.mu.Unlock()
+		if era > 0 {
+			w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+		}
+		if since > at {
+			answer(w, http.StatusGone, map[string]string{})
+			return
+		}
 		if len(events) > 0 {
 			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
@@ -222,6 +238,31 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// backup is a copy of the store.
+type backup struct {
+	revision uint64
+	objects  map[string]*object
+	history  []change
+}
+
+// backup returns a copy of what the store holds now.
+func (s *store) backup() backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return backup{s.revision, maps.Clone(s.objects), slices.Clone(s.history)}
+}
+
+// restore brings the store back from a copy.
+func (s *store) restore(b backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.w.record("store: back from a copy, revision %d instead of %d", b.revision, s.revision)
+	s.revision, s.objects, s.history = b.revision, b.objects, b.history
+	s.era++
+	s.away = nil
+	s.wake()
+}
+
 // route is a route of the configuration.
 type route struct {
 	name, prefix, kind, service string
