--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -19,6 +19,8 @@
 	id       string
 	capacity int
 	work     time.Duration
+	// workFor tells the work of a request; nil: work.
+	workFor  func(r *http.Request) time.Duration
 	born     int64
 	seq      atomic.Int64
 	draining atomic.Bool
@@ -38,6 +40,9 @@
 	id     string
 	tenant string
 	at     time.Time
+	// cut is set if the connection was closed before end, while the server was at work.
+	cut bool
+	end time.Time
 }
 
 var serverNumber atomic.Int64
@@ -95,16 +100,27 @@
 		return
 	}
 	s.running++
-	s.runs = append(s.runs, ran{id, r.Header.Get("Tenant-Id"), time.Now()})
+	s.runs = append(s.runs, ran{id: id, tenant: r.Header.Get("Tenant-Id"), at: time.Now()})
 	s.mu.Unlock()
 	s.m.w.record("%s: server %s runs %s %s %s", s.m.name, s.id, id, r.Method, r.URL.Path)
 	_, _ = io.Copy(io.Discard, r.Body)
+	work := s.work
+	if s.workFor != nil {
+		work = s.workFor(r)
+	}
 	select {
-	case <-time.After(s.work):
+	case <-time.After(work):
 	case <-r.Context().Done():
+		s.m.w.record("%s: server %s: the connection of %s was closed while it was at work", s.m.name, s.id, id)
 	}
 	s.mu.Lock()
 	s.running--
+	for i := range s.runs {
+		if s.runs[i].id == id {
+			s.runs[i].cut = r.Context().Err() != nil
+			s.runs[i].end = time.Now()
+		}
+	}
 	s.mu.Unlock()
 	w.Header().Set("Response-Signature", "3e1b.07."+id)
 	fmt.Fprintf(w, "answer of %s to %s\n", s.id, id)
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"maps"
@@ -266,6 +267,7 @@
 // route is a route of the configuration.
 type route struct {
 	name, prefix, kind, service string
+	timeout                     string // "": 4000ms
 	public                      bool
 }
 
@@ -288,7 +290,7 @@
 		resources = append(resources, map[string]any{"type": kind, "metadata": map[string]any{"name": name}, "spec": spec})
 	}
 	for _, r := range routes {
-		spec := map[string]any{"host": host, "pathPrefix": r.prefix, "kind": r.kind, "timeout": "4000ms", "slo": "2500ms",
+		spec := map[string]any{"host": host, "pathPrefix": r.prefix, "kind": r.kind, "timeout": cmp.Or(r.timeout, "4000ms"), "slo": "2500ms",
 			"priority": 1, "service": r.service, "attempts": 2}
 		if r.public {
 			spec["public"] = true
