--- a/review/rig/case_departure.go
+++ b/review/rig/case_departure.go
@@ -8,7 +8,7 @@
 )
 
 func init() {
-	cases["7"] = func(w *world, trouble bool) (bool, error) { return departure(w, trouble, false) }
+	cases["8"] = func(w *world, trouble bool) (bool, error) { return departure(w, trouble, false) }
 	cases["9"] = func(w *world, trouble bool) (bool, error) { return departure(w, trouble, true) }
 }
 
--- a/review/rig/case_quota.go
+++ b/review/rig/case_quota.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["8"] = frozenQuota }
+func init() { cases["10"] = frozenQuota }
 
 // frozenQuota: one machine freezes while a tenant sends many times its usual.
 func frozenQuota(w *world, trouble bool) (bool, error) {
--- a/review/rig/case_stops.go
+++ b/review/rig/case_stops.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["10"] = stopsInTurn }
+func init() { cases["7"] = stopsInTurn }
 
 // stopsInTurn: machines are stopped in turn, and an owner ends a long request of a machine that is
 // stopped after it.
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -54,7 +54,7 @@
 	req.Host = host
 	req.GetBody = nil
 	req.Header.Set("Request-Id", s.id)
-	req.Header.Set("Deadline-Ms", "8000")
+	req.Header.Set(wire("deadline"), "8000")
 	if key != "" {
 		req.Header.Set("Credential", key)
 	}
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -84,18 +84,18 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	if r.URL.Path == "/healthz" {
-		w.Header().Set("Instance-Id", s.id)
+		w.Header().Set(wire("instance"), s.id)
 		return
 	}
-	if want := r.Header.Get("Expected-Instance"); want != "" && want != s.id {
-		w.Header().Set("Instance-Id", s.id)
+	if want := r.Header.Get(wire("expected")); want != "" && want != s.id {
+		w.Header().Set(wire("instance"), s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	s.mu.Lock()
 	if s.running >= s.capacity {
 		s.mu.Unlock()
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(wire("executed"), "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -122,7 +122,7 @@
 		}
 	}
 	s.mu.Unlock()
-	w.Header().Set("Response-Signature", "3e1b.07."+id)
+	w.Header().Set(wire("signature"), "3e1b.07."+id)
 	fmt.Fprintf(w, "answer of %s to %s\n", s.id, id)
 }
 
@@ -140,7 +140,7 @@
 	}
 	b, _ := json.Marshal(map[string]any{
 		"service": s.m.service, "address": s.m.addr(appPort), "zone": s.m.zone, "version": "v1", "capacity": s.capacity,
-		"state": state, "warmupLeft": "0ms", "seq": s.seq.Add(1), "born": s.born,
+		"state": state, wire("warmup"): "0ms", "seq": s.seq.Add(1), "born": s.born,
 	})
 	return b
 }
@@ -177,7 +177,7 @@
 func (s *server) tell(method string, body []byte) (acknowledged bool, at time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, method, "http://"+s.m.addr(controlPort)+"/v1/instances/"+s.id, bytes.NewReader(body))
+	req, _ := http.NewRequestWithContext(ctx, method, "http://"+s.m.addr(controlPort)+wire("instances")+s.id, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -107,10 +107,10 @@
 	time.Sleep(4 * time.Millisecond)
 	s.mu.Lock()
 	if s.era > 0 {
-		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+		w.Header().Set(wire("era"), strconv.FormatUint(s.era, 10))
 	}
 	s.mu.Unlock()
-	path, ok := strings.CutPrefix(r.URL.Path, "/v1/objects/")
+	path, ok := strings.CutPrefix(r.URL.Path, wire("objects"))
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -209,7 +209,7 @@
 		at, changed, era := s.revision, s.changed, s.era
 		s.mu.Unlock()
 		if era > 0 {
-			w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+			w.Header().Set(wire("era"), strconv.FormatUint(era, 10))
 		}
 		if since > at {
 			answer(w, http.StatusGone, map[string]string{})
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -168,7 +168,7 @@
 	defer log.Close()
 	m.cmd = exec.Command("target/wigeonspringd", "--config", m.settings)
 	m.cmd.Stdout, m.cmd.Stderr = log, log
-	m.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "WIGEONSPRING_BOOT=" + m.settings}
+	m.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), wire("settings") + "=" + m.settings}
 	m.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := m.cmd.Start(); err != nil {
 		return err
@@ -202,7 +202,7 @@
 // ready reports whether the node answers the platform's question with 200.
 func (m *machine) ready() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := c.Get("http://" + m.addr(readyPort) + "/v1/ready")
+	resp, err := c.Get("http://" + m.addr(readyPort) + wire("ready"))
 	if err != nil {
 		return false
 	}
