--- a/review/rig/case_stops.go
+++ b/review/rig/case_stops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"syscall"
@@ -21,19 +22,19 @@
 	)
 	zones := []string{"zapad-a", "stred-a", "vychod-a"}
 	for i := range 6 {
-		service := "rezervacie"
+		service := "vratky"
 		if i >= 3 {
-			service = "vratky"
+			service = "rezervacie"
 		}
 		s := w.addMachine(zones[i%3], zones[i%3][:len(zones[i%3])-2], service).addServer(7, 0)
 		s.workFor = func(r *http.Request) time.Duration {
 			if strings.HasSuffix(r.URL.Path, "/long") {
-				return 4 * time.Second
+				return 3600 * time.Millisecond
 			}
-			return 400 * time.Millisecond
+			return time.Duration(500+rand.IntN(440)) * time.Millisecond
 		}
 	}
-	w.store.configure(7, []string{"rezervacie", "vratky"}, []route{{name: "r-reserve", prefix: "/reserve/", kind: "unsafe", service: "rezervacie", timeout: "5000ms"}}, nil)
+	w.store.configure(7, []string{"rezervacie", "vratky"}, []route{{name: "r-photos", prefix: "/photos/", kind: "upload", service: "vratky", timeout: "5000ms"}}, nil)
 	if err := w.startAll(); err != nil {
 		return false, err
 	}
@@ -41,9 +42,10 @@
 	c := newClients(w)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	c.load(ctx, w.nodes[3:], 9, func(m *machine) { c.send(m, http.MethodPost, "/reserve/2f", "tin 7", "") })
-	time.Sleep(10 * time.Second)
-	// Of 400 requests, 4 are long, which is 1 in 100.
+	photo := strings.Repeat("p", 60_000)
+	c.load(ctx, w.nodes[3:], 5, func(m *machine) { c.send(m, http.MethodPost, "/photos/2f", photo, "") })
+	time.Sleep(20 * time.Second)
+	// Of some 350 uploads, 3 are long, which is about 1 in 100.
 	owner, taker := w.nodes[0], w.nodes[3]
 	stop := func(m *machine) time.Time {
 		if trouble {
@@ -63,14 +65,14 @@
 	time.Sleep(gap - 400*time.Millisecond)
 	var long []*sent
 	done := make(chan *sent)
-	for range 4 {
-		go func() { done <- c.send(taker, http.MethodPost, "/reserve/long", "tin 7", "") }()
+	for range 3 {
+		go func() { done <- c.send(taker, http.MethodPost, "/photos/long", photo, "") }()
 	}
 	time.Sleep(400 * time.Millisecond)
 	term := stop(taker)
 	time.Sleep(gap)
 	cancel()
-	for range 4 {
+	for range 3 {
 		long = append(long, <-done)
 	}
 	c.wg.Wait()
@@ -94,6 +96,6 @@
 		lost++
 		w.record("LOST: %s was answered %d, %.2f s after the SIGTERM of %s, while its backend was at work (%t)", s.id, s.status, after.Seconds(), taker.name, r.cut)
 	}
-	fmt.Printf("%d of 4 long requests were broken off while their backends were at work\n", lost)
+	fmt.Printf("%d of 3 long requests were broken off while their backends were at work\n", lost)
 	return lost > 0, nil
 }
