Acknowledge a departure only after the platform has stored it

Cause: the acknowledgment waited 0.6 s for the write of the departure and was then given without it. Evidence: the log of the killed process has 'departure acknowledged before it was written to the platform' after two failed writes, the store's record has no write, and the next process logs backend_announced in the millisecond in which the late heartbeat arrives. Ruled out: a departure that was stored and not read, a record of a peer, and the rule for starts without the store (docs/incidents/2026-12-departure-not-stored.md).

Change: internal/coordination/durable tells when a departure may be acknowledged; without that, the answer is 503 and the backend server announces itself again. A repeated departure waits too. Drains of operators fail with 'unavailable' until they are stored. A departure still takes effect at once. Why it works: what is acknowledged is in the store, which the next process reads before it grants leases.

--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -110,8 +110,12 @@
 	// Expires is the end of the lease.
 	Expires time.Time
 	// Departed is set when the acknowledgment of this announcement also binds later
-	// processes of this node; see Departures.
-	Departed bool
+	// processes of this node; see Departures. DepartureChanged is set when they do not know
+	// the departure from an earlier announcement.
+	Departed, DepartureChanged bool
+	// Unstored is set by the caller if the departure does not bind later processes yet. The
+	// announcement must not be acknowledged then.
+	Unstored bool
 	// Replaced is the lease of the backend server that had the address before, or nil.
 	Replaced *EndedLease
 }
@@ -197,20 +201,20 @@
 		return Result{Reason: StaleIncarnation}
 	}
 	if old != nil && a.Incarnation == old.Incarnation && a.Sequence > 0 && a.Sequence < old.Sequence {
-		return Result{Reason: StaleSequence}
+		return Result{Reason: StaleSequence, Departed: a.Draining}
 	}
 	if a.Released {
 		delete(t.leases, a.Backend)
-		return Result{Accepted: true, Changed: old != nil, Expires: now, Departed: t.depart(now, a)}
+		return Result{Accepted: true, Changed: old != nil, Expires: now, Departed: true, DepartureChanged: t.depart(now, a)}
 	}
 	if t.stopping {
 		return Result{Reason: NodeStopping}
 	}
 	if d, ok := t.departures[a.Backend]; ok && d.supersedes(a) && elapsed(now, d.At) < t.opt.KeepDepartures && !t.disabled.released {
 		if d.Released() {
-			return Result{Reason: Released}
+			return Result{Reason: Released, Departed: a.Draining}
 		}
-		return Result{Reason: StaleSequence}
+		return Result{Reason: StaleSequence, Departed: a.Draining}
 	}
 	if t.awaitRecall && old == nil && !a.Draining && !t.confirmed(now, a) {
 		return Result{Reason: HistoryUnknown}
@@ -218,7 +222,7 @@
 	from := t.leaseFrom(now, a)
 	l := &lease{OwnedBackend: OwnedBackend{Announcement: a, Since: now, Expires: from.Add(t.opt.Lease)}, from: from}
 	if t.lapsed(now, l) {
-		return Result{Reason: StaleAnnouncement}
+		return Result{Reason: StaleAnnouncement, Departed: a.Draining, DepartureChanged: a.Draining && t.depart(now, a)}
 	}
 	res := Result{Accepted: true, New: true, Changed: true}
 	if other := t.leaseAtAddress(now, a); other != nil {
@@ -240,7 +244,7 @@
 	}
 	t.leases[a.Backend] = l
 	res.Expires = l.Expires
-	res.Departed = t.depart(now, a)
+	res.Departed, res.DepartureChanged = a.Draining, t.depart(now, a)
 	return res
 }
 
--- a/internal/transport/control/server.go
+++ b/internal/transport/control/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -27,7 +28,7 @@
 	// Ready reports whether the node serves requests.
 	Ready() bool
 	// Drain stops new work for a backend server of this node, or for the whole node if
-	// backend is empty.
+	// backend is empty. It returns ErrNotStored if the drain would be lost with this process.
 	Drain(backend registry.BackendID) error
 }
 
@@ -46,6 +47,9 @@
 	PeerListener bool
 }
 
+// ErrNotStored means that a drain is in effect, but the platform has not stored it.
+var ErrNotStored = errors.New("the drain is in effect, but a restart of the node would end it: the platform has not stored it; try again")
+
 var errOperatorsOnly = twirp.PermissionDenied.Error("only served on the operator address")
 
 // Server implements controlpb.Control.
@@ -186,7 +190,9 @@
 		defer cancel()
 		return controlpb.NewControlProtobufClient("http://"+backend.Owner.PeerAddr, s.opts.PeerClient).Drain(ctx, req)
 	}
-	if err := s.opts.Node.Drain(registry.BackendID(req.Backend)); err != nil {
+	if err := s.opts.Node.Drain(registry.BackendID(req.Backend)); errors.Is(err, ErrNotStored) {
+		return nil, twirp.Unavailable.Error(err.Error())
+	} else if err != nil {
 		return nil, twirp.NotFoundError(err.Error())
 	}
 	return &controlpb.DrainResponse{State: registry.Draining.String()}, nil
--- a/internal/transport/node/departures.go
+++ b/internal/transport/node/departures.go
@@ -4,17 +4,15 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
-	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
+	"wigeonspring.example/wigeonspring/internal/coordination/durable"
 	"wigeonspring.example/wigeonspring/internal/fault"
 	"wigeonspring.example/wigeonspring/internal/state/platform"
-	"wigeonspring.example/wigeonspring/internal/state/registry"
 	"wigeonspring.example/wigeonspring/internal/transport/metrics"
 )
 
@@ -23,94 +21,59 @@
 	// keepDepartures is how long after a departure an outdated announcement may arrive
 	// if backend servers do not change their owner.
 	keepDepartures = time.Minute
-	// departureWait bounds how long an announcement waits for the departures to be read
-	// or written. The sender expects the acknowledgment within a second.
-	departureWait = 600 * time.Millisecond
+	// announcementWait bounds how long an announcement waits for the departures to be read or
+	// written. The sender expects the acknowledgment within a second.
+	announcementWait = 600 * time.Millisecond
+	// operatorWait bounds how long the request of an operator waits for it. A node that forwards
+	// the request waits for 1.5 s.
+	operatorWait = time.Second
 	// departureTimeout bounds a call. Its result serves later announcements even if the
 	// announcement that caused it waits no longer.
-	departureTimeout  = 2 * time.Second
-	departureRetry    = 200 * time.Millisecond
-	maxDepartureRetry = 10 * time.Second
+	departureTimeout = 2 * time.Second
+	departureRetry   = 200 * time.Millisecond
+	// maxDepartureRetry bounds the delay of a repeated call that nothing waits for.
+	maxDepartureRetry = time.Second
 )
 
 // departureCalls are the durations of the calls to the platform that read and write the
-// departures, by result.
+// departures, by result, and of the waits of acknowledgments.
 var departureCalls = metrics.NewHistograms("departures")
 
-// departures keeps the acknowledged departures of this node's backend servers, and the
-// drains that operators requested, on the platform, so that they bind later processes of
-// the node. A node reads them once at its start, unless the whole fleet starts for the first
-// time, and writes them after each change.
+// departures keeps the departures of this node's backend servers, and the drains that
+// operators requested, on the platform, so that they bind later processes of the node. What is
+// called when, and what may be acknowledged, is decided by durable.Core.
 type departures struct {
 	platform platform.Client
 	key      string
 	log      *zap.Logger
-	// wait bounds how long an announcement waits; 0 means that it does not wait.
+	// wait bounds how long an announcement waits; 0 means that it does not wait, because
+	// announcements prove when they were sent.
 	wait time.Duration
 	// current returns the value to write, and recall applies a value that was read.
 	current func() storedDepartures
 	recall  func(storedDepartures)
 
-	recalled chan struct{} // closed when the departures were read
-	changed  chan struct{} // signals that waiters is not empty
+	changed chan struct{} // signals that the next step of the core may have changed
 
-	mu      sync.Mutex
-	waiters []chan struct{} // each is closed when the change was written
-	version uint64          // of the object on the platform; used by run only
-	written time.Time       // when the object was last written
-}
-
-// storedDepartures is the value of the object on the platform.
-type storedDepartures struct {
-	Departures []storedDeparture `json:"departures"`
-	// Drained are the backend servers that an operator drains, with their starts.
-	Drained map[registry.BackendID]uint64 `json:"drained,omitempty"`
-}
-
-type storedDeparture struct {
-	Backend     registry.BackendID `json:"backend"`
-	Incarnation uint64             `json:"incarnation"`
-	// Sequence is that of the announced drain; 0 stands for a release.
-	Sequence uint64 `json:"sequence,omitempty"`
-	AtMillis int64  `json:"at_millis"`
-}
-
-func storeDepartures(list []ownership.Departure) []storedDeparture {
-	stored := make([]storedDeparture, 0, len(list))
-	for _, d := range list {
-		s := storedDeparture{Backend: d.Backend, Incarnation: d.Incarnation, Sequence: d.Sequence, AtMillis: d.At.UnixMilli()}
-		if d.Released() {
-			s.Sequence = 0
-		}
-		stored = append(stored, s)
-	}
-	return stored
-}
-
-func (s storedDepartures) list() []ownership.Departure {
-	list := make([]ownership.Departure, 0, len(s.Departures))
-	for _, d := range s.Departures {
-		departure := ownership.Departure{Backend: d.Backend, Incarnation: d.Incarnation, Sequence: d.Sequence, At: time.UnixMilli(d.AtMillis)}
-		if d.Sequence == 0 {
-			departure.Sequence = math.MaxUint64
-		}
-		list = append(list, departure)
-	}
-	return list
+	mu       sync.Mutex
+	core     *durable.Core
+	progress chan struct{} // closed and replaced after each call
+	version  uint64        // of the object on the platform; used by run only
 }
 
 func (n *Node) newDepartures() *departures {
 	d := &departures{
 		platform: n.platform, key: departurePrefix + string(n.ID()), log: n.log,
 		current: n.records.departures, recall: n.recallDepartures,
-		recalled: make(chan struct{}), changed: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), progress: make(chan struct{}),
+		core: durable.New(durable.Options{
+			// If an object exists all the same, the first write conflicts with it and reads it.
+			FirstStart: n.opts.Settings.FirstStart(),
+			Lateness:   keepDepartures,
+		}),
 	}
 	if n.opts.Adapter != nil {
-		d.wait = departureWait
-	}
-	if n.opts.Settings.FirstStart() {
-		// If an object exists all the same, the first write conflicts with it and reads it.
-		close(d.recalled)
+		d.wait = announcementWait
 	}
 	return d
 }
@@ -130,122 +93,141 @@
 }
 
 // awaitRecall waits until the departures were read, as long as an announcement may wait.
-func (d *departures) awaitRecall() { d.await(d.recalled) }
+func (d *departures) awaitRecall() { d.await(d.wait, d.core.Known) }
 
-// save writes the departures and waits for it, as long as an announcement may wait. The
-// write goes on until it succeeds.
-func (d *departures) save() {
-	written := make(chan struct{})
+// changedNow requests a write of the departures.
+func (d *departures) changedNow() {
 	d.mu.Lock()
-	d.waiters = append(d.waiters, written)
+	d.core.Promise(time.Now())
 	d.mu.Unlock()
-	select {
-	case d.changed <- struct{}{}:
-	default:
-	}
-	if !d.await(written) && d.wait > 0 {
-		d.log.Warn("departure acknowledged before it was written to the platform")
+	d.wake()
+}
+
+// awaitStored waits until the platform has stored all departures, at most for the given time.
+// It reports whether they may be acknowledged.
+func (d *departures) awaitStored(wait time.Duration) bool {
+	start := time.Now()
+	d.wake() // A call that has failed is repeated now.
+	if d.await(wait, d.core.Stored) {
+		departureCalls.Observe("acknowledged", time.Since(start))
+		return true
 	}
+	departureCalls.Observe("not_acknowledged", time.Since(start))
+	return false
 }
 
-// writeAgain writes the departures again if they were written so recently that they still bind.
+// writeAgain writes the departures again if they still bind.
 func (d *departures) writeAgain() {
 	d.mu.Lock()
-	recent := !d.written.IsZero() && time.Since(d.written) < keepDepartures
-	if recent {
-		d.waiters = append(d.waiters, make(chan struct{}))
-	}
+	d.core.Rewrite(time.Now())
 	d.mu.Unlock()
-	if recent {
-		select {
-		case d.changed <- struct{}{}:
-		default:
-		}
-	}
+	d.wake()
 }
 
-// await waits for a channel to be closed, and reports whether it was.
-func (d *departures) await(ch <-chan struct{}) bool {
+func (d *departures) wake() {
 	select {
-	case <-ch:
-		return true
+	case d.changed <- struct{}{}:
 	default:
 	}
-	timer := time.NewTimer(d.wait)
+}
+
+// await waits until a condition holds that changes with calls only, and reports whether it does.
+func (d *departures) await(wait time.Duration, holds func() bool) bool {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	select {
-	case <-ch:
-		return true
-	case <-timer.C:
-		return false
+	for {
+		d.mu.Lock()
+		ok, progress := holds(), d.progress
+		d.mu.Unlock()
+		if ok {
+			return true
+		}
+		select {
+		case <-progress:
+		case <-timer.C:
+			return false
+		}
 	}
 }
 
-// run reads the departures and writes them after each change, until ctx is done.
+// run makes the calls that the core asks for, until ctx is done.
 func (d *departures) run(ctx context.Context) error {
-	delay := departureRetry
-	for {
-		err := d.step(ctx)
+	for delay := departureRetry; ctx.Err() == nil; {
+		d.mu.Lock()
+		step := d.core.Next(time.Now())
+		d.mu.Unlock()
+		if !d.awaitStep(ctx, step) {
+			continue
+		}
+		err := d.call(ctx, step.Action)
 		if err == nil {
 			delay = departureRetry
-			select {
-			case <-d.changed:
-				continue
-			case <-ctx.Done():
-				return nil
-			}
+			continue
 		}
 		if ctx.Err() != nil {
 			return nil
 		}
 		d.log.Warn("cannot keep departures on the platform", zap.Error(err))
-		if !sleep(ctx, delay/2+rand.N(delay)) {
-			return nil
-		}
+		d.awaitRetry(ctx, delay/2+rand.N(delay))
 		delay = min(2*delay, maxDepartureRetry)
 	}
+	return nil
 }
 
-// step reads the departures if they are not known, and writes the changes.
-func (d *departures) step(ctx context.Context) error {
-	if !closedNow(d.recalled) {
-		if err := d.read(ctx); err != nil {
-			return err
-		}
-		close(d.recalled)
+// awaitRetry waits before a failed call is repeated. An announcement or an operator that waits for
+// it shortens the wait.
+func (d *departures) awaitRetry(ctx context.Context, wait time.Duration) {
+	atLeast := min(wait, departureRetry)
+	if !sleep(ctx, atLeast) {
+		return
 	}
-	d.mu.Lock()
-	waiters := d.waiters
-	d.waiters = nil
-	d.mu.Unlock()
-	if len(waiters) == 0 {
-		return nil
-	}
-	if err := d.write(ctx); err != nil {
-		d.mu.Lock()
-		d.waiters = append(waiters, d.waiters...)
-		d.mu.Unlock()
-		return err
-	}
-	for _, w := range waiters {
-		close(w)
+	timer := time.NewTimer(wait - atLeast)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.changed:
+	case <-ctx.Done():
 	}
-	return nil
 }
 
-func closedNow(ch <-chan struct{}) bool {
+// awaitStep waits until a step is due. It reports false if there may be another one.
+func (d *departures) awaitStep(ctx context.Context, step durable.Step) bool {
+	var due <-chan time.Time
+	if step.Action != durable.Wait {
+		timer := time.NewTimer(time.Until(step.At))
+		defer timer.Stop()
+		due = timer.C
+	}
 	select {
-	case <-ch:
+	case <-due:
 		return true
-	default:
-		return false
+	case <-d.changed:
+	case <-ctx.Done():
 	}
+	return false
 }
 
-// read reads the departures of earlier processes and applies them.
-func (d *departures) read(ctx context.Context) error {
+// call makes a call to the platform and reports its result to the core.
+func (d *departures) call(ctx context.Context, action durable.Action) error {
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
+	defer d.notify()
+	if action == durable.Read {
+		return d.read(ctx)
+	}
+	return d.write(ctx)
+}
+
+// notify lets the waiting announcements look again.
+func (d *departures) notify() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.progress)
+	d.progress = make(chan struct{})
+}
+
+// read reads the departures of earlier processes and applies them.
+func (d *departures) read(ctx context.Context) error {
 	start := time.Now()
 	object, err := d.platform.Get(ctx, d.key)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -263,26 +245,30 @@
 	}
 	d.version = object.Version
 	d.recall(stored)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.Recalled()
 	return nil
 }
 
 // write writes the departures. After a conflict it reads those of the other writer, which
 // is an earlier process of this node or a write of its own whose answer was lost.
 func (d *departures) write(ctx context.Context) error {
+	d.mu.Lock()
+	pending := d.core.Begin()
+	d.mu.Unlock()
 	value, err := json.Marshal(d.current())
 	if err != nil {
 		return fault.New("encode departures", d.key, err)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, departureTimeout)
-	defer cancel()
 	start := time.Now()
-	object, err := d.platform.Put(callCtx, d.key, value, d.version)
+	object, err := d.platform.Put(ctx, d.key, value, d.version)
 	observeDepartureCall("write", start, err)
 	if err == nil {
 		d.version = object.Version
 		d.mu.Lock()
-		d.written = start
-		d.mu.Unlock()
+		defer d.mu.Unlock()
+		d.core.Written(pending)
 		return nil
 	}
 	if errors.Is(err, platform.ErrConflict) {
--- a/internal/transport/node/records.go
+++ b/internal/transport/node/records.go
@@ -120,13 +120,16 @@
 	return list
 }
 
-// Announce implements control.Node. It returns when the departure that the announcement
-// states binds later processes of this node, as far as that is possible in time.
+// Announce implements control.Node. A departure takes effect at once, and it is acknowledged when
+// it binds later processes of this node; otherwise the result is Unstored.
 func (n *Node) Announce(now time.Time, a ownership.Announcement) ownership.Result {
 	n.departures.awaitRecall()
 	res := n.applyAnnouncement(now, a)
-	if res.Departed {
-		n.departures.save()
+	if res.DepartureChanged {
+		n.departures.changedNow()
+	}
+	if res.Departed && n.departures.wait > 0 {
+		res.Unstored = !n.departures.awaitStored(n.departures.wait)
 	}
 	return res
 }
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -214,7 +214,10 @@
 	if !n.drainBackend(id) {
 		return fault.Newf("drain backend server", string(id), "not owned by this node")
 	}
-	n.departures.save()
+	n.departures.changedNow()
+	if !n.departures.awaitStored(operatorWait) {
+		return fault.Newf("drain backend server", string(id), "%w", control.ErrNotStored)
+	}
 	return nil
 }
 
