Do not let late announcements that wait for the departures confirm each other

While the store is away, a node that has just started takes a second heartbeat, 0.5 s or more after the first one, for a sign that the backend server has not left. Each heartbeat waits up to 0.6 s for the departures to be read. Heartbeats that were held up and are delivered one after the other therefore arrived 0.6 s apart, and the second one was accepted.

Change: the time between two announcements counts from the response to the earlier one to the arrival of the later one. TestAnnouncementIsConfirmedWithoutHistory gets two more rows, and the accepted one is now 250 ms or more behind the one before it.

--- a/internal/coordination/ownership/departure.go
+++ b/internal/coordination/ownership/departure.go
@@ -38,26 +38,40 @@
 	return d.Released() || !a.Draining && a.Sequence > 0 && a.Sequence <= d.Sequence
 }
 
-// confirmInterval is the shortest time between an announcement and the one that confirms
-// it. Announcements that were delayed together arrive together.
-const confirmInterval = 500 * time.Millisecond
+// An announcement confirms an earlier one if it arrives confirmInterval or more after the response
+// to the first one, and confirmGap or more after the response to the latest one. Announcements
+// that were delayed together arrive together, or each after the response to the one before.
+const (
+	confirmInterval = 500 * time.Millisecond
+	confirmGap      = 250 * time.Millisecond
+)
 
-// unconfirmed is the first announcement of a start of a backend server that arrived
-// before the departures were known.
+// unconfirmed stands for the announcements of a start of a backend server that may have been sent
+// before this process started.
 type unconfirmed struct {
+	// sequence is the highest one.
 	incarnation, sequence uint64
-	at                    time.Time
+	// first and latest are when this process responded to them.
+	first, latest time.Time
 }
 
-// confirmed reports whether a backend server that may have left before this process
-// started has not left: it has sent a further announcement since the first one arrived.
-func (t *Table) confirmed(now time.Time, a Announcement) bool {
-	first, ok := t.unconfirmed[a.Backend]
-	if !ok || a.Incarnation > first.incarnation {
-		t.unconfirmed[a.Backend] = unconfirmed{a.Incarnation, a.Sequence, now}
+// confirmed reports whether a backend server that may have left before this process started has
+// not left: it has sent a further announcement since this process responded to one. The
+// announcement arrived at the time arrival, or earlier if that is not known, and is responded to
+// now.
+func (t *Table) confirmed(now, arrival time.Time, a Announcement) bool {
+	seen, ok := t.unconfirmed[a.Backend]
+	switch {
+	case ok && a.Incarnation < seen.incarnation:
 		return false
+	case !ok || a.Incarnation > seen.incarnation:
+		seen = unconfirmed{incarnation: a.Incarnation, first: now}
+	case a.Sequence > seen.sequence && elapsed(arrival, seen.first) >= confirmInterval && elapsed(arrival, seen.latest) >= confirmGap:
+		return true
 	}
-	return a.Incarnation == first.incarnation && a.Sequence > first.sequence && elapsed(now, first.at) >= confirmInterval
+	seen.sequence, seen.latest = max(seen.sequence, a.Sequence), now
+	t.unconfirmed[a.Backend] = seen
+	return false
 }
 
 // Recall adds the departures that earlier processes of this node have acknowledged. From
--- a/internal/coordination/ownership/departure_test.go
+++ b/internal/coordination/ownership/departure_test.go
@@ -103,8 +103,10 @@
 	}{
 		{4, 0, HistoryUnknown},
 		{4, time.Second, HistoryUnknown},
-		{5, 100 * time.Millisecond, HistoryUnknown}, // Delayed together with the first one.
-		{5, confirmInterval, None},
+		{5, 1100 * time.Millisecond, HistoryUnknown}, // Delayed together with the one before.
+		{5, 1500 * time.Millisecond, HistoryUnknown}, // The same one again.
+		{6, 1749 * time.Millisecond, HistoryUnknown},
+		{7, 2 * time.Second, None},
 	} {
 		a.Sequence = c.sequence
 		if res := table.Announce(t0.Add(c.after), a); res.Reason != c.want || table.Holds(t0.Add(c.after), "b1") != (c.want == None) {
@@ -117,6 +119,23 @@
 	}
 }
 
+// Guards against late announcements that confirm each other because each of them waits for the
+// departures, so that the next one arrives after the response to it.
+func TestWaitingAnnouncementsDoNotConfirmEachOther(t *testing.T) {
+	const wait = 600 * time.Millisecond
+	table := New(Options{MaxGap: time.Hour, AwaitRecall: true})
+	a := announcement()
+	now := t0
+	for range 5 {
+		a.Sequence++
+		a.LeaseFrom = now
+		now = now.Add(wait)
+		if res := table.Announce(now, a); res.Reason != HistoryUnknown {
+			t.Fatalf("announcement %d: %+v", a.Sequence, res)
+		}
+	}
+}
+
 // Guards against a departure that is taken for a known one, and acknowledged, although it was not
 // stored when it was announced before.
 func TestRepeatedDepartureIsStillOne(t *testing.T) {
--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -34,8 +34,8 @@
 	InvalidAnnouncement Reason = "invalid_announcement"
 	// Released: the backend server has released its lease.
 	Released Reason = "released"
-	// HistoryUnknown: the backend server may have left before this process started. Its
-	// next announcement is accepted.
+	// HistoryUnknown: the backend server may have left before this process started. A later
+	// announcement is accepted, see confirmed.
 	HistoryUnknown Reason = "history_unknown"
 	// LeaseLapsed: the lease was not renewed in time.
 	LeaseLapsed Reason = "lease_lapsed"
@@ -216,10 +216,10 @@
 		}
 		return Result{Reason: StaleSequence, Departed: a.Draining}
 	}
-	if t.awaitRecall && old == nil && !a.Draining && !t.confirmed(now, a) {
+	from := t.leaseFrom(now, a)
+	if t.awaitRecall && old == nil && !a.Draining && !t.confirmed(now, from, a) {
 		return Result{Reason: HistoryUnknown}
 	}
-	from := t.leaseFrom(now, a)
 	l := &lease{OwnedBackend: OwnedBackend{Announcement: a, Since: now, Expires: from.Add(t.opt.Lease)}, from: from}
 	if t.lapsed(now, l) {
 		return Result{Reason: StaleAnnouncement, Departed: a.Draining, DepartureChanged: a.Draining && t.depart(now, a)}
--- a/internal/transport/node/records.go
+++ b/internal/transport/node/records.go
@@ -122,9 +122,12 @@
 
 // Announce implements control.Node. A departure takes effect at once, and it is acknowledged when
 // it binds later processes of this node; otherwise the result is Unstored.
-func (n *Node) Announce(now time.Time, a ownership.Announcement) ownership.Result {
+func (n *Node) Announce(arrival time.Time, a ownership.Announcement) ownership.Result {
 	n.departures.awaitRecall()
-	res := n.applyAnnouncement(now, a)
+	if a.LeaseFrom.IsZero() || a.LeaseFrom.After(arrival) {
+		a.LeaseFrom = arrival
+	}
+	res := n.applyAnnouncement(time.Now(), a)
 	if res.DepartureChanged {
 		n.departures.changedNow()
 	}
