Do not take departures that the platform has lost for departures that never were

Cause: a new process took the absence of a departure in the store for proof that there was none. That the killed process waited up to 10 s before it wrote again only widens the window.

Change: the object of a node states the generation of the platform's data in which it was complete. A process that reads another generation than the platform's accepts a backend server only by a second heartbeat, for its first minute. Acknowledgments need a write in the newest generation known. Nodes with departures of the last minute ask for the generation each second, at a tenth of a read, and write them again within 2 s.

--- a/internal/coordination/ownership/departure.go
+++ b/internal/coordination/ownership/departure.go
@@ -74,10 +74,16 @@
 	return false
 }
 
-// Recall adds the departures that earlier processes of this node have acknowledged. From
-// then on, the table knows all departures. It returns the leases that it granted although
-// the backend servers have left, sorted by backend id.
-func (t *Table) Recall(now time.Time, list []Departure) []EndedLease {
+// mayLackDepartures reports whether earlier processes of this node may have acknowledged departures
+// that this process does not know.
+func (t *Table) mayLackDepartures(now time.Time) bool {
+	return t.awaitRecall || now.Before(t.completeFrom)
+}
+
+// Recall adds departures that earlier processes of this node have acknowledged. The table knows
+// all of them from the time completeFrom on, or from now on if it is zero. Recall returns the
+// leases that were granted although the backend servers have left, sorted by backend id.
+func (t *Table) Recall(now time.Time, list []Departure, completeFrom time.Time) []EndedLease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, d := range list {
@@ -86,8 +92,10 @@
 			t.departures[d.Backend] = d
 		}
 	}
-	t.awaitRecall = false
-	clear(t.unconfirmed)
+	t.awaitRecall, t.completeFrom = false, completeFrom
+	if !t.mayLackDepartures(now) {
+		clear(t.unconfirmed)
+	}
 	t.expireDepartures(now)
 	var ended []EndedLease
 	for id, l := range t.leases {
--- a/internal/coordination/ownership/departure_test.go
+++ b/internal/coordination/ownership/departure_test.go
@@ -22,7 +22,7 @@
 	options := Options{Lease: 10 * time.Second, MaxGap: time.Hour, KeepDepartures: time.Minute, AwaitRecall: true}
 	now := t0
 	table := New(options)
-	table.Recall(now, nil)
+	table.Recall(now, nil, time.Time{})
 	a := announcement()
 	var inbox []delayed
 	var recallAt time.Time
@@ -44,7 +44,7 @@
 			table, recallAt = New(options), now.Add(time.Duration(op%8)*step)
 		}
 		if !recallAt.IsZero() && !now.Before(recallAt) {
-			table.Recall(now, stored)
+			table.Recall(now, stored, time.Time{})
 			recallAt = time.Time{}
 		}
 		sent := append([]delayed{}, inbox...)
@@ -114,7 +114,7 @@
 		}
 	}
 	left := Departure{Backend: "b1", Incarnation: a.Incarnation, Sequence: releasedSequence, At: t0}
-	if ended := table.Recall(t0.Add(time.Second), []Departure{left}); len(ended) != 1 || table.Holds(t0.Add(time.Second), "b1") {
+	if ended := table.Recall(t0.Add(time.Second), []Departure{left}, time.Time{}); len(ended) != 1 || table.Holds(t0.Add(time.Second), "b1") {
 		t.Errorf("leases ended by the recalled release: %v", ended)
 	}
 }
--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -60,8 +60,8 @@
 	// then.
 	KeepDepartures time.Duration
 	// AwaitRecall is set if earlier processes of the node may have acknowledged
-	// departures. Until Recall is called, an announcement grants a lease only if it
-	// confirms an earlier one.
+	// departures. Until Recall has told all of them, an announcement grants a lease only if
+	// it confirms an earlier one.
 	AwaitRecall bool
 }
 
@@ -144,8 +144,11 @@
 	leases      map[registry.BackendID]*lease
 	departures  map[registry.BackendID]Departure
 	awaitRecall bool
-	unconfirmed map[registry.BackendID]unconfirmed
-	stopping    bool
+	// completeFrom is when all departures of earlier processes are known; zero after a
+	// recall that told all of them.
+	completeFrom time.Time
+	unconfirmed  map[registry.BackendID]unconfirmed
+	stopping     bool
 	// lastCall is the latest time passed to any call. pauseStart and pauseEnd delimit
 	// the latest pause of the process.
 	lastCall, pauseStart, pauseEnd time.Time
@@ -217,7 +220,7 @@
 		return Result{Reason: StaleSequence, Departed: a.Draining}
 	}
 	from := t.leaseFrom(now, a)
-	if t.awaitRecall && old == nil && !a.Draining && !t.confirmed(now, from, a) {
+	if t.mayLackDepartures(now) && old == nil && !a.Draining && !t.confirmed(now, from, a) {
 		return Result{Reason: HistoryUnknown}
 	}
 	l := &lease{OwnedBackend: OwnedBackend{Announcement: a, Since: now, Expires: from.Add(t.opt.Lease)}, from: from}
--- a/internal/state/platform/call.go
+++ b/internal/state/platform/call.go
@@ -53,6 +53,8 @@
 	// Sequence names the sequence of revisions to which a listing or a watch belongs; empty
 	// for other calls.
 	Sequence string
+	// Generation, unless nil, receives the generation of the data that the response belongs to.
+	Generation *uint64
 }
 
 // Do sends a request and decodes the response unless into is nil. Every failure after
--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -43,6 +43,9 @@
 	Value    []byte `json:"value"`
 	// Deleted marks a deletion in a watch result.
 	Deleted bool `json:"deleted,omitempty"`
+	// Generation is the generation of the data in which a Put took effect; 0 if the platform does
+	// not tell.
+	Generation uint64 `json:"-"`
 }
 
 // Generations is implemented by a Client of a platform that tells when it has returned to an older
@@ -52,6 +55,9 @@
 	// Generation returns the highest generation of the platform's data that the client has
 	// seen in a response; 0 before the first one. It rises with each return to an older copy.
 	Generation() uint64
+	// RefreshGeneration makes the cheapest call whose response tells the generation. The object
+	// of the key is read for it, if it exists.
+	RefreshGeneration(ctx context.Context, key string) error
 }
 
 // Client is the interface to the platform that the daemon and the command-line tool use.
--- a/internal/transport/node/departures.go
+++ b/internal/transport/node/departures.go
@@ -33,6 +33,15 @@
 	departureRetry   = 200 * time.Millisecond
 	// maxDepartureRetry bounds the delay of a repeated call that nothing waits for.
 	maxDepartureRetry = time.Second
+	// generationCheckInterval bounds how long a lost departure stays unnoticed. A check costs a
+	// tenth of a read.
+	generationCheckInterval = time.Second
+	// departureRewriteSpread spreads the writes of the nodes that have recent departures. All
+	// 2,100 nodes together stay below the 1,200 writes a second of the platform.
+	departureRewriteSpread = 2 * time.Second
+	// idleRewriteSpread spreads the writes of 2,100 nodes without recent departures, which only
+	// state that nothing is missing.
+	idleRewriteSpread = 5 * time.Second
 )
 
 // departureCalls are the durations of the calls to the platform that read and write the
@@ -49,9 +58,10 @@
 	// wait bounds how long an announcement waits; 0 means that it does not wait, because
 	// announcements prove when they were sent.
 	wait time.Duration
-	// current returns the value to write, and recall applies a value that was read.
+	// current returns the value to write. recall applies a value that was read; until
+	// completeFrom, departures may be missing in it.
 	current func() storedDepartures
-	recall  func(storedDepartures)
+	recall  func(stored storedDepartures, completeFrom time.Time)
 
 	changed chan struct{} // signals that the next step of the core may have changed
 
@@ -67,9 +77,14 @@
 		current: n.records.departures, recall: n.recallDepartures,
 		changed: make(chan struct{}, 1), progress: make(chan struct{}),
 		core: durable.New(durable.Options{
+			Start: time.Now(),
 			// If an object exists all the same, the first write conflicts with it and reads it.
-			FirstStart: n.opts.Settings.FirstStart(),
-			Lateness:   keepDepartures,
+			FirstStart:    n.opts.Settings.FirstStart(),
+			Lateness:      keepDepartures,
+			CheckInterval: generationCheckInterval,
+			RewriteSpread: departureRewriteSpread,
+			IdleSpread:    idleRewriteSpread,
+			Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
 	}
 	if n.opts.Adapter != nil {
@@ -80,10 +95,10 @@
 
 // recallDepartures applies the departures that earlier processes of this node have
 // acknowledged.
-func (n *Node) recallDepartures(stored storedDepartures) {
+func (n *Node) recallDepartures(stored storedDepartures, completeFrom time.Time) {
 	n.leaseMu.Lock()
 	defer n.leaseMu.Unlock()
-	for _, ended := range n.records.recall(stored) {
+	for _, ended := range n.records.recall(stored, completeFrom) {
 		n.removeBackend(ended)
 	}
 	for _, o := range n.records.leases.Owned() {
@@ -107,8 +122,14 @@
 // It reports whether they may be acknowledged.
 func (d *departures) awaitStored(wait time.Duration) bool {
 	start := time.Now()
+	d.mu.Lock()
+	d.core.Expedite(start)
+	d.mu.Unlock()
 	d.wake() // A call that has failed is repeated now.
-	if d.await(wait, d.core.Stored) {
+	if d.await(wait, func() bool {
+		d.observeLocked(d.generation())
+		return d.core.Stored()
+	}) {
 		departureCalls.Observe("acknowledged", time.Since(start))
 		return true
 	}
@@ -116,14 +137,22 @@
 	return false
 }
 
-// writeAgain writes the departures again if they still bind.
-func (d *departures) writeAgain() {
+// observeGeneration reports the highest generation that was seen in a response of the platform.
+func (d *departures) observeGeneration(generation uint64) {
 	d.mu.Lock()
-	d.core.Rewrite(time.Now())
+	d.observeLocked(generation)
 	d.mu.Unlock()
 	d.wake()
 }
 
+func (d *departures) observeLocked(generation uint64) {
+	if !d.core.Observe(time.Now(), generation) {
+		return
+	}
+	d.log.Warn("the platform returned to older data; this node checks its objects",
+		zap.Uint64("generation", generation), zap.Bool("departures_may_be_lost", !d.core.Stored()))
+}
+
 func (d *departures) wake() {
 	select {
 	case d.changed <- struct{}{}:
@@ -212,10 +241,14 @@
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
 	defer d.notify()
-	if action == durable.Read {
+	switch action {
+	case durable.Read:
 		return d.read(ctx)
+	case durable.Write:
+		return d.write(ctx)
+	default:
+		return d.check(ctx)
 	}
-	return d.write(ctx)
 }
 
 // notify lets the waiting announcements look again.
@@ -226,6 +259,15 @@
 	d.progress = make(chan struct{})
 }
 
+// generation returns the highest generation of the platform's data in any response; 0 if the
+// platform does not tell.
+func (d *departures) generation() uint64 {
+	if g, ok := d.platform.(platform.Generations); ok {
+		return g.Generation()
+	}
+	return 0
+}
+
 // read reads the departures of earlier processes and applies them.
 func (d *departures) read(ctx context.Context) error {
 	start := time.Now()
@@ -244,20 +286,30 @@
 		}
 	}
 	d.version = object.Version
-	d.recall(stored)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.core.Recalled()
+	// A later generation than that of the response only makes the core more careful.
+	d.core.Recalled(time.Now(), durable.Object{
+		Complete: stored.Generation, Generation: d.generation(), Promises: !stored.empty(),
+	})
+	completeFrom := d.core.CompleteFrom()
+	d.log.Info("read the departures of earlier processes", zap.Int("departures", len(stored.Departures)),
+		zap.Int("drained", len(stored.Drained)), zap.Uint64("complete_in_generation", stored.Generation),
+		zap.Bool("may_be_incomplete", !completeFrom.IsZero()))
+	d.recall(stored, completeFrom)
 	return nil
 }
 
 // write writes the departures. After a conflict it reads those of the other writer, which
-// is an earlier process of this node or a write of its own whose answer was lost.
+// is an earlier process of this node, a write of its own whose answer was lost, or a write that
+// the platform has lost.
 func (d *departures) write(ctx context.Context) error {
 	d.mu.Lock()
-	pending := d.core.Begin()
+	pending := d.core.Begin(time.Now())
 	d.mu.Unlock()
-	value, err := json.Marshal(d.current())
+	stored := d.current()
+	stored.Generation = pending.Complete
+	value, err := json.Marshal(stored)
 	if err != nil {
 		return fault.New("encode departures", d.key, err)
 	}
@@ -268,7 +320,7 @@
 		d.version = object.Version
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.core.Written(pending)
+		d.core.Written(time.Now(), pending, object.Generation)
 		return nil
 	}
 	if errors.Is(err, platform.ErrConflict) {
@@ -277,6 +329,21 @@
 	return err
 }
 
+// check reads the generation of the platform's data.
+func (d *departures) check(ctx context.Context) error {
+	start := time.Now()
+	var err error
+	if g, ok := d.platform.(platform.Generations); ok {
+		err = g.RefreshGeneration(ctx, d.key)
+	}
+	observeDepartureCall("check", start, err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.Checked(time.Now())
+	d.observeLocked(d.generation())
+	return err
+}
+
 func observeDepartureCall(call string, start time.Time, err error) {
 	if err != nil {
 		call += "_failed"
--- a/internal/transport/node/records.go
+++ b/internal/transport/node/records.go
@@ -74,15 +74,15 @@
 	return storedDepartures{Departures: storeDepartures(r.leases.Departures(time.Now())), Drained: maps.Clone(r.drained)}
 }
 
-// recall adds what an earlier process of this node has stored. It returns the leases that
-// were granted to backend servers that have left.
-func (r *records) recall(s storedDepartures) []ownership.EndedLease {
+// recall adds what an earlier process of this node has stored, which may be incomplete until
+// completeFrom. It returns the leases that were granted to backend servers that have left.
+func (r *records) recall(s storedDepartures, completeFrom time.Time) []ownership.EndedLease {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, incarnation := range s.Drained {
 		r.drained[id] = max(r.drained[id], incarnation)
 	}
-	return r.leases.Recall(time.Now(), s.list())
+	return r.leases.Recall(time.Now(), s.list(), completeFrom)
 }
 
 // effective returns the published state and weight of an owned backend server. Draining
--- a/internal/transport/node/restore.go
+++ b/internal/transport/node/restore.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"wigeonspring.example/wigeonspring/internal/state/platform"
@@ -14,7 +13,7 @@
 const (
 	// restoreCheckInterval is the interval at which the generation of the platform is compared.
 	restoreCheckInterval = 500 * time.Millisecond
-	// maxRewriteDelay spreads the calls of 2,100 nodes after a restore.
+	// maxRewriteDelay spreads the calls of 2,100 nodes after a restore that nothing waits for.
 	maxRewriteDelay = 10 * time.Second
 )
 
@@ -30,26 +29,24 @@
 	defer func() { _ = group.Wait() }() // The tasks return no error.
 	for last := uint64(0); sleep(ctx, restoreCheckInterval); {
 		generation := max(client.Generation(), n.peerGeneration.Load())
-		if last > 0 && generation > last {
-			n.log.Warn("the platform returned to older data; this node checks its objects",
-				zap.Uint64("generation", generation))
-			group.Go(func() error { return n.rewriteObjects(ctx) })
+		if generation == last {
+			continue
 		}
-		last = max(last, generation)
+		n.departures.observeGeneration(generation)
+		if last > 0 && n.registeredSeed.Load() {
+			group.Go(func() error { return n.rewriteSeed(ctx) })
+		}
+		last = generation
 	}
 	return nil
 }
 
-// rewriteObjects writes the objects that this node may have written shortly before a restore.
-func (n *Node) rewriteObjects(ctx context.Context) error {
+// rewriteSeed registers this node again if a restore has lost its entry.
+func (n *Node) rewriteSeed(ctx context.Context) error {
 	if !sleep(ctx, rand.N(maxRewriteDelay)) {
 		return nil
 	}
-	n.departures.writeAgain()
-	if n.registeredSeed.Load() {
-		return n.registerSeed(ctx)
-	}
-	return nil
+	return n.registerSeed(ctx)
 }
 
 // observeGeneration records the generation of the platform that a peer has seen.
--- a/internal/transport/node/stored_departures.go
+++ b/internal/transport/node/stored_departures.go
@@ -10,11 +10,17 @@
 
 // storedDepartures is the value of the object on the platform.
 type storedDepartures struct {
+	// Generation is that of the platform's data in which the object held everything that the node
+	// had acknowledged; 0 if the platform does not tell or the writer did not know.
+	Generation uint64            `json:"generation,omitempty"`
 	Departures []storedDeparture `json:"departures"`
 	// Drained are the backend servers that an operator drains, with their starts.
 	Drained map[registry.BackendID]uint64 `json:"drained,omitempty"`
 }
 
+// empty reports whether nothing binds.
+func (s storedDepartures) empty() bool { return len(s.Departures) == 0 && len(s.Drained) == 0 }
+
 type storedDeparture struct {
 	Backend     registry.BackendID `json:"backend"`
 	Incarnation uint64             `json:"incarnation"`
