Renew the seeds on the platform while VMs are replaced

Cause: a node added itself to the seeds of its failure domain once, at its start, and took the entries of VMs that were long gone for live ones.

Change: nodes compare the seeds that they know with their directory; while too few are live, the first members of the failure domain by hash read the list and add themselves. The others make no call.

--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -19,6 +19,7 @@
 	"wigeonspring.example/wigeonspring/internal/coordination/membership"
 	"wigeonspring.example/wigeonspring/internal/coordination/ownership"
 	"wigeonspring.example/wigeonspring/internal/coordination/routing"
+	"wigeonspring.example/wigeonspring/internal/coordination/seeding"
 	"wigeonspring.example/wigeonspring/internal/fault"
 	"wigeonspring.example/wigeonspring/internal/state/event"
 	"wigeonspring.example/wigeonspring/internal/state/platform"
@@ -97,7 +98,7 @@
 	control    *control.Server
 	peerClient *http.Client
 	// domainSeeds are the seeds of this node's failure domain when last read.
-	domainSeeds atomic.Pointer[[]seed]
+	domainSeeds atomic.Pointer[[]seeding.Entry]
 	// registeredSeed is set once this node is one of the seeds of its failure domain.
 	registeredSeed atomic.Bool
 	// peerGeneration is the highest generation of the platform's data that a peer has seen.
--- a/internal/transport/node/run.go
+++ b/internal/transport/node/run.go
@@ -57,7 +57,7 @@
 	group, taskCtx := errgroup.WithContext(taskCtx)
 	n.gossip.Start(taskCtx)
 	for _, task := range []func(context.Context) error{
-		n.bus.Run, n.sync.Run, n.health.Run, n.permits.Run, n.publishRecords, n.watchLeases, n.departures.run, n.discoverSeeds, n.registerSeed,
+		n.bus.Run, n.sync.Run, n.health.Run, n.permits.Run, n.publishRecords, n.watchLeases, n.departures.run, n.discoverSeeds, n.registerSeed, n.renewSeeds,
 		n.freshness.run, n.watchRestores, n.quotas.Run,
 	} {
 		group.Go(func() error { return task(taskCtx) })
--- a/internal/transport/node/seeds.go
+++ b/internal/transport/node/seeds.go
@@ -7,11 +7,11 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/seeding"
 	"wigeonspring.example/wigeonspring/internal/fault"
 	"wigeonspring.example/wigeonspring/internal/state/platform"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
@@ -43,6 +43,13 @@
 	// maxSeedReads is the number of successful reads after which a node that found no
 	// other failure domain stops reading, because there may be none.
 	maxSeedReads = 60
+	// seedRenewalStart is when a process first checks that the seeds of its failure domain are
+	// live: it has found the fleet by then, or the seeds have not answered. seedRenewalInterval
+	// is the shortest time between two checks. The checks make no calls unless seeds are missing.
+	seedRenewalStart    = 10 * time.Second
+	seedRenewalInterval = 2 * time.Second
+	// unknownSeeds is the number of entries that may be kept beyond the live ones.
+	unknownSeeds = 4
 )
 
 // seedTiming is how soon and how often a node registers itself and reads the seeds.
@@ -66,11 +73,6 @@
 	return seedTiming{delay: seedDelay, retry: seedTimeout, maxRetry: maxSeedRetry, registerRetry: time.Second, attempts: seedAttempts, enoughEntries: maxSeeds}
 }
 
-type seed struct {
-	Node registry.NodeID `json:"node"`
-	Addr string          `json:"addr"`
-}
-
 // discoverSeeds reads the seed addresses from the platform and adds them to the gossip
 // transport. It repeats a failed read with a growing delay; until then, the node uses the
 // seeds of the settings. With an adapter, it continues to read until the node knows
@@ -146,13 +148,13 @@
 	return addrs, nil
 }
 
-func decodeSeeds(o platform.Object) ([]seed, error) {
-	var list []seed
+func decodeSeeds(o platform.Object) ([]seeding.Entry, error) {
+	var list []seeding.Entry
 	if err := json.Unmarshal(o.Value, &list); err != nil {
 		return nil, fault.New("decode seeds", o.Key, err)
 	}
 	// An address that no datagram can be sent to was written by another program.
-	return slices.DeleteFunc(list, func(s seed) bool {
+	return slices.DeleteFunc(list, func(s seeding.Entry) bool {
 		addr, err := netip.ParseAddrPort(s.Addr)
 		return err != nil || addr.Port() == 0
 	}), nil
@@ -182,44 +184,113 @@
 	return nil
 }
 
+// tryRegisterSeed adds this node to the seeds of its failure domain unless there are enough.
 func (n *Node) tryRegisterSeed(ctx context.Context, key string) error {
+	return n.updateSeeds(ctx, key, func(list []seeding.Entry) []seeding.Entry {
+		if n.enoughSeeds(list) {
+			return list
+		}
+		return seeding.Add(n.seedOptions(), n.otherSeeds(list), n.selfSeed(), n.seedStatus)
+	})
+}
+
+// updateSeeds reads the seeds of this node's failure domain and writes them if change adds this
+// node.
+func (n *Node) updateSeeds(ctx context.Context, key string, change func([]seeding.Entry) []seeding.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
 	defer cancel()
 	object, err := n.platform.Get(ctx, key)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
-	var list []seed
+	var list []seeding.Entry
 	if err == nil {
 		if list, err = decodeSeeds(object); err != nil {
 			n.log.Warn("replacing malformed seeds", zap.Error(err))
 		}
 	}
-	if n.enoughSeeds(list) {
+	changed := change(list)
+	if slices.Equal(changed, list) {
+		n.domainSeeds.Store(&list)
 		return nil
 	}
-	list = append(n.otherSeeds(list), n.selfSeed())
-	slices.SortFunc(list, func(a, b seed) int { return strings.Compare(string(a.Node), string(b.Node)) })
-	value, err := json.Marshal(list)
+	value, err := json.Marshal(changed)
 	if err != nil {
 		return fault.New("encode seeds", key, err)
 	}
 	if _, err = n.platform.Put(ctx, key, value, object.Version); err == nil {
 		n.registeredSeed.Store(true)
+		n.domainSeeds.Store(&changed)
 	}
 	return err
 }
 
-func (n *Node) selfSeed() seed { return seed{Node: n.ID(), Addr: n.peerAddr} }
+// renewSeeds adds this node to the seeds of its failure domain when too few of them are live, which
+// is so after the VMs of earlier seeds were replaced, until ctx is done.
+func (n *Node) renewSeeds(ctx context.Context) error {
+	key := seedPrefix + n.opts.Settings.Node.FailureDomain
+	for wait := seedRenewalStart; sleep(ctx, wait); wait = seedRenewalInterval + rand.N(seedRenewalInterval) {
+		if n.stopping.Load() || !n.shouldBeSeed() {
+			continue
+		}
+		err := n.updateSeeds(ctx, key, func(list []seeding.Entry) []seeding.Entry {
+			if !seeding.Needs(n.seedOptions(), list, n.selfSeed(), n.seedStatus) {
+				return list
+			}
+			return seeding.Add(n.seedOptions(), list, n.selfSeed(), n.seedStatus)
+		})
+		if err != nil && ctx.Err() == nil {
+			n.log.Info("cannot renew the seeds", zap.Error(err))
+		}
+	}
+	return nil
+}
+
+// shouldBeSeed reports whether this node is one of those that replace seeds which are not live.
+func (n *Node) shouldBeSeed() bool {
+	var list []seeding.Entry
+	if known := n.domainSeeds.Load(); known != nil {
+		list = *known
+	}
+	if !seeding.Needs(n.seedOptions(), list, n.selfSeed(), n.seedStatus) {
+		return false
+	}
+	var members []registry.NodeID
+	for _, m := range n.directory.Snapshot().Nodes() {
+		if m.FailureDomain == n.opts.Settings.Node.FailureDomain && m.Status == registry.Alive {
+			members = append(members, m.ID)
+		}
+	}
+	return seeding.Candidate(n.seedOptions(), n.ID(), members)
+}
+
+func (n *Node) seedOptions() seeding.Options {
+	want := n.seedTiming().enoughEntries
+	return seeding.Options{Want: want, Limit: want + unknownSeeds}
+}
+
+// seedStatus returns what this node knows of a node.
+func (n *Node) seedStatus(id registry.NodeID) seeding.Status {
+	record := n.directory.Snapshot().Node(id)
+	switch {
+	case record == nil:
+		return seeding.Unknown
+	case record.Status == registry.Alive || record.Status == registry.Suspect:
+		return seeding.Live
+	}
+	return seeding.Gone
+}
+
+func (n *Node) selfSeed() seeding.Entry { return seeding.Entry{Node: n.ID(), Addr: n.peerAddr} }
 
 // otherSeeds returns the entries of other nodes that are not known to be dead.
-func (n *Node) otherSeeds(list []seed) []seed {
-	return slices.DeleteFunc(slices.Clone(list), func(s seed) bool { return s.Node == n.ID() || n.isDead(s.Node) })
+func (n *Node) otherSeeds(list []seeding.Entry) []seeding.Entry {
+	return slices.DeleteFunc(slices.Clone(list), func(s seeding.Entry) bool { return s.Node == n.ID() || n.isDead(s.Node) })
 }
 
 // enoughSeeds reports whether this node need not be added to the seeds of its
 // failure domain.
-func (n *Node) enoughSeeds(list []seed) bool {
+func (n *Node) enoughSeeds(list []seeding.Entry) bool {
 	return slices.Contains(list, n.selfSeed()) || len(n.otherSeeds(list)) >= n.seedTiming().enoughEntries
 }
 
