Keep the quotas of teams when a node wakes up from a pause

Besides, an aggregator that wakes up while the others report to the next one gave out its part of the quota again, from a bucket that had filled meanwhile.

Ruled out as the only cause: a contact that never lapses.

Change: a process notices a pause by the gap between its calls (package pause; its clock rule comes from package ownership). A limiter then admits by local buckets until an aggregator has acknowledged a report that was sent 0.2 s after the pause or later, and reports what it refuses meanwhile. An aggregator forgets its buckets and leaves reports unanswered for 3 s, so that its node joins the others.

--- a/internal/coordination/ownership/departure.go
+++ b/internal/coordination/ownership/departure.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/pause"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
@@ -66,7 +67,7 @@
 		return false
 	case !ok || a.Incarnation > seen.incarnation:
 		seen = unconfirmed{incarnation: a.Incarnation, first: now}
-	case a.Sequence > seen.sequence && elapsed(arrival, seen.first) >= confirmInterval && elapsed(arrival, seen.latest) >= confirmGap:
+	case a.Sequence > seen.sequence && pause.Elapsed(arrival, seen.first) >= confirmInterval && pause.Elapsed(arrival, seen.latest) >= confirmGap:
 		return true
 	}
 	seen.sequence, seen.latest = max(seen.sequence, a.Sequence), now
@@ -147,7 +148,7 @@
 		if l := t.leases[id]; l != nil && l.Draining && l.Incarnation == d.Incarnation {
 			continue
 		}
-		if elapsed(now, d.At) >= t.opt.KeepDepartures {
+		if pause.Elapsed(now, d.At) >= t.opt.KeepDepartures {
 			delete(t.departures, id)
 		}
 	}
--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/pause"
 	"wigeonspring.example/wigeonspring/internal/invariant"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
@@ -213,7 +214,7 @@
 	if t.stopping {
 		return Result{Reason: NodeStopping}
 	}
-	if d, ok := t.departures[a.Backend]; ok && d.supersedes(a) && elapsed(now, d.At) < t.opt.KeepDepartures && !t.disabled.released {
+	if d, ok := t.departures[a.Backend]; ok && d.supersedes(a) && pause.Elapsed(now, d.At) < t.opt.KeepDepartures && !t.disabled.released {
 		if d.Released() {
 			return Result{Reason: Released, Departed: a.Draining}
 		}
@@ -308,7 +309,7 @@
 		t.lastCall = now
 		return
 	}
-	if elapsed(now, t.lastCall) > t.opt.MaxGap {
+	if pause.Elapsed(now, t.lastCall) > t.opt.MaxGap {
 		t.pauseStart, t.pauseEnd = t.lastCall, now
 	}
 	if now.After(t.lastCall) {
@@ -316,14 +317,8 @@
 	}
 }
 
-// elapsed returns the larger of the monotonic and the wall-clock difference. The
-// monotonic clock stands still while a VM is suspended; the wall clock does not.
-func elapsed(now, since time.Time) time.Duration {
-	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
-}
-
 func (t *Table) lapsed(now time.Time, l *lease) bool {
-	return !t.disabled.expiry && elapsed(now, l.from) >= t.opt.Lease
+	return !t.disabled.expiry && pause.Elapsed(now, l.from) >= t.opt.Lease
 }
 
 // Holds reports whether this node holds the lease of the backend server. The
@@ -336,7 +331,7 @@
 	if l == nil || t.lapsed(now, l) {
 		return false
 	}
-	if age := elapsed(now, l.from); age >= t.opt.Lease {
+	if age := pause.Elapsed(now, l.from); age >= t.opt.Lease {
 		invariant.Check(false, "ownership_lease_current", "backend server %s held %s after the lease began", id, age)
 	}
 	return true
--- a/internal/coordination/quota/aggregator.go
+++ b/internal/coordination/quota/aggregator.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"wigeonspring.example/wigeonspring/internal/coordination/pause"
 )
 
 const (
@@ -77,6 +79,8 @@
 	limited  []*bucket
 	changes  []Change
 	nextTidy time.Time
+	// wokeAt is when the latest pause of the process ended.
+	wokeAt time.Time
 }
 
 // session is the state of one reporting process.
@@ -132,8 +136,25 @@
 // SetMembers sets the number of live members of the fleet.
 func (a *Aggregator) SetMembers(now time.Time, live int) { a.members.observe(now, live) }
 
-// HandleReport applies a report and returns the reply. from is the address of the session.
-func (a *Aggregator) HandleReport(now time.Time, from string, r Report) Reply {
+// Wake forgets what the aggregator knew before a pause of the process that ended at the given time:
+// the nodes have moved to another aggregator, whose buckets this one does not know. It must be called
+// before anything else is handled after the pause, and for an aggregator that is created later.
+func (a *Aggregator) Wake(now time.Time) {
+	if a.opts.Disabled&FreshAggregators != 0 {
+		return
+	}
+	a.wokeAt, a.lastReport, a.limited = now, time.Time{}, nil
+	clear(a.buckets)
+	clear(a.sessions)
+}
+
+// HandleReport applies a report and returns the reply. from is the address of the session. For
+// unresponsiveTime after a pause, it applies nothing and returns false: the nodes do not return
+// earlier, a report that waited for the end of the pause is old, and this node is to join the others.
+func (a *Aggregator) HandleReport(now time.Time, from string, r Report) (Reply, bool) {
+	if !a.wokeAt.IsZero() && pause.Elapsed(now, a.wokeAt) < unresponsiveTime {
+		return Reply{}, false
+	}
 	if now.Sub(a.lastReport) > takeoverGap {
 		a.earned, a.earnedAt = 0, now
 		clear(a.buckets)
@@ -154,7 +175,7 @@
 		a.apply(now, s, r)
 		s.seq, s.base, s.usages = r.Seq, r.Base, r.Usages
 	}
-	return Reply{Session: r.Session, Seq: s.seq, Partition: r.Partition, Directives: a.directives(now, r.Usages)}
+	return Reply{Session: r.Session, Seq: s.seq, Partition: r.Partition, Directives: a.directives(now, r.Usages)}, true
 }
 
 // earn advances the time in which the quotas earn tokens.
--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/pause"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
@@ -29,6 +30,13 @@
 	// contactTimeout is the time without an acknowledgement after which a limiter admits by
 	// local buckets.
 	contactTimeout = 800 * time.Millisecond
+	// MaxGap is the longest time in which a process may do nothing without being taken for paused.
+	// Others would have moved on from an aggregator that is silent for longer.
+	MaxGap = switchTimeout
+	// settleTime is the time after a pause whose requests an aggregator must know before a limiter
+	// relies on it again. What has waited for the end of the pause arrives at once, and no directive
+	// takes account of it.
+	settleTime = 2 * fastReportInterval
 	// directiveLifetime is how long a directive applies that is not repeated.
 	directiveLifetime = 2500 * time.Millisecond
 	// entryLifetime is how long a limiter keeps the state of a team without requests.
@@ -74,6 +82,10 @@
 	Failover
 	// CurrentLimits makes aggregators follow changes of the quotas.
 	CurrentLimits
+	// Settling makes limiters that wake up from a pause admit by local buckets at first.
+	Settling
+	// FreshAggregators makes aggregators that wake up from a pause forget what they knew.
+	FreshAggregators
 )
 
 // Limiter admits the requests of teams at one ingress node.
@@ -87,6 +99,8 @@
 	firstSeq uint64
 	entries  map[TeamKey]*entry
 	nextTidy time.Time
+	// wokeAt is when the latest pause of the process ended.
+	wokeAt time.Time
 }
 
 // entry is the state of a team with recent requests.
@@ -122,6 +136,10 @@
 	lastSent time.Time
 	// acknowledged is set once an aggregator has acknowledged a report.
 	acknowledged bool
+	// settling is set from the end of a pause until a report with the number settled or a higher one
+	// is acknowledged. settled is 0 until it is sent, settleTime after the pause.
+	settling bool
+	settled  uint64
 	// fast is set if there are many requests of one team that no report contains yet, and
 	// deferred if the next report has no room for all teams.
 	fast, deferred bool
@@ -178,10 +196,14 @@
 }
 
 // decide applies the directive of the team, the contact to the aggregator or the local bucket,
-// in this order. The requests that a local bucket admits are not counted, because the
-// aggregator leaves room for them.
+// in this order, but only the local bucket while the limiter settles after a pause. The requests
+// that a local bucket admits are not counted, because the aggregator leaves room for them. Those
+// that it refuses after a pause are, because the directives must take account of them.
 func (l *Limiter) decide(now time.Time, e *entry, u *uplink, limit Limit) (admitted, counted bool, retryAfter time.Duration) {
 	switch {
+	case u != nil && u.settling:
+		admitted = l.takeLocal(now, e, limit)
+		return admitted, !admitted, 0
 	case now.Before(e.until) && l.opts.Disabled&Directives == 0:
 		e.localSince = time.Time{}
 		e.carry += e.fraction
@@ -218,6 +240,21 @@
 	return true
 }
 
+// Wake ends what the limiter knew by time before a pause of the process. Other nodes may have used
+// the quotas meanwhile, and the requests that have waited for the end of the pause come at once.
+// It must be called before anything else is handled after the pause.
+func (l *Limiter) Wake(now time.Time) {
+	if l.opts.Disabled&Settling != 0 {
+		return
+	}
+	l.wokeAt = now
+	for _, u := range l.uplinks {
+		u.settling, u.settled = true, 0
+		// The aggregator may have answered; it was this process that did not read the reply.
+		u.switchAt = time.Time{}
+	}
+}
+
 // Refund returns an admitted request that has not run and will not run.
 func (l *Limiter) Refund(now time.Time, team string) {
 	key := KeyOf(team)
@@ -281,6 +318,9 @@
 	}
 	for _, u := range due {
 		out = append(out, u.report(now, l.opts.Session))
+		if u.settling && u.settled == 0 && pause.Elapsed(now, l.wokeAt) >= settleTime {
+			u.settled = u.seq
+		}
 	}
 	return out
 }
@@ -356,6 +396,8 @@
 func (u *uplink) due(now time.Time) bool {
 	since := now.Sub(u.lastSent)
 	switch {
+	case u.settling:
+		return since >= fastReportInterval
 	case !u.unanswered.IsZero():
 		return since >= replyTimeout || u.fast && since >= fastReportInterval
 	case u.fast:
@@ -394,6 +436,9 @@
 			return
 		}
 		u.acknowledged, u.unanswered, u.switchAt = true, time.Time{}, time.Time{}
+		if u.settled != 0 && r.Seq >= u.settled {
+			u.settling = false
+		}
 		l.endDirectives(u, r)
 		if r.Seq == u.seq {
 			l.acknowledge(u)
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -193,7 +193,8 @@
 		if len(reports) != 1 {
 			t.Fatalf("%d reports", len(reports))
 		}
-		l.HandleReply(now, a.HandleReport(now, "n1", reports[0].Report))
+		reply, _ := a.HandleReport(now, "n1", reports[0].Report)
+		l.HandleReply(now, reply)
 		return l.uplinks[1].inContact(now) && l.uplinks[1].unanswered.IsZero()
 	}
 	l.SetMembers(now, few)
--- a/internal/coordination/quota/sim_test.go
+++ b/internal/coordination/quota/sim_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/pause"
 	"wigeonspring.example/wigeonspring/internal/state/registry"
 )
 
@@ -36,6 +37,8 @@
 	loss, duplicates float64
 	// retryAtOnce is the share of the refused requests that callers repeat without delay.
 	retryAtOnce float64
+	// delay is what the delivery of a datagram takes at least.
+	delay time.Duration
 	// at returns the node of a request, by a random number between 0 and 1.
 	at func(r float64) *simNode
 }
@@ -50,6 +53,11 @@
 	down    bool
 	changed time.Time
 	process int
+	// held is what waits for the end of a pause.
+	paused bool
+	held   []func()
+	pauses pause.Detector
+	wokeAt time.Time
 	// members are those that the node knew at membersAt.
 	members   []registry.NodeID
 	membersAt time.Time
@@ -95,30 +103,39 @@
 // distributed with exponent 1.2 and sums up to 290 requests a second; each quota is 1.6 times
 // the usual demand, with a burst of one second.
 func newSimulation(seed uint64, disabled Protection) *simulation {
+	weights := 0.0
+	for i := range 78 {
+		weights += math.Pow(float64(i+1), -1.2)
+	}
+	var teams []*simTeam
+	for i := range 78 {
+		usual := 290 * math.Pow(float64(i+1), -1.2) / weights
+		teams = append(teams, newSimTeam(i, usual, 1.6*usual))
+	}
+	return newFleet(seed, disabled, 86, teams)
+}
+
+// newSimTeam returns a team whose quota has a burst of one second.
+func newSimTeam(i int, usual, rate float64) *simTeam {
+	return &simTeam{
+		limit:  Limit{Team: fmt.Sprintf("team-%02d", i), RatePerSecond: rate, Burst: max(1, rate)},
+		usual:  usual,
+		factor: func(time.Duration) float64 { return 1 },
+		tokens: max(1, rate),
+	}
+}
+
+func newFleet(seed uint64, disabled Protection, nodes int, teams []*simTeam) *simulation {
 	s := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 1)), disabled: disabled,
-		start: time.Unix(1_700_000_000, 0), now: time.Unix(1_700_000_000, 0),
+		start: time.Unix(1_700_000_000, 0), now: time.Unix(1_700_000_000, 0), teams: teams,
 	}
-	for i := range 86 {
+	for i := range nodes {
 		n := &simNode{id: registry.NodeID(fmt.Sprintf("n%02d", i))}
 		s.nodes = append(s.nodes, n)
 		s.boot(n)
 	}
 	s.at = func(r float64) *simNode { return s.nodes[int(r*float64(len(s.nodes)))] }
-	weights := 0.0
-	for i := range 78 {
-		weights += math.Pow(float64(i+1), -1.2)
-	}
-	for i := range 78 {
-		usual := 290 * math.Pow(float64(i+1), -1.2) / weights
-		rate := 1.6 * usual
-		s.teams = append(s.teams, &simTeam{
-			limit:  Limit{Team: fmt.Sprintf("team-%02d", i), RatePerSecond: rate, Burst: max(1, rate)},
-			usual:  usual,
-			factor: func(time.Duration) float64 { return 1 },
-			tokens: max(1, rate),
-		})
-	}
 	s.byKey = make(map[TeamKey]*simTeam)
 	for _, t := range s.teams {
 		s.byKey[KeyOf(t.limit.Team)] = t
@@ -135,7 +152,7 @@
 // boot starts the process of a node.
 func (s *simulation) boot(n *simNode) {
 	n.process++
-	n.down, n.membersAt = false, time.Time{}
+	n.down, n.membersAt, n.pauses, n.wokeAt = false, time.Time{}, pause.Detector{MaxGap: MaxGap}, time.Time{}
 	n.limiter = NewLimiter(LimiterOptions{Session: s.rng.Uint64(), Rand: s.rng, Disabled: s.disabled})
 	n.aggregator = make(map[Partition]*Aggregator)
 }
@@ -161,9 +178,15 @@
 // tick runs the timers of a node.
 func (s *simulation) tick(n *simNode) {
 	s.after(simTick, func() { s.tick(n) })
-	if n.down {
+	s.work(n)
+}
+
+// work does what is due at a node.
+func (s *simulation) work(n *simNode) {
+	if n.down || n.paused {
 		return
 	}
+	s.notice(n)
 	if s.now.Sub(n.membersAt) >= membersInterval {
 		n.membersAt = s.now
 		n.members = n.members[:0:0]
@@ -194,7 +217,7 @@
 // seemsLive reports whether a node takes another one for live. The loss of a node is noticed
 // after detectionTime.
 func (s *simulation) seemsLive(n, m *simNode) bool {
-	if !m.down && n.group == m.group {
+	if !m.down && !m.paused && n.group == m.group {
 		return true
 	}
 	return s.now.Sub(later(n.changed, m.changed)) < detectionTime
@@ -212,9 +235,13 @@
 	if a == nil {
 		a = NewAggregator(AggregatorOptions{Partition: r.Partition, Bound: testBound, Limit: s.limit, Disabled: s.disabled})
 		a.SetMembers(s.now, len(s.nodes))
+		a.Wake(to.wokeAt)
 		to.aggregator[r.Partition] = a
 	}
-	reply := a.HandleReport(s.now, string(from.id), r)
+	reply, ok := a.HandleReport(s.now, string(from.id), r)
+	if !ok {
+		return
+	}
 	s.send(to, from, func() { from.limiter.HandleReply(s.now, reply) })
 }
 
@@ -234,10 +261,12 @@
 			continue
 		}
 		process := to.process
-		s.after(time.Millisecond+time.Duration(s.rng.Int64N(int64(8*time.Millisecond))), func() {
-			if !to.down && to.process == process {
-				deliver()
-			}
+		s.after(s.delay+time.Millisecond+time.Duration(s.rng.Int64N(int64(8*time.Millisecond))), func() {
+			s.receive(to, func() {
+				if !to.down && to.process == process {
+					deliver()
+				}
+			})
 		})
 	}
 }
@@ -265,24 +294,62 @@
 		t.owed++
 		owed = true
 	}
-	if ok, _ := n.limiter.Admit(s.now, t.limit); ok {
-		t.admitted = append(t.admitted, since)
+	s.receive(n, func() {
+		if ok, _ := n.limiter.Admit(s.now, t.limit); ok {
+			t.admitted = append(t.admitted, since)
+			return
+		}
+		if owed {
+			t.refusedOwed++
+		}
+		if s.rng.Float64() < s.retryAtOnce {
+			s.after(20*time.Millisecond, func() { s.request(t) })
+		}
+	})
+}
+
+// receive handles a message or request, after the end of a pause.
+func (s *simulation) receive(n *simNode, handle func()) {
+	if n.paused {
+		n.held = append(n.held, handle)
+		return
+	}
+	s.notice(n)
+	handle()
+}
+
+// notice tells a node of a pause that has ended.
+func (s *simulation) notice(n *simNode) {
+	if !n.pauses.Ended(s.now) {
 		return
 	}
-	if owed {
-		t.refusedOwed++
+	n.wokeAt = s.now
+	n.limiter.Wake(s.now)
+	for _, a := range n.aggregator {
+		a.Wake(s.now)
 	}
-	if s.rng.Float64() < s.retryAtOnce {
-		s.after(20*time.Millisecond, func() { s.request(t) })
+}
+
+func (s *simulation) pause(n *simNode) { n.paused, n.changed = true, s.now }
+
+// resume ends a pause. What waited is handled in the next 200 ms, in a random order beside what
+// is due.
+func (s *simulation) resume(n *simNode) {
+	n.paused = false
+	for _, handle := range n.held {
+		s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { s.receive(n, handle) })
 	}
+	n.held = nil
+	s.after(time.Duration(s.rng.Int64N(int64(20*time.Millisecond))), func() { s.work(n) })
 }
 
-// worstExcess returns the most requests that were admitted in a window beyond the bound. A
+// worstExcess returns the most admitted requests that were sent in a window beyond the bound. A
 // lowered quota bounds the windows that begin after the change.
 func (t *simTeam) worstExcess() float64 {
 	allowed := t.limit.RatePerSecond*testBound.Window.Seconds() + t.limit.Burst + testBound.excess(t.limit)
 	worst := math.Inf(-1)
 	first := 0
+	slices.Sort(t.admitted)
 	for i, at := range t.admitted {
 		for at-t.admitted[first] > testBound.Window {
 			first++
--- a/internal/transport/quota/quota.go
+++ b/internal/transport/quota/quota.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"wigeonspring.example/wigeonspring/internal/coordination/pause"
 	"wigeonspring.example/wigeonspring/internal/coordination/quota"
 	protocol "wigeonspring.example/wigeonspring/internal/protocol/quota"
 	"wigeonspring.example/wigeonspring/internal/state/event"
@@ -51,6 +52,8 @@
 	opts Options
 
 	mu          sync.Mutex
+	pauses      pause.Detector
+	wokeAt      time.Time
 	limiter     *quota.Limiter
 	aggregators map[quota.Partition]*aggregator
 	members     int
@@ -74,7 +77,8 @@
 // New returns a Manager; Run starts it.
 func New(o Options) *Manager {
 	return &Manager{
-		opts: o,
+		opts:   o,
+		pauses: pause.Detector{MaxGap: quota.MaxGap},
 		limiter: quota.NewLimiter(quota.LimiterOptions{
 			Session: rand.Uint64(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
@@ -84,8 +88,8 @@
 
 // Admit implements proxy.Quotas.
 func (m *Manager) Admit(team *policy.Team) (bool, time.Duration) {
-	m.mu.Lock()
-	admitted, retryAfter := m.limiter.Admit(time.Now(), limitOf(team))
+	now := m.lock()
+	admitted, retryAfter := m.limiter.Admit(now, limitOf(team))
 	m.mu.Unlock()
 	if admitted {
 		counters.Add("admitted", 1)
@@ -97,8 +101,8 @@
 
 // Refund implements proxy.Quotas.
 func (m *Manager) Refund(team *policy.Team) {
-	m.mu.Lock()
-	m.limiter.Refund(time.Now(), team.Name)
+	now := m.lock()
+	m.limiter.Refund(now, team.Name)
 	m.mu.Unlock()
 	counters.Add("refunded", 1)
 }
@@ -116,16 +120,32 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			for _, d := range m.tick(time.Now()) {
+			for _, d := range m.tick() {
 				m.opts.Send(d.to, d.data)
 			}
 		}
 	}
 }
 
-// tick returns the datagrams that are due.
-func (m *Manager) tick(now time.Time) []datagram {
+// lock locks the manager and returns the time. If the process was paused until then, the limiter and
+// the aggregators learn of it before anything else.
+func (m *Manager) lock() time.Time {
 	m.mu.Lock()
+	now := time.Now()
+	if m.pauses.Ended(now) {
+		counters.Add("pauses", 1)
+		m.wokeAt = now
+		m.limiter.Wake(now)
+		for _, a := range m.aggregators {
+			a.Wake(now)
+		}
+	}
+	return now
+}
+
+// tick returns the datagrams that are due.
+func (m *Manager) tick() []datagram {
+	now := m.lock()
 	defer m.mu.Unlock()
 	if m.updateTeams(); len(m.byKey) == 0 {
 		return nil
@@ -213,10 +233,11 @@
 			Limit: func(key quota.TeamKey) (quota.Limit, bool) { l, ok := m.byKey[key]; return l, ok },
 		})}
 		a.SetMembers(now, m.members)
+		a.Wake(m.wokeAt)
 		m.aggregators[r.Partition] = a
 	}
 	a.lastReport = now
-	return a.HandleReport(now, from, r), true
+	return a.HandleReport(now, from, r)
 }
 
 // Receive handles a datagram of another node.
@@ -228,14 +249,14 @@
 		return
 	}
 	if reply != nil {
-		m.mu.Lock()
-		m.limiter.HandleReply(time.Now(), *reply)
+		now := m.lock()
+		m.limiter.HandleReply(now, *reply)
 		m.mu.Unlock()
 		return
 	}
-	m.mu.Lock()
+	now := m.lock()
 	m.updateTeams()
-	out, ok := m.aggregate(time.Now(), from, *report)
+	out, ok := m.aggregate(now, from, *report)
 	m.mu.Unlock()
 	if ok {
 		counters.Add("replies", 1)
--- a/internal/transport/quota/quota_test.go
+++ b/internal/transport/quota/quota_test.go
@@ -174,13 +174,12 @@
 		Send:    func(string, []byte) { replies++ },
 		Events:  &fakeFleet{}, Logger: zap.NewNop(),
 	})
-	now := time.Now()
 	report := protocol.AppendReport(nil, quota.Report{
 		Session: 1, Partition: 1, Seq: 1, Usages: []quota.Usage{{Team: quota.KeyOf("bakers"), Admitted: 1}},
 	})
 	receive := func() int {
 		replies = 0
-		m.tick(now)
+		m.tick()
 		replies = 0
 		m.Receive("n1", report)
 		return replies
