Bound what nodes admit while an aggregator is silent

Change: a node whose report has had no reply for 200 ms admits at most three unreported requests of a team, or twice its equal part of what the team may send in the 0.8 s until contact ends.

--- a/internal/coordination/quota/limiter.go
+++ b/internal/coordination/quota/limiter.go
@@ -86,6 +86,8 @@
 	Settling
 	// FreshAggregators makes aggregators that wake up from a pause forget what they knew.
 	FreshAggregators
+	// Prudence bounds what limiters admit while an aggregator does not answer.
+	Prudence
 )
 
 // Limiter admits the requests of teams at one ingress node.
@@ -196,7 +198,8 @@
 }
 
 // decide applies the directive of the team, the contact to the aggregator or the local bucket,
-// in this order, but only the local bucket while the limiter settles after a pause. The requests
+// in this order, but only the local bucket while the limiter settles after a pause. While the
+// aggregator is late with a reply, what it may not know of is bounded. The requests
 // that a local bucket admits are not counted, because the aggregator leaves room for them. Those
 // that it refuses after a pause are, because the directives must take account of them.
 func (l *Limiter) decide(now time.Time, e *entry, u *uplink, limit Limit) (admitted, counted bool, retryAfter time.Duration) {
@@ -204,6 +207,8 @@
 	case u != nil && u.settling:
 		admitted = l.takeLocal(now, e, limit)
 		return admitted, !admitted, 0
+	case u.silent(now) && float64(e.admitted) >= l.unheardShare(limit) && l.opts.Disabled&Prudence == 0:
+		return false, true, 0
 	case now.Before(e.until) && l.opts.Disabled&Directives == 0:
 		e.localSince = time.Time{}
 		e.carry += e.fraction
@@ -219,6 +224,13 @@
 	return l.takeLocal(now, e, limit), false, 0
 }
 
+// unheardShare is the number of requests of a team that a limiter admits while the aggregator may
+// not know of them: twice its equal part of what the team may send until contact ends. Teams with few
+// requests at each node are not limited by that.
+func (l *Limiter) unheardShare(limit Limit) float64 {
+	return max(3, 2*(limit.Burst+limit.RatePerSecond*contactTimeout.Seconds())/l.members.count())
+}
+
 // takeLocal takes a request from the local bucket of a team.
 func (l *Limiter) takeLocal(now time.Time, e *entry, limit Limit) bool {
 	part := 1 / l.members.count()
@@ -420,6 +432,11 @@
 	}}
 }
 
+// silent reports whether the aggregator has not answered in the usual time.
+func (u *uplink) silent(now time.Time) bool {
+	return u != nil && !u.unanswered.IsZero() && now.Sub(u.unanswered) >= replyTimeout
+}
+
 // inContact reports whether an aggregator has acknowledged the latest reports.
 func (u *uplink) inContact(now time.Time) bool {
 	return u != nil && u.acknowledged && (u.unanswered.IsZero() || now.Sub(u.unanswered) < contactTimeout)
--- a/internal/coordination/quota/pause_test.go
+++ b/internal/coordination/quota/pause_test.go
@@ -98,6 +98,7 @@
 	}{
 		"settling":          {Settling, first},
 		"fresh aggregators": {FreshAggregators, []uint64{15301, 15422, 17935}},
+		"prudence":          {Prudence, []uint64{3152, 13477, 17526}},
 	} {
 		broken := 0
 		for _, play := range c.plays {
