--- a/review/rig3/backend.go
+++ b/review/rig3/backend.go
@@ -42,6 +42,8 @@
 	ackedAt  time.Time // first acknowledged "draining"
 	stop     context.CancelFunc
 	answer   func(w http.ResponseWriter, r *http.Request, s *server) bool
+	// ahead is how much the time of day of the machine is ahead at the start of the server.
+	ahead time.Duration
 	// late, if set, holds back the first heartbeat on its way, and sends it on when it is closed.
 	late chan struct{}
 }
@@ -57,7 +59,7 @@
 	if err != nil {
 		fail("backend server: %v", err)
 	}
-	s.born = time.Now().UnixMilli()
+	s.born = time.Now().Add(s.ahead).UnixMilli()
 	s.ln = ln
 	s.srv = &http.Server{Handler: s}
 	go func() { _ = s.srv.Serve(ln) }()
@@ -69,22 +71,22 @@
 // ServeHTTP runs a request.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(wire["id"])
 	if r.URL.Path == "/healthz" {
-		h.Set("Instance-Id", s.id)
+		h.Set(wire["instance"], s.id)
 		return
 	}
 	a := arrival{id: id, backend: s.id, method: r.Method, path: r.URL.RequestURI(), at: time.Now()}
 	refuse := func(status int) {
 		s.log(a)
-		h.Set("Instance-Id", s.id)
-		h.Set("Not-Executed", "1")
+		h.Set(wire["instance"], s.id)
+		h.Set(wire["refused"], "1")
 		if id != "" {
-			h.Set("Request-Id", id)
+			h.Set(wire["id"], id)
 		}
 		w.WriteHeader(status)
 	}
-	if want := r.Header.Get("Expected-Instance"); want != "" && want != s.id {
+	if want := r.Header.Get(wire["expected"]); want != "" && want != s.id {
 		refuse(421)
 		return
 	}
@@ -103,7 +105,7 @@
 	}
 	a.ran = true
 	s.log(a)
-	s.w.rec.printf("backend server %s runs request %s: %s %s, Caller-Service %q", s.id, id, r.Method, a.path, r.Header.Get("Caller-Service"))
+	s.w.rec.printf("backend server %s runs request %s: %s %s, from service %q", s.id, id, r.Method, a.path, r.Header.Get(wire["origin"]))
 	if s.answer != nil && s.answer(w, r, s) {
 		return
 	}
@@ -114,8 +116,8 @@
 		s.w.rec.printf("backend server %s: the connection of request %s was closed while it ran", s.id, id)
 		return
 	}
-	h.Set("Request-Id", id)
-	h.Set("Response-Signature", "sig."+s.id+"."+id)
+	h.Set(wire["id"], id)
+	h.Set(wire["signature"], "sig."+s.id+"."+id)
 	h.Set("Content-Type", "application/octet-stream")
 	_, _ = fmt.Fprintf(w, "answer of %s to %s, %d bytes\n", s.id, id, len(body))
 }
@@ -141,7 +143,7 @@
 	s.mu.Unlock()
 	fields := map[string]any{
 		"service": s.n.service, "address": s.addr, "zone": s.n.zone, "version": "v1", "capacity": s.capacity,
-		"state": state, "warmupLeft": "0ms", "seq": seq, "born": s.born,
+		"state": state, wire["warm"]: "0ms", "seq": seq, "born": s.born,
 	}
 	if seq == 0 && s.late != nil {
 		go func() {
@@ -173,7 +175,7 @@
 	body, _ := json.Marshal(fields)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, "PUT", "http://"+n.control+"/v1/instances/"+id, bytes.NewReader(body))
+	req, _ := http.NewRequestWithContext(ctx, "PUT", "http://"+n.control+wire["instances"]+id, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -237,7 +239,7 @@
 	s.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, "DELETE", "http://"+s.n.control+"/v1/instances/"+s.id, nil)
+	req, _ := http.NewRequestWithContext(ctx, "DELETE", "http://"+s.n.control+wire["instances"]+s.id, nil)
 	if resp, err := http.DefaultClient.Do(req); err == nil {
 		resp.Body.Close()
 		s.w.rec.printf("backend server %s: DELETE, %d", s.id, resp.StatusCode)
--- a/review/rig3/case_leave.go
+++ b/review/rig3/case_leave.go
@@ -95,7 +95,7 @@
 // sendDelete sends DELETE. If it is late, the bytes are on their way until the result is closed.
 func (s *server) sendDelete(late bool) chan struct{} {
 	release := make(chan struct{})
-	head := "DELETE /v1/instances/" + s.id + " HTTP/1.1\r\nHost: " + s.n.control + "\r\nConnection: close\r\n\r\n"
+	head := "DELETE " + wire["instances"] + s.id + " HTTP/1.1\r\nHost: " + s.n.control + "\r\nConnection: close\r\n\r\n"
 	send := func() {
 		conn, err := net.Dial("tcp", s.n.control)
 		if err != nil {
--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -44,7 +44,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(deadline))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", method, path, host, r.id, deadline.Milliseconds())
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, host, wire["id"], r.id, wire["deadline"], deadline.Milliseconds())
 	if body != nil {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
@@ -63,7 +63,7 @@
 		return err
 	}
 	b, err := io.ReadAll(resp.Body)
-	r.status, r.sig, r.body = resp.StatusCode, resp.Header.Get("Response-Signature"), string(b)
+	r.status, r.sig, r.body = resp.StatusCode, resp.Header.Get(wire["signature"]), string(b)
 	r.whole = err == nil
 	return err
 }
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -88,7 +88,7 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	path, ok := strings.CutPrefix(r.URL.Path, "/v1/objects/")
+	path, ok := strings.CutPrefix(r.URL.Path, wire["objects"])
 	if !ok {
 		w.WriteHeader(404)
 		return
